--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 export CCACHE_BASEDIR := $(CURDIR)
 export CCACHE_NOHASHDIR := 1
 
-FORMATTED := $(shell git ls-files -co --exclude-standard -- 'src/*.h' 'src/*.cpp' 'standin/*.h' 'standin/*.cpp' \
+FORMATTED := $(shell git ls-files -co --exclude-standard -- 'src/*.h' 'src/*.cpp' 'platform/*.h' 'platform/*.cpp' 'standin/*.h' 'standin/*.cpp' \
                'bench/*.h' 'bench/*.cpp' 'tests/*.h' 'tests/*.cpp' ':!src/proto')
 TIDIED := $(filter %.cpp,$(FORMATTED))
 
--- a/bench/control_node_bench.cpp
+++ b/bench/control_node_bench.cpp
@@ -85,9 +85,10 @@
     return 2;
   }
   const bool is_agent = role == "agent";
-  return plantain::RunProcess(argc - 1, argv + 1, "bench-control-node",
-                              is_agent ? plantain::GetAgentSettingsTable() : plantain::GetEntrySettingsTable(),
-                              [is_agent](plantain::Kernel& kernel, plantain::ProcessParts& parts) {
-                                plantain::RegisterNode(kernel, parts, is_agent);
-                              });
+  const auto register_node = [is_agent](plantain::Kernel& kernel, plantain::ProcessParts& parts) {
+    plantain::RegisterNode(kernel, parts, is_agent);
+  };
+  const plantain::SettingsTable table =
+      is_agent ? plantain::GetAgentSettingsTable() : plantain::GetEntrySettingsTable();
+  return plantain::RunProcess(argc - 1, argv + 1, "bench-control-node", {{"standin", table, register_node}});
 }
--- /dev/null
+++ b/src/beacon_book.cpp
@@ -0,0 +1,159 @@
+#include "beacon_book.h"
+
+#include <algorithm>
+#include <set>
+
+#include "fleet.pb.h"
+
+namespace plantain {
+namespace {
+
+// How long an entry that others name is tried without being heard.
+constexpr Duration kNamedLife = std::chrono::seconds(10);
+// Bounds what one beacon can make the book hold.
+constexpr int kMaxNamed = 64;
+constexpr size_t kMaxHeard = 4096;
+constexpr int kMaxFetches = 8;
+
+void EncodeLoad(const EndpointLoad& load, proto::LoadReport& out) {
+  out.set_endpoint(load.endpoint.Get());
+  out.set_running(load.running);
+  out.set_queued(load.queued);
+  out.set_is_switching(load.is_switching);
+  for (const auto& [model, version] : load.loaded) {
+    proto::LoadedVersion* loaded = out.add_loaded();
+    loaded->set_model(model.Get());
+    loaded->set_version(version.Get());
+  }
+}
+
+EndpointLoad DecodeLoad(const proto::LoadReport& in) {
+  EndpointLoad load;
+  load.endpoint = EndpointId(in.endpoint());
+  load.running = in.running();
+  load.queued = in.queued();
+  load.is_switching = in.is_switching();
+  for (const proto::LoadedVersion& loaded : in.loaded()) {
+    load.loaded[ModelName(loaded.model())] = WeightVersion(loaded.version());
+  }
+  return load;
+}
+
+}  // namespace
+
+std::string EncodeBeacon(const BeaconInfo& beacon) {
+  proto::Beacon message;
+  message.set_vm(beacon.vm.Get());
+  message.set_zone(beacon.zone.Get());
+  message.set_is_entry(beacon.is_entry);
+  message.set_incarnation(beacon.incarnation.Get());
+  message.set_sequence(beacon.sequence);
+  message.set_operator_revision(beacon.operator_revision.Get());
+  message.set_directory_revision(beacon.directory_revision.Get());
+  for (const VmId& entry : beacon.entries) message.add_entries(entry.Get());
+  if (beacon.load.has_value()) EncodeLoad(*beacon.load, *message.mutable_load());
+  for (const HoldingInfo& fetch : beacon.fetches) {
+    proto::FetchState* state = message.add_fetches();
+    state->set_manifest(fetch.manifest.Get());
+    state->set_permille(fetch.permille);
+  }
+  return message.SerializeAsString();
+}
+
+std::optional<BeaconInfo> DecodeBeacon(std::string_view bytes) {
+  proto::Beacon message;
+  if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) return std::nullopt;
+  if (message.vm().empty() || message.entries_size() > kMaxNamed || message.fetches_size() > kMaxFetches) {
+    return std::nullopt;
+  }
+  BeaconInfo beacon;
+  beacon.vm = VmId(message.vm());
+  beacon.zone = ZoneName(message.zone());
+  beacon.is_entry = message.is_entry();
+  beacon.incarnation = Incarnation(message.incarnation());
+  beacon.sequence = message.sequence();
+  beacon.operator_revision = LogOffset(message.operator_revision());
+  beacon.directory_revision = LogOffset(message.directory_revision());
+  for (const std::string& entry : message.entries()) beacon.entries.emplace_back(entry);
+  if (message.has_load()) beacon.load = DecodeLoad(message.load());
+  for (const proto::FetchState& state : message.fetches()) {
+    HoldingInfo fetch;
+    fetch.manifest = Digest(state.manifest());
+    fetch.permille = state.permille();
+    beacon.fetches.push_back(std::move(fetch));
+  }
+  return beacon;
+}
+
+bool BeaconBook::Take(BeaconInfo beacon) {
+  if (beacon.vm == m_options.self) return false;
+  const auto found = m_heard.find(beacon.vm);
+  if (found == m_heard.end() && m_heard.size() >= kMaxHeard) return false;
+  if (found != m_heard.end()) {
+    const BeaconInfo& known = found->second.beacon;
+    if (beacon.incarnation < known.incarnation) return false;
+    if (beacon.incarnation == known.incarnation && beacon.sequence <= known.sequence) return false;
+  }
+  const TimePoint now = m_clock.GetNow();
+  for (const VmId& entry : beacon.entries) m_named[entry] = now;
+  if (beacon.is_entry) m_named[beacon.vm] = now;
+  std::erase_if(m_named, [&](const auto& named) { return now - named.second > kNamedLife; });
+  const VmId vm = beacon.vm;
+  m_heard[vm] = Heard{std::move(beacon), now};
+  return true;
+}
+
+std::vector<VmId> BeaconBook::GetEntries() const {
+  std::vector<VmId> entries;
+  for (const auto& [vm, heard] : m_heard) {
+    if (heard.beacon.is_entry && IsFresh(heard)) entries.push_back(vm);
+  }
+  return entries;
+}
+
+std::vector<const BeaconInfo*> BeaconBook::GetHeard() const {
+  std::vector<const BeaconInfo*> all;
+  for (const auto& [vm, heard] : m_heard) {
+    if (IsFresh(heard)) all.push_back(&heard.beacon);
+  }
+  return all;
+}
+
+std::vector<VmId> BeaconBook::GetTargets(size_t max) const {
+  std::vector<VmId> targets;
+  std::set<VmId> chosen;
+  const auto add = [&](const VmId& vm) {
+    if (vm == m_options.self || targets.size() >= max || !chosen.insert(vm).second) return;
+    targets.push_back(vm);
+  };
+  for (const auto& [vm, heard] : m_heard) {
+    if (heard.beacon.is_entry && heard.beacon.zone == m_options.zone && IsFresh(heard)) add(vm);
+  }
+  for (const VmId& entry : GetEntries()) add(entry);
+  for (const auto& [vm, at] : m_named) add(vm);
+  for (const VmId& seed : m_options.seeds) add(seed);
+  return targets;
+}
+
+std::optional<BeaconBook::Source> BeaconBook::FindNewer(LogOffset operator_revision,
+                                                        LogOffset directory_revision) const {
+  std::optional<Source> best;
+  bool is_best_near = false;
+  for (const auto& [vm, heard] : m_heard) {
+    const BeaconInfo& beacon = heard.beacon;
+    const bool is_newer =
+        beacon.operator_revision > operator_revision || beacon.directory_revision > directory_revision;
+    if (!is_newer || !IsFresh(heard)) continue;
+    const bool is_near = beacon.zone == m_options.zone;
+    const bool is_better =
+        !best.has_value() || (is_near && !is_best_near) ||
+        (is_near == is_best_near && beacon.operator_revision + beacon.directory_revision >
+                                        best->operator_revision + best->directory_revision);
+    if (!is_better) continue;
+    best = Source{vm, beacon.operator_revision, beacon.directory_revision};
+    is_best_near = is_near;
+  }
+  return best;
+}
+
+}  // namespace plantain
--- a/src/ctl_settings_cmd.cpp
+++ b/src/ctl_settings_cmd.cpp
@@ -19,7 +19,9 @@
            "page is current. Settings are YAML;\na dotted name such as `peer.port` is the key `port` in the "
            "section `peer`. `--check-settings` checks a file and\n`--print-settings` prints what is in force.\n\n"
         << FormatSettingsTable("plantain-entry", GetEntrySettingsTable())
-        << FormatSettingsTable("plantain-agent", GetAgentSettingsTable());
+        << FormatSettingsTable("plantain-agent", GetAgentSettingsTable())
+        << FormatSettingsTable("plantain-entry --platform hosted", GetHostedEntrySettingsTable())
+        << FormatSettingsTable("plantain-agent --platform hosted", GetHostedAgentSettingsTable());
     return CtlExit::kOk;
   }
 };
--- a/src/download_side.cpp
+++ b/src/download_side.cpp
@@ -11,8 +11,6 @@
 
 constexpr int kHttpOk = 200;
 constexpr size_t kMessageOverhead = 64 * 1024;
-// The plan notices stalls itself; this only frees the connection of a call that nobody waits for any more.
-constexpr Duration kOriginTimeout = std::chrono::minutes(5);
 // Interest is repeated to a peer that has been silent for this long, since it may have restarted.
 constexpr Duration kInterestPeriod = std::chrono::seconds(1);
 // How many hedge times another zone waits for the drawing zone before its manifest owner turns to the origin.
@@ -29,14 +27,14 @@
 
 }  // namespace
 
-DownloadSide::DownloadSide(TransferState& state, ChannelContext& context, DownloadOptions options, Random& random,
-                           DownloadListener& listener)
+DownloadSide::DownloadSide(TransferState& state, ChannelContext& context, DownloadOptions options, ChunkOrigin& origin,
+                           Random& random, DownloadListener& listener)
     : m_state(state),
       m_context(context),
       m_options(std::move(options)),
       m_listener(listener),
       m_plan(state.clock, random, m_options.plan),
-      m_http(state.loop),
+      m_origin(origin),
       m_origin_bytes(state.metrics.GetCounter(kReceivedName, kReceivedHelp, {{"source", "origin"}})),
       m_peer_bytes(state.metrics.GetCounter(kReceivedName, kReceivedHelp, {{"source", "zone"}})),
       m_shared_bytes(state.metrics.GetCounter(kReceivedName, kReceivedHelp, {{"source", "other_zone"}})),
@@ -50,7 +48,9 @@
 void DownloadSide::Stop() {
   m_pump_timer.reset();
   for (auto& [id, call] : m_origin_calls) call->Cancel();
-  for (auto& [id, call] : m_manifest_calls) call->Cancel();
+  for (auto& [id, call] : m_manifest_calls) {
+    if (call != nullptr) call->Cancel();
+  }
   m_origin_calls.clear();
   m_manifest_calls.clear();
   m_links.clear();
@@ -135,12 +135,9 @@
 }
 
 void DownloadSide::FetchManifest(const Digest& manifest) {
-  HttpCallOptions options;
-  options.timeout = m_options.plan.hedge * kRemoteFallback;
-  options.max_body_bytes = kMaxManifestBytes;
-  const HttpRequest request{"GET", "/manifests/" + FormatDigest(manifest), {}, ""};
+  const Duration timeout = m_options.plan.hedge * kRemoteFallback;
   m_manifest_calls[manifest] =
-      m_http.Fetch(m_options.origin, request, options, [this, manifest](const absl::StatusOr<HttpResponse>& response) {
+      m_origin.FetchManifest(manifest, timeout, [this, manifest](const absl::StatusOr<HttpResponse>& response) {
         m_manifest_calls.erase(manifest);
         if (!response.ok() || response->status != kHttpOk) return;
         proto::ManifestReply reply;
@@ -270,10 +267,6 @@
 }
 
 void DownloadSide::IssueToOrigin(const Fetch& fetch) {
-  HttpCallOptions options;
-  options.timeout = kOriginTimeout;
-  options.max_body_bytes = kMaxChunkBytes;
-  const HttpRequest request{"GET", "/chunks/" + FormatDigest(fetch.chunk), {}, ""};
   auto content = std::make_shared<std::string>();
   auto status_code = std::make_shared<int>(0);
   HttpCallbacks callbacks;
@@ -289,7 +282,7 @@
       OnOriginChunk(fetch, HttpResponse{*status_code, {}, std::move(*content)});
     }
   };
-  m_origin_calls[fetch.id] = m_http.Send(m_options.origin, request, options, std::move(callbacks));
+  m_origin_calls[fetch.id] = m_origin.FetchChunk(fetch.chunk, std::move(callbacks));
 }
 
 void DownloadSide::OnOriginChunk(const Fetch& fetch, absl::StatusOr<HttpResponse> response) {
--- a/src/download_side.h
+++ b/src/download_side.h
@@ -10,7 +10,7 @@
 
 #include "channel.h"
 #include "chunk_plan.h"
-#include "http_client.h"
+#include "weight_port.h"
 #include "upload_side.h"
 
 namespace plantain::proto {
@@ -23,7 +23,6 @@
 // Settings of the download side.
 struct DownloadOptions {
   PlanOptions plan;
-  HttpTarget origin;
   Port peer_port;
 };
 
@@ -41,8 +40,8 @@
 // Carries out the chunk plan: keeps connections to the plan's sources, sends its fetches and checks what comes back.
 class DownloadSide {
  public:
-  DownloadSide(TransferState& state, ChannelContext& context, DownloadOptions options, Random& random,
-               DownloadListener& listener);
+  DownloadSide(TransferState& state, ChannelContext& context, DownloadOptions options, ChunkOrigin& origin,
+               Random& random, DownloadListener& listener);
   ~DownloadSide();
 
   // Replaces what to fetch. The manifest pointer of a want is null until the manifest is known.
@@ -92,7 +91,7 @@
   const DownloadOptions m_options;
   DownloadListener& m_listener;
   ChunkPlan m_plan;
-  HttpClient m_http;
+  ChunkOrigin& m_origin;
   std::vector<PlanWant> m_wants;
   std::map<Digest, TimePoint> m_wanted_since;
   std::map<Digest, std::shared_ptr<HttpCall>> m_manifest_calls;
--- /dev/null
+++ b/src/endpoint_board.cpp
@@ -0,0 +1,258 @@
+#include "endpoint_board.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace plantain {
+namespace {
+
+// A report older than this says nothing about the present load; requests last about as long.
+constexpr Duration kReportLife = Milliseconds(1500);
+// Requests beyond its slots that an endpoint may queue, so that it need not wait for the entry after each answer.
+constexpr uint32_t kQueueAhead = 1;
+// Without reports each entry takes this multiple of its even share of an endpoint's slots, since entries get uneven
+// parts of the traffic.
+constexpr double kBlindShare = 1.5;
+// What a step away from the entry's own zone counts, in shares of an endpoint's slots. Bytes between zones and
+// regions are scarce, but less so than slots.
+constexpr double kZonePenalty = 0.10;
+constexpr double kRegionPenalty = 0.25;
+// Share of the rate that cold endpoints bear which all entries together use for cold ones, and for warm ones that may
+// turn cold without a word.
+constexpr double kColdShare = 0.7;
+constexpr double kWarmShare = 1.2;
+constexpr double kPaceBurst = 2;
+// Time set aside after a failure; doubles with each further one.
+constexpr Duration kFirstUnreachable = Milliseconds(400);
+constexpr Duration kLongestUnreachable = Milliseconds(3000);
+constexpr Duration kFirstSilent = Milliseconds(1500);
+constexpr Duration kLongestSilent = Milliseconds(6000);
+constexpr Duration kFullPause = Milliseconds(60);
+constexpr Duration kMisdirectedPause = Milliseconds(500);
+constexpr uint32_t kMaxDoublings = 5;
+// Attempts that the share of errors looks back on, and how far above its pool's mean it must lie to be suspicious.
+constexpr double kErrorMemory = 12;
+constexpr double kMinAttempts = 5;
+constexpr double kSuspiciousExcess = 0.25;
+constexpr double kSuspicionPenalty = 1.0;
+
+}  // namespace
+
+EndpointBoard::EndpointBoard(const Clock& clock, Random& random, BoardOptions options)
+    : m_clock(clock), m_random(random), m_options(std::move(options)), m_fleet(std::make_shared<FleetView>()) {}
+
+void EndpointBoard::SetFleet(std::shared_ptr<const FleetView> fleet) {
+  m_fleet = std::move(fleet);
+  m_pools.clear();
+  for (auto& [id, state] : m_states) state.is_listed = false;
+  for (const EndpointInfo& info : m_fleet->endpoints) {
+    const auto [found, is_new] = m_states.try_emplace(info.id);
+    State& state = found->second;
+    // A restarted endpoint is another one under the same id.
+    if (!is_new && state.info.incarnation != info.incarnation) {
+      const uint32_t own = state.own;
+      state = State();
+      state.own = own;
+    }
+    if (state.tokens_at == TimePoint()) {
+      state.tokens = kPaceBurst;
+      state.tokens_at = m_clock.GetNow();
+    }
+    // The directory's news of weights may be older than the agent's.
+    if (state.info.loaded != info.loaded) state.loaded = info.loaded;
+    state.info = info;
+    state.is_listed = true;
+    m_pools[info.pool].push_back(&state);
+  }
+  std::erase_if(m_states, [](const auto& entry) { return !entry.second.is_listed && entry.second.own == 0; });
+  if (m_fleet->routing == nullptr) return;
+  for (const PoolSpec& pool : m_fleet->routing->pools) {
+    const auto states = m_pools.find(pool.name);
+    if (states == m_pools.end()) continue;
+    for (State* state : states->second) state->cold_per_s = pool.cold_per_s;
+  }
+}
+
+void EndpointBoard::SetEntryCount(uint32_t count) { m_entries = std::max(1U, count); }
+
+void EndpointBoard::OnLoad(const EndpointLoad& load) {
+  const auto found = m_states.find(load.endpoint);
+  if (found == m_states.end()) return;
+  State& state = found->second;
+  const uint32_t total = load.running + load.queued;
+  state.others = total > state.own ? total - state.own : 0;
+  state.report_at = m_clock.GetNow();
+  state.has_report = true;
+  state.is_switching = load.is_switching;
+  if (!load.loaded.empty()) state.loaded = load.loaded;
+}
+
+bool EndpointBoard::HasFreshReport(const State& state, TimePoint now) const {
+  return state.has_report && now - state.report_at < kReportLife;
+}
+
+uint32_t EndpointBoard::GetLoad(const State& state, TimePoint now) const {
+  return state.own + (HasFreshReport(state, now) ? state.others : 0);
+}
+
+uint32_t EndpointBoard::GetLimit(const State& state, TimePoint now) const {
+  const uint32_t slots = std::max(1U, state.info.slots);
+  if (HasFreshReport(state, now) || m_entries == 1) return slots + kQueueAhead;
+  const double share = kBlindShare * static_cast<double>(slots) / m_entries;
+  return std::max(1U, static_cast<uint32_t>(std::lround(share)));
+}
+
+void EndpointBoard::Refill(State& state, TimePoint now) const {
+  const bool is_cold = state.info.cold_until > now;
+  const double rate = state.cold_per_s * (is_cold ? kColdShare : kWarmShare) / m_entries;
+  const double elapsed_s = std::chrono::duration<double>(now - state.tokens_at).count();
+  state.tokens = std::min(kPaceBurst, state.tokens + elapsed_s * rate);
+  state.tokens_at = now;
+}
+
+bool EndpointBoard::MayRun(const State& state, const EndpointQuery& query) const {
+  if (state.info.is_leaving || m_fleet->zones_out.contains(state.info.zone)) return false;
+  if (!IsRegionAllowed(*query.rule, query.workspace, state.info.region)) return false;
+  return std::find(query.excluded.begin(), query.excluded.end(), state.info.id) == query.excluded.end();
+}
+
+bool EndpointBoard::HasVersion(const State& state, const EndpointQuery& query) const {
+  if (query.model.IsEmpty()) return true;
+  const auto loaded = state.loaded.find(query.model);
+  if (loaded == state.loaded.end()) return false;
+  if (query.exact_version.has_value()) return loaded->second == *query.exact_version;
+  return !query.min_version.has_value() || loaded->second >= *query.min_version;
+}
+
+EndpointBoard::Fit EndpointBoard::Judge(State& state, const EndpointQuery& query, TimePoint now) {
+  if (!MayRun(state, query)) return Fit::kNever;
+  if (state.aside_until > now) return Fit::kSetAside;
+  if (state.pause_until > now) return Fit::kBusy;
+  if (state.is_switching && HasFreshReport(state, now)) return Fit::kBusy;
+  if (!HasVersion(state, query)) return Fit::kBusy;
+  if (GetLoad(state, now) >= GetLimit(state, now)) return Fit::kBusy;
+  if (state.cold_per_s > 0) {
+    Refill(state, now);
+    if (state.tokens < 1) return Fit::kBusy;
+  }
+  return Fit::kFree;
+}
+
+bool EndpointBoard::IsSuspicious(const State& state) const {
+  if (state.attempts < kMinAttempts) return false;
+  const auto pool = m_pools.find(state.info.pool);
+  if (pool == m_pools.end()) return false;
+  double sum = 0;
+  double count = 0;
+  for (const State* other : pool->second) {
+    if (other == &state || other->attempts < kMinAttempts) continue;
+    sum += other->error_share;
+    ++count;
+  }
+  const double mean = count > 0 ? sum / count : 0;
+  return state.error_share > mean + kSuspiciousExcess;
+}
+
+double EndpointBoard::GetScore(const State& state, TimePoint now) const {
+  double score = static_cast<double>(GetLoad(state, now)) / std::max(1U, state.info.slots);
+  if (state.info.zone != m_options.zone) {
+    score += state.info.region == m_options.region ? kZonePenalty : kRegionPenalty;
+  }
+  if (IsSuspicious(state)) score += kSuspicionPenalty;
+  // A tie goes to a random one.
+  return score + m_random.GetUnit() * 1e-3;
+}
+
+EndpointChoice EndpointBoard::Choose(const EndpointQuery& query) {
+  const TimePoint now = m_clock.GetNow();
+  EndpointChoice choice;
+  const auto pool = m_pools.find(query.pool);
+  choice.failure = NoEndpoint::kUnknown;
+  if (pool == m_pools.end()) return choice;
+  State* best = nullptr;
+  double best_score = 0;
+  for (State* state : pool->second) {
+    const Fit fit = Judge(*state, query, now);
+    if (fit == Fit::kBusy) choice.failure = NoEndpoint::kBusy;
+    if (fit == Fit::kSetAside && choice.failure == NoEndpoint::kUnknown) choice.failure = NoEndpoint::kSetAside;
+    if (fit != Fit::kFree) continue;
+    const double score = GetScore(*state, now);
+    if (best != nullptr && score >= best_score) continue;
+    best = state;
+    best_score = score;
+  }
+  if (best == nullptr) return choice;
+  choice.endpoint = &best->info;
+  choice.failure = NoEndpoint::kNone;
+  const auto loaded = best->loaded.find(query.model);
+  if (loaded != best->loaded.end()) choice.version = loaded->second;
+  choice.load = GetLoad(*best, now);
+  choice.load_age = best->has_report ? now - best->report_at : Duration::max();
+  return choice;
+}
+
+void EndpointBoard::OnSent(const EndpointId& id) {
+  const auto found = m_states.find(id);
+  if (found == m_states.end()) return;
+  ++found->second.own;
+  if (found->second.cold_per_s > 0) found->second.tokens -= 1;
+}
+
+void EndpointBoard::NoteOutcome(State& state, bool is_error) {
+  const double weight = 1 / std::min(kErrorMemory, state.attempts + 1);
+  state.error_share += weight * ((is_error ? 1.0 : 0.0) - state.error_share);
+  state.attempts = std::min(kErrorMemory, state.attempts + 1);
+}
+
+void EndpointBoard::SetAside(State& state, Duration first, Duration longest) {
+  const uint32_t doublings = std::min(state.failures, kMaxDoublings);
+  ++state.failures;
+  state.aside_until = m_clock.GetNow() + std::min(longest, first * (1 << doublings));
+}
+
+void EndpointBoard::OnEnded(const EndpointId& id, AttemptEnd end) {
+  const auto found = m_states.find(id);
+  if (found == m_states.end()) return;
+  State& state = found->second;
+  if (state.own > 0) --state.own;
+  switch (end) {
+    case AttemptEnd::kSuccess:
+      state.failures = 0;
+      NoteOutcome(state, false);
+      break;
+    case AttemptEnd::kError:
+    case AttemptEnd::kBroken:
+      NoteOutcome(state, true);
+      break;
+    case AttemptEnd::kFull:
+      state.pause_until = std::max(state.pause_until, m_clock.GetNow() + kFullPause);
+      break;
+    case AttemptEnd::kMisdirected:
+      state.pause_until = std::max(state.pause_until, m_clock.GetNow() + kMisdirectedPause);
+      break;
+    case AttemptEnd::kUnreachable:
+      SetAside(state, kFirstUnreachable, kLongestUnreachable);
+      break;
+    case AttemptEnd::kSilent:
+      NoteOutcome(state, true);
+      SetAside(state, kFirstSilent, kLongestSilent);
+      break;
+    case AttemptEnd::kCancelled:
+      break;
+  }
+}
+
+EndpointBoard::Occupancy EndpointBoard::GetOccupancy(const PoolName& pool) const {
+  Occupancy occupancy;
+  const TimePoint now = m_clock.GetNow();
+  const auto states = m_pools.find(pool);
+  if (states == m_pools.end()) return occupancy;
+  for (const State* state : states->second) {
+    if (state->info.is_leaving || m_fleet->zones_out.contains(state->info.zone)) continue;
+    occupancy.load += GetLoad(*state, now);
+    occupancy.places += std::max(1U, state->info.slots);
+  }
+  return occupancy;
+}
+
+}  // namespace plantain
--- a/src/engine_client.h
+++ b/src/engine_client.h
@@ -32,6 +32,9 @@
   virtual std::shared_ptr<const EngineReport> GetReport() const = 0;
 };
 
+// The local engine as weight control sees it.
+class EngineControl : public EngineSource, public EngineOrders {};
+
 // Settings of the engine client.
 struct EngineClientOptions {
   HttpTarget target;
@@ -40,7 +43,7 @@
 };
 
 // EngineSource for an engine, on the control loop.
-class EngineClient : public Service, public EngineSource, public EngineOrders {
+class EngineClient : public Service, public EngineControl {
  public:
   EngineClient(Loop& loop, EngineClientOptions options, Metrics& metrics);
 
--- a/src/event_log.cpp
+++ b/src/event_log.cpp
@@ -1,15 +1,18 @@
 #include "event_log.h"
 
 #include <log4cplus/configurator.h>
-#include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
+#include <unistd.h>
 
 #include <memory>
+#include <sstream>
 
 #include "failure_type.h"
+#include "log_writer.h"
 
 namespace plantain {
 namespace {
@@ -28,6 +31,40 @@
   return log4cplus::INFO_LOG_LEVEL;
 }
 
+// A few seconds of lines at the highest rate of requests.
+constexpr size_t kLogBufferBytes = 512 * 1024;
+constexpr Duration kFlushTime = Milliseconds(300);
+
+std::string MakeDropNote(uint64_t dropped) {
+  return FormatEvent("log_dropped", {{"lines", dropped}}) + "\n";
+}
+
+// Hands formatted lines to the writer's thread.
+class BufferedAppender : public log4cplus::Appender {
+ public:
+  BufferedAppender() : m_writer(STDOUT_FILENO, kLogBufferBytes, MakeDropNote) {}
+  ~BufferedAppender() override { destructorImpl(); }
+
+  void close() override {}
+  void Flush() { m_writer.Flush(kFlushTime); }
+
+ protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+    std::ostringstream line;
+    layout->formatAndAppend(line, event);
+    const bool is_routine = event.getLogLevel() <= log4cplus::INFO_LOG_LEVEL;
+    m_writer.Write(line.str(), is_routine ? LineRank::kRoutine : LineRank::kImportant);
+  }
+
+ private:
+  LogWriter m_writer;
+};
+
+BufferedAppender*& GetAppender() {
+  static BufferedAppender* appender = nullptr;
+  return appender;
+}
+
 bool NeedsQuotes(std::string_view value) {
   if (value.empty()) return true;
   for (const unsigned char c : value) {
@@ -80,7 +117,8 @@
 
 void InitEventLog(LogLevel level, const std::string& process, const std::string& vm) {
   GetInitializer() = std::make_unique<log4cplus::Initializer>();
-  log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+  GetAppender() = new BufferedAppender();
+  log4cplus::SharedAppenderPtr appender(GetAppender());
   const std::string pattern = "time=%d{%Y-%m-%dT%H:%M:%S.%qZ} level=%p process=" + process + " vm=" + vm + " %m%n";
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
   log4cplus::Logger root = log4cplus::Logger::getRoot();
@@ -88,6 +126,12 @@
   root.setLogLevel(ToLog4cplus(level));
 }
 
+void SetEventLogLevel(LogLevel level) { log4cplus::Logger::getRoot().setLogLevel(ToLog4cplus(level)); }
+
+void FlushEventLog() {
+  if (GetAppender() != nullptr) GetAppender()->Flush();
+}
+
 void LogEvent(LogLevel level, std::string_view name, std::initializer_list<EventField> fields) {
   if (GetInitializer() == nullptr) return;
   log4cplus::Logger root = log4cplus::Logger::getRoot();
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -40,9 +40,17 @@
 // Formats `event=name key=value ...`; values with spaces, quotes or control characters are quoted and escaped.
 std::string FormatEvent(std::string_view name, std::initializer_list<EventField> fields);
 
-// Sets up log4cplus to write to standard error. `process` and `vm` are added to each line. Call once from main.
+// Sets up log4cplus to write to standard output. `process` and `vm` are added to each line. Lines go through a bounded
+// buffer to a thread of their own, so that a reader that stalls never blocks the caller; lines that do not fit are
+// dropped, those of level info and below first, and counted in an event `log_dropped`. Call once from main.
 void InitEventLog(LogLevel level, const std::string& process, const std::string& vm);
 
+// Changes the lowest level that is written.
+void SetEventLogLevel(LogLevel level);
+
+// Writes what is buffered, as far as the reader takes it within a short time.
+void FlushEventLog();
+
 // Writes one event. Safe from any thread.
 void LogEvent(LogLevel level, std::string_view name, std::initializer_list<EventField> fields);
 
--- /dev/null
+++ b/src/fleet_mirror.cpp
@@ -0,0 +1,174 @@
+#include "fleet_mirror.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "event_log.h"
+
+namespace plantain {
+namespace {
+
+constexpr Duration kTickPeriod = Milliseconds(200);
+// After an outage the platform lists living endpoints again within 2 s; one still missing then is gone.
+constexpr Duration kLapseTime = Milliseconds(2200);
+
+}  // namespace
+
+FleetMirror::FleetMirror(Loop& loop, const Clock& clock, const FleetDecoder& decoder, Duration version_time)
+    : m_loop(loop),
+      m_clock(clock),
+      m_decoder(decoder),
+      m_version_time(version_time),
+      m_operator([](const std::string& a, const std::string& b) { return a == b; }),
+      m_directory([&decoder](const std::string& a, const std::string& b) { return decoder.IsSameEndpoint(a, b); }),
+      m_view(std::make_shared<FleetView>()) {}
+
+absl::Status FleetMirror::Start() {
+  m_tick_timer = m_loop.RunEvery(kTickPeriod, [this] { Tick(); });
+  return absl::OkStatus();
+}
+
+void FleetMirror::Stop() { m_tick_timer.reset(); }
+
+void FleetMirror::AddFleetListener(std::function<void(const std::shared_ptr<const FleetView>&)> listener) {
+  m_listeners.push_back(std::move(listener));
+}
+
+const RecordMirror& FleetMirror::GetRecords(FleetTopic topic) const {
+  return topic == FleetTopic::kOperator ? m_operator : m_directory;
+}
+
+RecordMirror& FleetMirror::GetMutable(FleetTopic topic) {
+  return topic == FleetTopic::kOperator ? m_operator : m_directory;
+}
+
+void FleetMirror::TakeRecords(FleetTopic topic, std::vector<KeyedRecord> records, LogOffset complete_to,
+                              RecordOrigin origin) {
+  RecordMirror& mirror = GetMutable(topic);
+  bool is_changed = false;
+  for (KeyedRecord& record : records) is_changed |= mirror.Take(std::move(record));
+  mirror.SetCompleteTo(complete_to);
+  if (is_changed) OnChanged(topic, origin);
+}
+
+void FleetMirror::TakeListing(FleetTopic topic, std::vector<KeyedRecord> records, LogOffset end) {
+  if (GetMutable(topic).TakeListing(std::move(records), end)) OnChanged(topic, RecordOrigin::kStore);
+}
+
+void FleetMirror::SetStoreReachable(bool is_reachable) {
+  if (is_reachable == m_is_store_reachable) return;
+  m_is_store_reachable = is_reachable;
+  if (is_reachable && m_was_store_lost) m_regained_at = m_clock.GetNow();
+  if (!is_reachable) m_was_store_lost = true;
+  LogEvent(is_reachable ? LogLevel::kInfo : LogLevel::kWarn, is_reachable ? "store_reachable" : "store_unreachable",
+           {{"operator_offset", m_operator.GetCompleteTo()}, {"directory_offset", m_directory.GetCompleteTo()}});
+  Publish();
+}
+
+void FleetMirror::OnChanged(FleetTopic topic, RecordOrigin origin) {
+  if (topic == FleetTopic::kOperator) {
+    UpdateOperator();
+  } else {
+    UpdateDirectory(origin);
+  }
+  Publish();
+}
+
+void FleetMirror::UpdateOperator() {
+  OperatorState state = m_decoder.DecodeOperator(m_operator, m_operator_state);
+  if (state.routing != m_operator_state.routing && state.routing != nullptr) {
+    LogEvent(LogLevel::kInfo, "config_in_force",
+             {{"version", state.routing->version},
+              {"routes", state.routing->routes.size()},
+              {"workspaces", state.routing->workspaces.size()},
+              {"offset", m_operator.GetRevision()}});
+  }
+  for (const ZoneName& zone : state.zones_out) {
+    if (!m_operator_state.zones_out.contains(zone)) LogEvent(LogLevel::kInfo, "zone_out", {{"zone", zone}});
+  }
+  for (const ZoneName& zone : m_operator_state.zones_out) {
+    if (!state.zones_out.contains(zone)) LogEvent(LogLevel::kInfo, "zone_in", {{"zone", zone}});
+  }
+  NoteWanted(state);
+  m_operator_state = std::move(state);
+  m_has_operator_state = true;
+}
+
+void FleetMirror::NoteWanted(const OperatorState& state) {
+  const TimePoint now = m_clock.GetNow();
+  for (const auto& [model, version] : state.wanted) {
+    const auto known = m_wanted.find(model);
+    if (known != m_wanted.end() && known->second.version >= version) continue;
+    // How long ago a version was named that was there before this process is not known, so it counts as due.
+    const TimePoint since = m_has_operator_state ? now : now - m_version_time;
+    m_wanted[model] = WantedWeights{model, version, since};
+    LogEvent(LogLevel::kInfo, "weights_wanted", {{"model", model}, {"version", version}});
+  }
+}
+
+// Whether a record that vanishes now may come back, because its endpoint could not renew it during an outage. A peer
+// has seen the store itself, so what it passes on is taken as it is.
+bool FleetMirror::MayHaveLapsed(RecordOrigin origin) const {
+  if (origin == RecordOrigin::kPeer || !m_was_store_lost) return false;
+  return m_clock.GetNow() < m_regained_at + kLapseTime || !m_is_store_reachable;
+}
+
+void FleetMirror::UpdateDirectory(RecordOrigin origin) {
+  const TimePoint now = m_clock.GetNow();
+  std::map<EndpointId, DirectoryEntry> endpoints;
+  std::map<EndpointId, std::string> decoded;
+  m_directory.ForEach([&](const std::string& key, const std::string& value) {
+    const EndpointId id(key);
+    const auto known = m_decoded.find(id);
+    if (known != m_decoded.end() && known->second == value) {
+      decoded.insert(m_decoded.extract(known));
+      if (const auto entry = m_endpoints.find(id); entry != m_endpoints.end()) endpoints.insert(*entry);
+      return;
+    }
+    decoded[id] = value;
+    std::optional<DirectoryEntry> entry = m_decoder.DecodeEndpoint(key, value);
+    if (!entry.has_value()) return;
+    entry->info.cold_until = now + entry->cold_left;
+    const auto before = m_endpoints.find(id);
+    if (before == m_endpoints.end() || before->second.info.is_leaving != entry->info.is_leaving) {
+      LogEvent(LogLevel::kInfo, entry->info.is_leaving ? "endpoint_leaving" : "endpoint_listed",
+               {{"endpoint", id},
+                {"pool", entry->info.pool},
+                {"zone", entry->info.zone},
+                {"address", entry->info.target.address},
+                {"offset", m_directory.GetRevision()}});
+    }
+    endpoints.emplace(id, *std::move(entry));
+  });
+  const bool may_have_lapsed = MayHaveLapsed(origin);
+  for (const auto& [id, entry] : m_endpoints) {
+    if (endpoints.contains(id)) continue;
+    const bool is_kept = may_have_lapsed && !entry.info.is_leaving;
+    LogEvent(LogLevel::kInfo, is_kept ? "endpoint_lapsed" : "endpoint_gone",
+             {{"endpoint", id}, {"pool", entry.info.pool}, {"offset", m_directory.GetRevision()}});
+    if (is_kept) m_lapsed[id] = Lapsed{entry, std::max(now, m_regained_at) + kLapseTime};
+  }
+  for (const auto& [id, entry] : endpoints) m_lapsed.erase(id);
+  m_endpoints = std::move(endpoints);
+  m_decoded = std::move(decoded);
+}
+
+void FleetMirror::Tick() {
+  const TimePoint now = m_clock.GetNow();
+  const size_t expired = std::erase_if(m_lapsed, [&](const auto& lapsed) { return lapsed.second.until <= now; });
+  if (expired > 0) Publish();
+}
+
+void FleetMirror::Publish() {
+  auto view = std::make_shared<FleetView>();
+  view->routing = m_operator_state.routing;
+  view->zones_out = m_operator_state.zones_out;
+  view->is_store_reachable = m_is_store_reachable;
+  for (const auto& [id, entry] : m_endpoints) view->endpoints.push_back(entry.info);
+  for (const auto& [id, lapsed] : m_lapsed) view->endpoints.push_back(lapsed.entry.info);
+  for (const auto& [model, wanted] : m_wanted) view->wanted.push_back(wanted);
+  m_view.Set(view);
+  for (const auto& listener : m_listeners) listener(view);
+}
+
+}  // namespace plantain
--- /dev/null
+++ b/src/fleet_relay.cpp
@@ -0,0 +1,169 @@
+#include "fleet_relay.h"
+
+#include <charconv>
+#include <utility>
+
+#include "event_log.h"
+#include "failure_type.h"
+#include "fleet.pb.h"
+
+namespace plantain {
+namespace {
+
+constexpr char kOperatorPath[] = "/records/operator";
+constexpr char kDirectoryPath[] = "/records/directory";
+constexpr int kHttpOk = 200;
+constexpr int kHttpNotFound = 404;
+// Bounds the datagrams of one beacon; beyond it a process is heard through the entries that it does reach.
+constexpr size_t kMaxTargets = 24;
+// An entry reads the store itself; it asks a peer only if its own read does not bring the news soon.
+constexpr Duration kOwnReadTime = Milliseconds(800);
+constexpr Duration kPullTimeout = Milliseconds(1000);
+constexpr size_t kMaxBatchBytes = 16 * 1024 * 1024;
+
+}  // namespace
+
+FleetRelay::FleetRelay(Loop& loop, const Clock& clock, FleetMirror& mirror, BeaconSource& source, RelayOptions options)
+    : m_loop(loop),
+      m_clock(clock),
+      m_mirror(mirror),
+      m_source(source),
+      m_options(std::move(options)),
+      m_book(clock, BeaconOptions{m_options.vm, m_options.zone, Milliseconds(2500), m_options.seeds}) {}
+
+absl::Status FleetRelay::Start() {
+  const IpAddress address(m_options.vm.Get());
+  m_socket = std::make_unique<UdpSocket>(m_loop, address, m_options.port,
+                                         [this](std::string_view data) { OnDatagram(data); });
+  if (absl::Status status = m_socket->Start(); !status.ok()) return status;
+  m_server = std::make_unique<HttpServer>(m_loop, address, m_options.port, 0,
+                                          [this](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
+                                            responder->Send(AnswerRecords(request));
+                                          });
+  if (absl::Status status = m_server->Start(); !status.ok()) return status;
+  m_client = std::make_unique<HttpClient>(m_loop);
+  m_beacon_timer = m_loop.RunEvery(m_options.period, [this] {
+    SendBeacons();
+    PullIfBehind();
+  });
+  m_loop.Post([this] { SendBeacons(); });
+  return absl::OkStatus();
+}
+
+void FleetRelay::Stop() {
+  m_beacon_timer.reset();
+  m_socket.reset();
+  m_server.reset();
+  m_client.reset();
+}
+
+void FleetRelay::AddBeaconListener(std::function<void(const BeaconInfo&)> listener) {
+  m_listeners.push_back(std::move(listener));
+}
+
+void FleetRelay::OnDatagram(std::string_view data) {
+  std::optional<BeaconInfo> beacon = DecodeBeacon(data);
+  if (!beacon.has_value()) return;
+  const BeaconInfo copy = *beacon;
+  if (!m_book.Take(*std::move(beacon))) return;
+  for (const auto& listener : m_listeners) listener(copy);
+}
+
+void FleetRelay::SendBeacons() {
+  if (m_socket == nullptr) return;
+  BeaconInfo beacon;
+  beacon.vm = m_options.vm;
+  beacon.zone = m_options.zone;
+  beacon.is_entry = m_options.is_entry;
+  beacon.incarnation = m_options.incarnation;
+  beacon.sequence = ++m_sequence;
+  beacon.operator_revision = m_mirror.GetRecords(FleetTopic::kOperator).GetRevision();
+  beacon.directory_revision = m_mirror.GetRecords(FleetTopic::kDirectory).GetRevision();
+  beacon.entries = m_book.GetEntries();
+  if (m_options.is_entry) beacon.entries.push_back(m_options.vm);
+  m_source.FillBeacon(beacon);
+  const std::string data = EncodeBeacon(beacon);
+  for (const VmId& target : m_book.GetTargets(kMaxTargets)) {
+    m_socket->Send({IpAddress(target.Get()), m_options.port}, data);
+  }
+  for (const VmId& target : m_source.GetBeaconTargets()) {
+    m_socket->Send({IpAddress(target.Get()), m_options.port}, data);
+  }
+}
+
+HttpResponse FleetRelay::AnswerRecords(const HttpRequest& request) const {
+  const std::string_view path = GetPath(request.target);
+  if (path != kOperatorPath && path != kDirectoryPath) return MakeTextResponse(kHttpNotFound, "no such topic\n");
+  const RecordMirror& mirror =
+      m_mirror.GetRecords(path == kOperatorPath ? FleetTopic::kOperator : FleetTopic::kDirectory);
+  uint64_t from = 0;
+  const std::string text = GetQueryValue(request.target, "from");
+  std::from_chars(text.data(), text.data() + text.size(), from);
+  proto::RecordBatch batch;
+  for (const KeyedRecord& record : mirror.GetChangedFrom(LogOffset(from))) {
+    proto::Record* out = batch.add_records();
+    out->set_key(record.key);
+    out->set_offset(record.offset.Get());
+    out->set_is_removed(!record.value.has_value());
+    if (record.value.has_value()) out->set_value(*record.value);
+  }
+  batch.set_revision(mirror.GetRevision().Get());
+  HttpResponse response;
+  response.headers.Add("Content-Type", "application/x-protobuf");
+  response.body = batch.SerializeAsString();
+  return response;
+}
+
+void FleetRelay::PullIfBehind() {
+  const RecordMirror& operators = m_mirror.GetRecords(FleetTopic::kOperator);
+  const RecordMirror& directory = m_mirror.GetRecords(FleetTopic::kDirectory);
+  const auto source = m_book.FindNewer(operators.GetRevision(), directory.GetRevision());
+  if (!source.has_value()) {
+    m_behind_since.reset();
+    return;
+  }
+  const TimePoint now = m_clock.GetNow();
+  if (!m_behind_since.has_value()) m_behind_since = now;
+  const bool reads_itself = m_mirror.GetFleet()->is_store_reachable;
+  if (m_pulls > 0 || (reads_itself && now - *m_behind_since < kOwnReadTime)) return;
+  if (source->operator_revision > operators.GetRevision()) Pull(source->vm, FleetTopic::kOperator);
+  if (source->directory_revision > directory.GetRevision()) Pull(source->vm, FleetTopic::kDirectory);
+}
+
+void FleetRelay::Pull(const VmId& from, FleetTopic topic) {
+  ++m_pulls;
+  const uint64_t known = m_mirror.GetRecords(topic).GetRevision().Get();
+  const std::string path = topic == FleetTopic::kOperator ? kOperatorPath : kDirectoryPath;
+  HttpCallOptions options;
+  options.timeout = kPullTimeout;
+  options.max_body_bytes = kMaxBatchBytes;
+  m_client->Fetch({IpAddress(from.Get()), m_options.port},
+                  HttpRequest{"GET", path + "?from=" + std::to_string(known), {}, ""}, options,
+                  [this, topic](const absl::StatusOr<HttpResponse>& response) {
+                    --m_pulls;
+                    OnBatch(topic, response);
+                  });
+}
+
+void FleetRelay::OnBatch(FleetTopic topic, const absl::StatusOr<HttpResponse>& response) {
+  proto::RecordBatch batch;
+  if (!response.ok() || response->status != kHttpOk || !batch.ParseFromString(response->body)) {
+    LogEvent(LogLevel::kInfo, "peer_records_failed",
+             {{"topic", topic == FleetTopic::kOperator ? "operator" : "directory"},
+              {"status", response.ok() ? response->status : 0}});
+    return;
+  }
+  std::vector<KeyedRecord> records;
+  for (const proto::Record& record : batch.records()) {
+    KeyedRecord taken{record.key(), LogOffset(record.offset()), std::nullopt};
+    if (!record.is_removed()) taken.value = record.value();
+    records.push_back(std::move(taken));
+  }
+  LogEvent(LogLevel::kInfo, "peer_records",
+           {{"topic", topic == FleetTopic::kOperator ? "operator" : "directory"},
+            {"records", records.size()},
+            {"revision", batch.revision()}});
+  m_mirror.TakeRecords(topic, std::move(records), LogOffset(), RecordOrigin::kPeer);
+}
+
+}  // namespace plantain
--- /dev/null
+++ b/src/fleet_relay.h
@@ -0,0 +1,80 @@
+// Beacons between processes, and records for those that the platform's store does not answer.
+
+#ifndef PLANTAIN_FLEET_RELAY_H_
+#define PLANTAIN_FLEET_RELAY_H_
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "beacon_book.h"
+#include "fleet_mirror.h"
+#include "http_client.h"
+#include "http_server.h"
+#include "kernel.h"
+#include "loop.h"
+#include "udp_socket.h"
+
+namespace plantain {
+
+// Asked before each beacon for what only this kind of process knows.
+class BeaconSource {
+ public:
+  virtual ~BeaconSource() = default;
+  virtual void FillBeacon(BeaconInfo& beacon) = 0;
+  // Further processes that should get the beacon.
+  virtual std::vector<VmId> GetBeaconTargets() const = 0;
+};
+
+struct RelayOptions {
+  VmId vm;
+  ZoneName zone;
+  bool is_entry = false;
+  Incarnation incarnation;
+  // Port of beacons (UDP) and records (TCP) on all VMs.
+  Port port;
+  std::vector<VmId> seeds;
+  Duration period{};
+};
+
+// Runs on the control thread.
+class FleetRelay : public Service {
+ public:
+  FleetRelay(Loop& loop, const Clock& clock, FleetMirror& mirror, BeaconSource& source, RelayOptions options);
+
+  absl::Status Start() override;
+  void Stop() override;
+
+  const BeaconBook& GetBook() const { return m_book; }
+
+  // Calls `listener` for each beacon taken.
+  void AddBeaconListener(std::function<void(const BeaconInfo&)> listener);
+
+ private:
+  void OnDatagram(std::string_view data);
+  void SendBeacons();
+  HttpResponse AnswerRecords(const HttpRequest& request) const;
+  void PullIfBehind();
+  void Pull(const VmId& from, FleetTopic topic);
+  void OnBatch(FleetTopic topic, const absl::StatusOr<HttpResponse>& response);
+
+  Loop& m_loop;
+  const Clock& m_clock;
+  FleetMirror& m_mirror;
+  BeaconSource& m_source;
+  const RelayOptions m_options;
+  BeaconBook m_book;
+  std::vector<std::function<void(const BeaconInfo&)>> m_listeners;
+  std::unique_ptr<UdpSocket> m_socket;
+  std::unique_ptr<HttpServer> m_server;
+  std::unique_ptr<HttpClient> m_client;
+  std::unique_ptr<Timer> m_beacon_timer;
+  uint64_t m_sequence = 0;
+  // Since when a peer knows of newer records; unset while none does.
+  std::optional<TimePoint> m_behind_since;
+  int m_pulls = 0;
+};
+
+}  // namespace plantain
+
+#endif  // PLANTAIN_FLEET_RELAY_H_
--- /dev/null
+++ b/src/forward_metrics.cpp
@@ -0,0 +1,94 @@
+#include "forward_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+
+namespace plantain {
+namespace {
+
+const std::vector<double>& GetTimeBuckets() {
+  static const std::vector<double> buckets = {0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1, 2, 4, 8};
+  return buckets;
+}
+
+double ToSeconds(Duration time) { return std::chrono::duration<double>(time).count(); }
+
+}  // namespace
+
+std::string_view GetRequestKindName(RequestKind kind) {
+  switch (kind) {
+    case RequestKind::kIdempotent:
+      return "idempotent";
+    case RequestKind::kOnce:
+      return "once";
+    case RequestKind::kStream:
+      return "stream";
+  }
+  return "unknown";
+}
+
+std::string_view GetAttemptEndName(AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kSuccess:
+      return "success";
+    case AttemptEnd::kError:
+      return "error";
+    case AttemptEnd::kFull:
+      return "full";
+    case AttemptEnd::kMisdirected:
+      return "misdirected";
+    case AttemptEnd::kUnreachable:
+      return "unreachable";
+    case AttemptEnd::kSilent:
+      return "silent";
+    case AttemptEnd::kBroken:
+      return "broken";
+    case AttemptEnd::kCancelled:
+      return "cancelled";
+  }
+  return "unknown";
+}
+
+ForwardMetrics::ForwardMetrics(Metrics& metrics) : m_metrics(metrics) {}
+
+void ForwardMetrics::CountEnd(const RequestKind& kind, const RunOutcome& outcome) {
+  const std::string kind_name(GetRequestKindName(kind));
+  m_metrics
+      .GetCounter("plantain_forward_requests_total", "Requests that took a route, by kind and end.",
+                  {{"kind", kind_name}, {"end", std::string(GetForwardFailureName(outcome.failure))}})
+      .Increment();
+  m_metrics
+      .GetHistogram("plantain_forward_wait_seconds", "Time from arrival to the first attempt.", GetTimeBuckets(),
+                    {{"kind", kind_name}})
+      .Observe(ToSeconds(outcome.waited));
+  m_metrics
+      .GetHistogram("plantain_forward_total_seconds", "Time from arrival to the end of the answer.", GetTimeBuckets(),
+                    {{"kind", kind_name}})
+      .Observe(ToSeconds(outcome.total));
+  if (!outcome.first_event.has_value()) return;
+  m_metrics
+      .GetHistogram("plantain_forward_first_event_seconds", "Time from arrival to the first event of a stream.",
+                    GetTimeBuckets())
+      .Observe(ToSeconds(*outcome.first_event));
+}
+
+void ForwardMetrics::CountRefusal(ForwardFailure failure) {
+  m_metrics
+      .GetCounter("plantain_forward_unrouted_total", "Requests answered before they took a route, by reason.",
+                  {{"reason", std::string(GetForwardFailureName(failure))}})
+      .Increment();
+}
+
+void ForwardMetrics::CountAttempt(AttemptEnd end) {
+  m_metrics
+      .GetCounter("plantain_forward_attempts_total", "Attempts at endpoints, by end.",
+                  {{"end", std::string(GetAttemptEndName(end))}})
+      .Increment();
+}
+
+void ForwardMetrics::SetInFlight(size_t count) {
+  m_metrics.GetGauge("plantain_forward_in_flight", "Requests without a final answer.").Set(static_cast<double>(count));
+}
+
+}  // namespace plantain
--- /dev/null
+++ b/src/forward_service.cpp
@@ -0,0 +1,169 @@
+#include "forward_service.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "event_log.h"
+
+namespace plantain {
+namespace {
+
+// Resolution of waits, silences and deadlines.
+constexpr Duration kTick = Milliseconds(10);
+// Load reports are passed to the traffic loop together.
+constexpr Duration kLoadPeriod = Milliseconds(50);
+constexpr Duration kDrainPoll = Milliseconds(50);
+// Time for the balancer to notice that this process is no longer ready.
+constexpr Duration kNoticeTime = Milliseconds(2600);
+// Kept connections without a request are closed from then on.
+constexpr Duration kIdleCloseTime = Milliseconds(2200);
+// Time before the end of the grace at which the process ends in any case.
+constexpr Duration kEndMargin = Milliseconds(400);
+
+ForwardOptions ReadOptions(const ProcessParts& parts) {
+  ForwardOptions options;
+  options.board.zone = parts.zone;
+  options.board.region = RegionName(parts.settings.GetText("vm.region"));
+  options.retry_share = parts.settings.GetNumber("retry.share");
+  options.retry_slack = parts.settings.GetNumber("retry.slack");
+  options.version_time = parts.settings.GetDuration("version.limit_ms");
+  options.grace = parts.settings.GetDuration("drain.grace_ms");
+  return options;
+}
+
+HttpLimits MakeLimits(const CallerLimits& limits) {
+  return {limits.max_header_bytes, limits.max_body_bytes, limits.header_timeout, limits.idle_timeout};
+}
+
+}  // namespace
+
+// Sends attempts over the traffic loop's HTTP client.
+class ForwardService::Sender : public AttemptSender {
+ public:
+  explicit Sender(Loop& loop) : m_http(loop) {}
+
+  std::shared_ptr<HttpCall> Send(const HttpTarget& target, const HttpRequest& request, HttpCallOptions options,
+                                 HttpCallbacks callbacks) override {
+    return m_http.Send(target, request, options, std::move(callbacks));
+  }
+
+ private:
+  HttpClient m_http;
+};
+
+ForwardService::ForwardService(ProcessParts& parts, FleetMirror& mirror, FleetRelay& relay,
+                               const CallerProtocol& protocol)
+    : m_parts(parts),
+      m_mirror(mirror),
+      m_relay(relay),
+      m_loop(*parts.traffic_loops.front()),
+      m_random(parts.random.GetBits()),
+      m_metrics(parts.metrics),
+      m_sender(std::make_unique<Sender>(m_loop)),
+      m_traffic(std::make_unique<ForwardTraffic>(parts.clock, m_random, protocol, *m_sender, m_metrics,
+                                                 ReadOptions(parts))) {
+  const HttpTarget target = parts.settings.GetTarget("http.target");
+  m_server = std::make_unique<HttpServer>(m_loop, target.address, target.port, CallerLimits().max_body_bytes,
+                                          [this](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
+                                            m_traffic->HandleHttp(std::move(request), responder);
+                                          });
+  m_server->SetLimits(MakeLimits(CallerLimits()));
+  mirror.AddFleetListener([this](const std::shared_ptr<const FleetView>& fleet) { OnFleet(fleet); });
+  relay.AddBeaconListener([this](const BeaconInfo& beacon) { OnBeacon(beacon); });
+}
+
+ForwardService::~ForwardService() = default;
+
+absl::Status ForwardService::Start() {
+  if (absl::Status status = m_server->Start(); !status.ok()) return status;
+  m_tick_timer = m_loop.RunEvery(kTick, [this] { Tick(); });
+  m_load_timer = m_parts.control_loop.RunEvery(kLoadPeriod, [this] { PassLoads(); });
+  return absl::OkStatus();
+}
+
+void ForwardService::Stop() {
+  m_tick_timer.reset();
+  m_load_timer.reset();
+  m_drain_timer.reset();
+  m_server.reset();
+  m_traffic.reset();
+}
+
+void ForwardService::OnFleet(const std::shared_ptr<const FleetView>& fleet) {
+  m_loop.Post([this, fleet] {
+    if (m_traffic == nullptr) return;
+    if (fleet->routing != nullptr) m_server->SetLimits(MakeLimits(fleet->routing->limits));
+    m_traffic->SetFleet(fleet);
+  });
+}
+
+void ForwardService::OnBeacon(const BeaconInfo& beacon) {
+  if (beacon.load.has_value()) m_loads.push_back(*beacon.load);
+}
+
+void ForwardService::PassLoads() {
+  const auto entries = static_cast<uint32_t>(m_relay.GetBook().GetEntries().size() + 1);
+  if (m_loads.empty()) return;
+  m_loop.Post([this, entries, loads = std::exchange(m_loads, {})] {
+    if (m_traffic == nullptr) return;
+    m_traffic->SetEntryCount(entries);
+    m_traffic->OnLoad(loads);
+  });
+}
+
+void ForwardService::Tick() {
+  m_traffic->CheckDue();
+  m_in_flight = std::max(m_traffic->GetInFlight(), m_server->GetInFlight());
+}
+
+void ForwardService::BeginDrain(std::function<void()> done) {
+  m_is_draining = true;
+  m_drain_began = m_parts.clock.GetNow();
+  m_on_drained = std::move(done);
+  const TimePoint end = m_drain_began + m_parts.settings.GetDuration("drain.grace_ms") - kEndMargin;
+  m_loop.Post([this, end] {
+    if (m_traffic == nullptr) return;
+    m_traffic->BeginDrain(end);
+    m_server->CloseAfterAnswers();
+  });
+  m_drain_timer = m_parts.control_loop.RunEvery(kDrainPoll, [this] { CheckDrained(); });
+}
+
+void ForwardService::CheckDrained() {
+  const Duration passed = m_parts.clock.GetNow() - m_drain_began;
+  if (passed >= kIdleCloseTime) {
+    m_loop.Post([this] {
+      if (m_server != nullptr) m_server->CloseIdle();
+    });
+  }
+  const bool is_over = passed >= m_parts.settings.GetDuration("drain.grace_ms") - kEndMargin;
+  if (!is_over && (passed < kNoticeTime || m_in_flight > 0)) return;
+  if (m_on_drained == nullptr) return;
+  LogEvent(LogLevel::kInfo, "drained", {{"in_flight", m_in_flight.load()}, {"is_cut", is_over}});
+  std::exchange(m_on_drained, nullptr)();
+}
+
+Readiness ForwardService::GetReadiness() const {
+  if (m_is_draining) return {false, "leaving"};
+  const std::shared_ptr<const FleetView> fleet = m_mirror.GetFleet();
+  if (fleet->routing == nullptr) return {false, "no configuration: neither the store nor a peer has given one"};
+  if (!fleet->is_store_reachable) return {true, "ready, cut off from the store"};
+  return {true, "ready"};
+}
+
+std::string ForwardService::GetStatusJson() const {
+  const std::shared_ptr<const FleetView> fleet = m_mirror.GetFleet();
+  nlohmann::json status;
+  status["vm"] = m_parts.vm.Get();
+  status["zone"] = m_parts.zone.Get();
+  status["incarnation"] = m_parts.incarnation.Get();
+  status["draining"] = m_is_draining.load();
+  status["config_version"] = fleet->routing == nullptr ? 0 : fleet->routing->version.Get();
+  status["store_reachable"] = fleet->is_store_reachable;
+  status["endpoints"] = fleet->endpoints.size();
+  status["entries"] = m_relay.GetBook().GetEntries().size() + 1;
+  status["in_flight"] = m_in_flight.load();
+  return status.dump();
+}
+
+}  // namespace plantain
--- /dev/null
+++ b/src/forward_service.h
@@ -0,0 +1,66 @@
+// The forwarding entry as a kernel service.
+
+#ifndef PLANTAIN_FORWARD_SERVICE_H_
+#define PLANTAIN_FORWARD_SERVICE_H_
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "admin_http.h"
+#include "fleet_mirror.h"
+#include "fleet_relay.h"
+#include "forward_traffic.h"
+#include "kernel.h"
+#include "process.h"
+
+namespace plantain {
+
+// Serves callers on the traffic loop, fed with the fleet's state and load from the control thread.
+class ForwardService : public Service, public Drainable, public AdminSource {
+ public:
+  ForwardService(ProcessParts& parts, FleetMirror& mirror, FleetRelay& relay, const CallerProtocol& protocol);
+  ~ForwardService() override;
+
+  absl::Status Start() override;
+  void Stop() override;
+  void BeginDrain(std::function<void()> done) override;
+
+  Readiness GetReadiness() const override;
+  std::string GetStatusJson() const override;
+
+ private:
+  class Sender;
+
+  void OnFleet(const std::shared_ptr<const FleetView>& fleet);
+  void OnBeacon(const BeaconInfo& beacon);
+  void PassLoads();
+  void Tick();
+  void CheckDrained();
+
+  ProcessParts& m_parts;
+  FleetMirror& m_mirror;
+  FleetRelay& m_relay;
+  Loop& m_loop;
+  SeededRandom m_random;
+  ForwardMetrics m_metrics;
+  std::unique_ptr<Sender> m_sender;
+  // Used on the traffic loop once it runs.
+  std::unique_ptr<ForwardTraffic> m_traffic;
+  std::unique_ptr<HttpServer> m_server;
+  std::unique_ptr<Timer> m_tick_timer;
+  std::atomic<size_t> m_in_flight = 0;
+  // Control thread.
+  std::vector<EndpointLoad> m_loads;
+  std::unique_ptr<Timer> m_load_timer;
+  std::atomic<bool> m_is_draining = false;
+  TimePoint m_drain_began;
+  bool m_is_closing = false;
+  std::function<void()> m_on_drained;
+  std::unique_ptr<Timer> m_drain_timer;
+};
+
+}  // namespace plantain
+
+#endif  // PLANTAIN_FORWARD_SERVICE_H_
--- /dev/null
+++ b/src/forward_traffic.h
@@ -0,0 +1,103 @@
+// The forwarding path of one traffic loop: requests are matched, wait for a place, and are tried at endpoints.
+
+#ifndef PLANTAIN_FORWARD_TRAFFIC_H_
+#define PLANTAIN_FORWARD_TRAFFIC_H_
+
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "clock.h"
+#include "endpoint_board.h"
+#include "forward_metrics.h"
+#include "forward_run.h"
+#include "forward_type.h"
+#include "http_server.h"
+#include "random.h"
+#include "retry_budget.h"
+#include "route_match.h"
+#include "wait_room.h"
+
+namespace plantain {
+
+struct ForwardOptions {
+  BoardOptions board;
+  // Bound on arrivals beyond the first of each request, over all entries: a share of the first ones and a number more.
+  double retry_share = 0.2;
+  double retry_slack = 0;
+  // Time after which no request may begin on weights that are no longer wanted.
+  Duration version_time = std::chrono::seconds(8);
+  // Time that a stop may take.
+  Duration grace = std::chrono::seconds(8);
+};
+
+// Takes requests and gives them to runs. Does no I/O itself. Used on one traffic loop.
+class ForwardTraffic : private RunHost {
+ public:
+  ForwardTraffic(const Clock& clock, Random& random, const CallerProtocol& protocol, AttemptSender& sender,
+                 ForwardMetrics& metrics, ForwardOptions options);
+  ~ForwardTraffic() override;
+  ForwardTraffic(const ForwardTraffic&) = delete;
+  ForwardTraffic& operator=(const ForwardTraffic&) = delete;
+
+  void SetFleet(const std::shared_ptr<const FleetView>& fleet);
+  void SetEntryCount(uint32_t count);
+  void OnLoad(const std::vector<EndpointLoad>& loads);
+
+  void HandleHttp(HttpRequest http, const std::shared_ptr<HttpResponder>& responder);
+
+  // Does what is due. Call every few milliseconds.
+  void CheckDue();
+
+  // The process must have ended at `end`; requests that would last longer are refused.
+  void BeginDrain(TimePoint end) { m_drain_end = end; }
+
+  size_t GetInFlight() const { return m_runs.size(); }
+
+ private:
+  struct PoolState {
+    WaitRoom room;
+    std::unique_ptr<RetryBudget> budget;
+  };
+
+  void Refuse(const ForwardRequest& request, const std::shared_ptr<HttpResponder>& responder, ForwardFailure failure,
+              std::string_view reason);
+  void StartRun(ForwardRequest request, const RouteMatch& match, const std::shared_ptr<HttpResponder>& responder);
+  void Enqueue(ForwardRun& run);
+  bool IsLate(const ForwardRun& run) const;
+  Duration GetLongestWait(const ForwardRun& run) const;
+  EndpointQuery MakeQuery(const ForwardRun& run) const;
+  bool TryDispatch(ForwardRun& run, NoEndpoint& why);
+  void RefuseWaiting(ForwardRun& run, ForwardFailure failure);
+  void PumpPool(const PoolName& pool);
+  PoolState& GetPool(const PoolName& pool);
+  std::optional<WeightVersion> GetMinVersion(const ModelName& model) const;
+  Duration GetRetryAfter(const ForwardRun& run);
+
+  void OnAttemptEnded(ForwardRun& run, const EndpointId& endpoint, AttemptEnd end) override;
+  void RequestPlace(ForwardRun& run) override;
+  bool TakeRetry(ForwardRun& run) override;
+  Duration SuggestReturn(ForwardRun& run) override { return GetRetryAfter(run); }
+  void OnRunEnded(ForwardRun& run) override;
+
+  const Clock& m_clock;
+  Random& m_random;
+  const CallerProtocol& m_protocol;
+  ForwardMetrics& m_metrics;
+  const ForwardOptions m_options;
+  RunParts m_run_parts;
+  EndpointBoard m_board;
+  std::shared_ptr<const FleetView> m_fleet;
+  std::shared_ptr<const RouteMatcher> m_matcher;
+  std::map<PoolName, PoolState> m_pools;
+  std::unordered_map<WaitTicket, std::shared_ptr<ForwardRun>> m_runs;
+  // Ended runs are destroyed later, since they may be on the call stack.
+  std::vector<std::shared_ptr<ForwardRun>> m_ended;
+  WaitTicket m_next_ticket;
+  std::optional<TimePoint> m_drain_end;
+};
+
+}  // namespace plantain
+
+#endif  // PLANTAIN_FORWARD_TRAFFIC_H_
--- /dev/null
+++ b/src/forward_type.cpp
@@ -0,0 +1,110 @@
+#include "forward_type.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <cstdio>
+
+namespace plantain {
+namespace {
+
+constexpr std::array<std::string_view, 9> kHopFields = {"connection",       "keep-alive", "proxy-authenticate",
+                                                        "proxy-connection", "te",         "trailer",
+                                                        "transfer-encoding", "upgrade",    "content-length"};
+
+bool IsSameName(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](unsigned char x, unsigned char y) {
+           return std::tolower(x) == std::tolower(y);
+         });
+}
+
+// Whether a comma-separated list names the field.
+bool IsListed(std::string_view list, std::string_view name) {
+  while (!list.empty()) {
+    const size_t comma = list.find(',');
+    std::string_view item = list.substr(0, comma);
+    while (!item.empty() && item.front() == ' ') item.remove_prefix(1);
+    while (!item.empty() && item.back() == ' ') item.remove_suffix(1);
+    if (IsSameName(item, name)) return true;
+    if (comma == std::string_view::npos) return false;
+    list.remove_prefix(comma + 1);
+  }
+  return false;
+}
+
+}  // namespace
+
+bool IsHopField(std::string_view name) {
+  return std::any_of(kHopFields.begin(), kHopFields.end(),
+                     [&](std::string_view field) { return IsSameName(field, name); });
+}
+
+HttpHeaders FilterHopFields(const HttpHeaders& headers) {
+  const std::string_view connection = headers.Find("Connection");
+  HttpHeaders kept;
+  for (const auto& [name, value] : headers.GetFields()) {
+    if (!IsHopField(name) && !IsListed(connection, name)) kept.Add(name, value);
+  }
+  return kept;
+}
+
+std::string_view GetForwardFailureName(ForwardFailure failure) {
+  switch (failure) {
+    case ForwardFailure::kNone:
+      return "none";
+    case ForwardFailure::kMalformed:
+      return "malformed";
+    case ForwardFailure::kNoConfig:
+      return "no_config";
+    case ForwardFailure::kNoRoute:
+      return "no_route";
+    case ForwardFailure::kUnknownKey:
+      return "unknown_key";
+    case ForwardFailure::kOverloaded:
+      return "overloaded";
+    case ForwardFailure::kNoEndpoint:
+      return "no_endpoint";
+    case ForwardFailure::kDraining:
+      return "draining";
+    case ForwardFailure::kUnknownOutcome:
+      return "unknown_outcome";
+    case ForwardFailure::kBrokenAnswer:
+      return "broken_answer";
+    case ForwardFailure::kTimeout:
+      return "timeout";
+    case ForwardFailure::kCallerGone:
+      return "caller_gone";
+  }
+  return "unknown";
+}
+
+int GetForwardFailureStatus(ForwardFailure failure) {
+  switch (failure) {
+    case ForwardFailure::kMalformed:
+      return 400;
+    case ForwardFailure::kNoRoute:
+      return 404;
+    case ForwardFailure::kUnknownKey:
+      return 401;
+    case ForwardFailure::kUnknownOutcome:
+    case ForwardFailure::kBrokenAnswer:
+      return 502;
+    case ForwardFailure::kTimeout:
+      return 504;
+    default:
+      return 503;
+  }
+}
+
+HttpResponse MakeForwardRefusal(ForwardFailure failure, Duration retry_after) {
+  const std::string type(GetForwardFailureName(failure));
+  HttpResponse response = MakeJsonResponse(GetForwardFailureStatus(failure), R"({"error":{"type":")" + type + R"("}})");
+  if (retry_after > Duration::zero()) {
+    char text[32];
+    std::snprintf(text, sizeof(text), "%.2f", std::chrono::duration<double>(retry_after).count());
+    response.headers.Add("Retry-After", text);
+  }
+  return response;
+}
+
+}  // namespace plantain
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "loop_asio.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -12,12 +13,14 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <charconv>
 #include <deque>
 #include <limits>
 #include <map>
 #include <optional>
 
 #include "failure_type.h"
+#include "socket_option.h"
 
 namespace plantain {
 namespace {
@@ -28,7 +31,24 @@
 using ErrorCode = boost::system::error_code;
 
 constexpr size_t kMaxIdlePerTarget = 256;
-constexpr size_t kReadBufferBytes = 16 * 1024;
+constexpr size_t kReadBufferBytes = 4 * 1024;
+// A kept connection is not used this close to the end of the server's idle time, which may have passed by the time that
+// the request arrives.
+constexpr Duration kIdleMargin = Milliseconds(500);
+
+TimePoint GetNow() { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
+
+// Returns the idle time that a `Keep-Alive: timeout=N` header grants, or nothing.
+std::optional<Duration> ParseKeepAlive(std::string_view value) {
+  constexpr std::string_view kName = "timeout=";
+  const size_t at = value.find(kName);
+  if (at == std::string_view::npos) return std::nullopt;
+  const std::string_view digits = value.substr(at + kName.size());
+  uint32_t seconds = 0;
+  const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  if (error != std::errc()) return std::nullopt;
+  return std::chrono::seconds(seconds);
+}
 
 struct Connection {
   explicit Connection(asio::io_context& context) : socket(context) {}
@@ -45,6 +65,9 @@
 
   tcp::socket socket;
   boost::beast::flat_buffer buffer;
+  // When it was last used, and until when the server keeps it.
+  TimePoint idle_since;
+  TimePoint usable_until = TimePoint::max();
 };
 
 using Pool = std::map<HttpTarget, std::deque<std::unique_ptr<Connection>>>;
@@ -54,17 +77,25 @@
 struct HttpClient::Impl {
   explicit Impl(asio::io_context& context_in) : context(context_in) {}
 
-  std::unique_ptr<Connection> TakeIdle(const HttpTarget& target) {
+  std::unique_ptr<Connection> TakeIdle(const HttpTarget& target, Duration max_idle) {
+    const TimePoint now = GetNow();
     auto& idle = pool[target];
     while (!idle.empty()) {
+      // The most recently used one comes first; if it has been idle for too long, so have the others.
+      if (now - idle.back()->idle_since >= max_idle) return nullptr;
       std::unique_ptr<Connection> connection = std::move(idle.back());
       idle.pop_back();
-      if (connection->IsQuiet()) return connection;
+      if (now < connection->usable_until && connection->IsQuiet()) return connection;
     }
     return nullptr;
   }
 
-  void Keep(const HttpTarget& target, std::unique_ptr<Connection> connection) {
+  void Keep(const HttpTarget& target, std::unique_ptr<Connection> connection, std::optional<Duration> idle_time) {
+    // Bytes after a whole answer belong to no request.
+    if (connection->buffer.size() > 0) return;
+    connection->idle_since = GetNow();
+    connection->usable_until = TimePoint::max();
+    if (idle_time.has_value()) connection->usable_until = connection->idle_since + *idle_time - kIdleMargin;
     auto& idle = pool[target];
     if (idle.size() < kMaxIdlePerTarget) idle.push_back(std::move(connection));
   }
@@ -79,38 +110,37 @@
 template <typename Impl>
 class Call : public HttpCall, public std::enable_shared_from_this<Call<Impl>> {
  public:
-  Call(std::shared_ptr<Impl> client, HttpTarget target, const HttpRequest& request, Duration timeout,
+  Call(std::shared_ptr<Impl> client, HttpTarget target, const HttpRequest& request, const HttpCallOptions& options,
        HttpCallbacks callbacks)
       : m_client(std::move(client)),
         m_target(std::move(target)),
-        m_timeout(timeout),
+        m_options(options),
         m_callbacks(std::move(callbacks)),
         m_timer(m_client->context) {
     m_request.version(11);
     m_request.method_string(request.method);
     m_request.target(request.target);
-    m_request.set(http::field::host, m_target.address.Get());
-    for (const auto& [name, value] : request.headers.GetFields()) m_request.set(name, value);
+    if (request.headers.Find("Host").empty()) m_request.set(http::field::host, m_target.address.Get());
+    for (const auto& [name, value] : request.headers.GetFields()) m_request.insert(name, value);
     m_request.body() = request.body;
     m_request.prepare_payload();
   }
 
   void Begin() {
-    m_timer.expires_after(m_timeout);
-    m_timer.async_wait([weak = this->weak_from_this()](const ErrorCode& error) {
-      const auto self = weak.lock();
-      if (error || self == nullptr) return;
-      const FailureCode code = self->m_is_sent ? FailureCode::kTimeout : FailureCode::kConnectFailed;
-      self->Finish(MakeFailure(code, "no complete answer within the time allowed"));
-    });
-    m_connection = m_client->TakeIdle(m_target);
+    m_began_at = GetNow();
+    m_connection = m_client->TakeIdle(m_target, m_options.max_idle);
     if (m_connection != nullptr) {
+      ArmTimer(m_options.timeout);
       Write();
-    } else {
-      Connect();
+      return;
     }
+    const bool has_own_time = m_options.connect_timeout > Duration::zero();
+    ArmTimer(has_own_time ? std::min(m_options.connect_timeout, m_options.timeout) : m_options.timeout);
+    Connect();
   }
 
+  bool IsSent() const override { return m_is_sent; }
+
   void Cancel() override {
     m_is_done = true;
     m_timer.cancel();
@@ -119,6 +149,16 @@
   }
 
  private:
+  void ArmTimer(Duration delay) {
+    m_timer.expires_after(delay);
+    m_timer.async_wait([weak = this->weak_from_this()](const ErrorCode& error) {
+      const auto self = weak.lock();
+      if (error || self == nullptr) return;
+      const FailureCode code = self->m_is_sent ? FailureCode::kTimeout : FailureCode::kConnectFailed;
+      self->Finish(MakeFailure(code, "no complete answer within the time allowed"));
+    });
+  }
+
   void Connect() {
     m_connection = std::make_unique<Connection>(m_client->context);
     ErrorCode error;
@@ -143,6 +183,10 @@
     }
     ErrorCode ignored;
     m_connection->socket.set_option(tcp::no_delay(true), ignored);
+    SetDeadPeerTimeout(m_connection->socket.native_handle());
+    if (m_options.connect_timeout > Duration::zero()) {
+      ArmTimer(std::max(Duration::zero(), m_options.timeout - (GetNow() - m_began_at)));
+    }
     Write();
   }
 
@@ -180,6 +224,7 @@
       for (const auto& field : m_parser->get()) {
         headers.Add(std::string(field.name_string()), std::string(field.value()));
       }
+      m_idle_time = ParseKeepAlive(headers.Find("Keep-Alive"));
       m_callbacks.on_head(static_cast<int>(m_parser->get().result_int()), headers);
     }
     if (m_is_done) return;
@@ -222,7 +267,7 @@
     m_timer.cancel();
     const bool is_head = m_request.method() == http::verb::head;
     if (status.ok() && m_parser->get().keep_alive() && !is_head) {
-      m_client->Keep(m_target, std::move(m_connection));
+      m_client->Keep(m_target, std::move(m_connection), m_idle_time);
     } else {
       CloseSocket();
     }
@@ -239,7 +284,9 @@
 
   std::shared_ptr<Impl> m_client;
   HttpTarget m_target;
-  Duration m_timeout;
+  HttpCallOptions m_options;
+  TimePoint m_began_at;
+  std::optional<Duration> m_idle_time;
   HttpCallbacks m_callbacks;
   asio::steady_timer m_timer;
   http::request<http::string_body> m_request;
@@ -264,7 +311,7 @@
 
 std::shared_ptr<HttpCall> HttpClient::Send(const HttpTarget& target, const HttpRequest& request,
                                            HttpCallOptions options, HttpCallbacks callbacks) {
-  auto call = std::make_shared<Call<Impl>>(m_impl, target, request, options.timeout, std::move(callbacks));
+  auto call = std::make_shared<Call<Impl>>(m_impl, target, request, options, std::move(callbacks));
   call->Begin();
   return call;
 }
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -28,12 +28,19 @@
 
   // Closes the connection; no callback follows.
   virtual void Cancel() = 0;
+
+  // Whether bytes of the request may have reached the server.
+  virtual bool IsSent() const = 0;
 };
 
 // Limits of one call.
 struct HttpCallOptions {
   // Time for the whole call.
   Duration timeout = std::chrono::seconds(10);
+  // Time for a new connection; 0 for the time of the whole call.
+  Duration connect_timeout{};
+  // Longest idle time of a kept connection that may be used; 0 for a new connection.
+  Duration max_idle = std::chrono::hours(1);
   // Longest body kept by Fetch.
   size_t max_body_bytes = 64 * 1024 * 1024;
 };
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -18,8 +19,10 @@
 #include <boost/beast/http/write.hpp>
 #include <optional>
 #include <set>
+#include <vector>
 
 #include "failure_type.h"
+#include "socket_option.h"
 
 namespace plantain {
 namespace {
@@ -31,7 +34,35 @@
 using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
 constexpr int kListenBacklog = 1024;
-constexpr uint32_t kMaxHeaderBytes = 16 * 1024;
+// Resolution of the time limits on connections.
+constexpr Duration kSweepPeriod = Milliseconds(250);
+// How long a refused caller may go on sending before its connection is closed. Closing with unread bytes would reset
+// the connection and could destroy the answer on its way.
+constexpr Duration kLingerTime = std::chrono::seconds(1);
+constexpr size_t kLingerReadBytes = 4096;
+
+TimePoint GetNow() { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
+
+// Returns the status for a request that cannot be read, or 0 if the connection has just ended.
+int GetFaultStatus(const ErrorCode& error) {
+  if (error == http::error::header_limit) return 431;
+  if (error == http::error::body_limit) return 413;
+  if (error == http::error::end_of_stream || error == http::error::partial_message) return 0;
+  return error.category() == http::make_error_code(http::error::bad_method).category() ? 400 : 0;
+}
+
+std::string_view GetFaultType(int status) {
+  switch (status) {
+    case 408:
+      return "too_slow";
+    case 413:
+      return "body_too_large";
+    case 431:
+      return "header_too_large";
+    default:
+      return "malformed_request";
+  }
+}
 
 }  // namespace
 
@@ -43,17 +74,23 @@
         acceptor(context),
         address(std::move(address_in)),
         port(port_in),
-        max_body_bytes(max_body),
-        handler(std::move(handler_in)) {}
+        handler(std::move(handler_in)),
+        sweep_timer(context) {
+    limits.max_body_bytes = max_body;
+  }
 
   void Accept();
+  // Closes connections that are over their time limits, again and again.
+  void SweepLater();
+  void Sweep();
 
   asio::io_context& context;
   tcp::acceptor acceptor;
   IpAddress address;
   Port port;
-  size_t max_body_bytes;
+  HttpLimits limits;
   HttpHandler handler;
+  asio::steady_timer sweep_timer;
   std::set<HttpSession*> sessions;
   size_t in_flight = 0;
   bool is_stopping = false;
@@ -77,20 +114,43 @@
 
   void Read() {
     m_parser.emplace();
-    m_parser->header_limit(kMaxHeaderBytes);
-    m_parser->body_limit(m_server->max_body_bytes);
+    m_parser->header_limit(static_cast<uint32_t>(m_server->limits.max_header_bytes));
+    m_parser->body_limit(m_server->limits.max_body_bytes);
+    m_read_since = GetNow();
+    m_has_begun = false;
     http::async_read(m_socket, m_buffer, *m_parser,
                      [self = shared_from_this()](const ErrorCode& error, size_t) { self->OnRead(error); });
   }
 
+  // Closes the connection unless a request is in progress or on its way in.
   void CloseIfIdle() {
-    if (!m_is_busy) Close();
+    if (!m_is_busy && !m_is_lingering && !HasBegunRequest()) Close();
+  }
+
+  // Applies the time limits.
+  void CheckTime(TimePoint now) {
+    if (m_is_closed || m_is_busy) return;
+    if (m_is_lingering) {
+      if (now - m_read_since >= kLingerTime) Close();
+      return;
+    }
+    const HttpLimits& limits = m_server->limits;
+    if (!HasBegunRequest()) {
+      if (limits.idle_timeout > Duration::zero() && now - m_read_since >= limits.idle_timeout) Close();
+      return;
+    }
+    if (!m_has_begun) {
+      m_has_begun = true;
+      m_read_since = now;
+    }
+    const Duration allowed = m_parser->is_header_done() ? 2 * limits.header_timeout : limits.header_timeout;
+    if (limits.header_timeout > Duration::zero() && now - m_read_since >= allowed) RefuseRequest(408);
   }
 
   void Send(HttpResponse response) override {
     if (m_is_closed || !m_is_busy) return;
     http::response<http::string_body> message(static_cast<http::status>(response.status), 11, std::move(response.body));
-    for (const auto& [name, value] : response.headers.GetFields()) message.set(name, value);
+    for (const auto& [name, value] : response.headers.GetFields()) message.insert(name, value);
     message.keep_alive(ShouldKeepAlive());
     message.prepare_payload();
     AppendMessage(message);
@@ -101,7 +161,7 @@
   void StartStream(int status, const HttpHeaders& headers) override {
     if (m_is_closed || !m_is_busy) return;
     http::response<http::empty_body> message(static_cast<http::status>(status), 11);
-    for (const auto& [name, value] : headers.GetFields()) message.set(name, value);
+    for (const auto& [name, value] : headers.GetFields()) message.insert(name, value);
     message.keep_alive(ShouldKeepAlive());
     message.chunked(true);
     http::response_serializer<http::empty_body> serializer(message);
@@ -149,16 +209,53 @@
     }
   }
 
+  // Whether bytes of a request have arrived that has not been handled yet.
+  bool HasBegunRequest() const { return m_parser.has_value() && (m_parser->got_some() || m_buffer.size() > 0); }
+
+  // Answers a request that cannot be read or is not allowed. It has not been handled, and what follows it on the
+  // connection is not looked at.
+  void RefuseRequest(int status) {
+    m_is_refused = true;
+    m_is_busy = true;
+    ++m_server->in_flight;
+    m_keep_alive = false;
+    ErrorCode ignored;
+    m_socket.cancel(ignored);
+    const std::string type(GetFaultType(status));
+    Send(MakeJsonResponse(status, R"({"error":{"type":")" + type + R"("}})"));
+  }
+
+  // Ends the sending side and drops what still arrives.
+  void Linger() {
+    m_is_lingering = true;
+    m_read_since = GetNow();
+    ErrorCode ignored;
+    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    m_linger_bytes.resize(kLingerReadBytes);
+    Discard();
+  }
+
+  void Discard() {
+    m_socket.async_read_some(asio::buffer(m_linger_bytes),
+                             [self = shared_from_this()](const ErrorCode& error, size_t) {
+                               if (self->m_is_closed) return;
+                               if (error) {
+                                 self->Close();
+                               } else {
+                                 self->Discard();
+                               }
+                             });
+  }
+
   void OnRead(const ErrorCode& error) {
-    if (error == http::error::body_limit || error == http::error::header_limit) {
-      m_is_busy = true;
-      ++m_server->in_flight;
-      m_keep_alive = false;
-      Send(MakeJsonResponse(413, R"({"error":{"type":"too_large"}})"));
-      return;
-    }
+    if (m_is_closed || m_is_refused) return;
     if (error) {
-      Close();
+      const int status = GetFaultStatus(error);
+      if (status == 0) {
+        Close();
+      } else {
+        RefuseRequest(status);
+      }
       return;
     }
     HttpRequest request;
@@ -218,6 +315,10 @@
     }
     if (!m_is_last || !m_is_busy) return;
     FinishRequest();
+    if (m_is_refused) {
+      Linger();
+      return;
+    }
     if (!ShouldKeepAlive()) {
       Close();
       return;
@@ -256,14 +357,41 @@
   bool m_is_closed = false;
   bool m_is_flush_posted = false;
   bool m_keep_alive = false;
+  // A request on this connection was refused unread; the connection ends after the answer.
+  bool m_is_refused = false;
+  bool m_is_lingering = false;
+  // Since when the session waits for the next request, or, once it has begun, for its end.
+  TimePoint m_read_since;
+  bool m_has_begun = false;
+  std::vector<char> m_linger_bytes;
 };
 
+void HttpServer::Impl::SweepLater() {
+  sweep_timer.expires_after(kSweepPeriod);
+  sweep_timer.async_wait([weak = weak_from_this()](const ErrorCode& error) {
+    const auto self = weak.lock();
+    if (error || self == nullptr) return;
+    self->Sweep();
+    self->SweepLater();
+  });
+}
+
+void HttpServer::Impl::Sweep() {
+  const TimePoint now = GetNow();
+  // A session that closes may leave the set.
+  const std::vector<HttpSession*> all(sessions.begin(), sessions.end());
+  for (HttpSession* session : all) {
+    if (sessions.contains(session)) session->CheckTime(now);
+  }
+}
+
 void HttpServer::Impl::Accept() {
   acceptor.async_accept([self = shared_from_this()](const ErrorCode& error, tcp::socket socket) {
     if (self->is_stopping || error == asio::error::operation_aborted) return;
     if (!error) {
       ErrorCode ignored;
       socket.set_option(tcp::no_delay(true), ignored);
+      SetDeadPeerTimeout(socket.native_handle());
       std::make_shared<HttpSession>(std::move(socket), self)->Read();
     }
     self->Accept();
@@ -276,6 +404,7 @@
 HttpServer::~HttpServer() {
   ErrorCode ignored;
   m_impl->acceptor.close(ignored);
+  m_impl->sweep_timer.cancel();
   m_impl->is_stopping = true;
 }
 
@@ -292,9 +421,20 @@
   if (!error) m_impl->acceptor.listen(kListenBacklog, error);
   if (error) return MakeFailure(FailureCode::kAddressInUse, name + ": " + error.message());
   m_impl->Accept();
+  const HttpLimits& limits = m_impl->limits;
+  if (limits.header_timeout > Duration::zero() || limits.idle_timeout > Duration::zero()) m_impl->SweepLater();
   return absl::OkStatus();
 }
 
+void HttpServer::SetLimits(const HttpLimits& limits) { m_impl->limits = limits; }
+
+void HttpServer::CloseIdle() {
+  const std::vector<HttpSession*> all(m_impl->sessions.begin(), m_impl->sessions.end());
+  for (HttpSession* session : all) {
+    if (m_impl->sessions.contains(session)) session->CloseIfIdle();
+  }
+}
+
 void HttpServer::CloseAfterAnswers() { m_impl->is_keeping_alive = false; }
 
 void HttpServer::StopAccepting() {
@@ -302,8 +442,7 @@
   m_impl->is_keeping_alive = false;
   ErrorCode ignored;
   m_impl->acceptor.close(ignored);
-  const std::set<HttpSession*> sessions = m_impl->sessions;
-  for (HttpSession* session : sessions) session->CloseIfIdle();
+  CloseIdle();
 }
 
 size_t HttpServer::GetInFlight() const { return m_impl->in_flight; }
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -37,6 +37,16 @@
   virtual size_t GetUnsentBytes() const = 0;
 };
 
+// What a server bears from a connection. A time of 0 means no limit.
+struct HttpLimits {
+  size_t max_header_bytes = 16 * 1024;
+  size_t max_body_bytes = 1024 * 1024;
+  // Longest time from the first byte of a request to the end of its header, and as long again for its body.
+  Duration header_timeout{};
+  // Longest time between an answer and the first byte of the next request.
+  Duration idle_timeout{};
+};
+
 using HttpHandler = std::function<void(HttpRequest, std::shared_ptr<HttpResponder>)>;
 
 // Accepts connections on one address. Several servers on different loops may share an address and port
@@ -49,6 +59,10 @@
   // Binds and begins to accept.
   absl::Status Start();
 
+  // Sets what new requests may do. A request beyond it is answered with 408, 413 or 431 and its connection closed.
+  // Call on the loop's thread, or before Start.
+  void SetLimits(const HttpLimits& limits);
+
   // Stops accepting connections and closes idle ones; answers in progress go on, and their connections close after
   // them. Call on the loop's thread.
   void StopAccepting();
@@ -56,6 +70,9 @@
   // From now on each connection closes after its next answer. Goes on accepting. Call on the loop's thread.
   void CloseAfterAnswers();
 
+  // Closes connections on which no request has begun. Call on the loop's thread.
+  void CloseIdle();
+
   // Number of requests whose answer is not complete.
   size_t GetInFlight() const;
 
--- /dev/null
+++ b/src/log_writer.cpp
@@ -0,0 +1,79 @@
+#include "log_writer.h"
+
+#include <cerrno>
+#include <unistd.h>
+
+#include <utility>
+
+namespace plantain {
+namespace {
+
+// Lines of this time are written with one system call.
+constexpr Duration kGatherTime = Milliseconds(200);
+// How long the end of the process waits for its last lines.
+constexpr Duration kLastFlush = Milliseconds(300);
+
+}  // namespace
+
+LogWriter::LogWriter(int descriptor, size_t max_bytes, std::string (*drop_note)(uint64_t dropped))
+    : m_descriptor(descriptor), m_max_bytes(max_bytes), m_drop_note(drop_note), m_thread([this] { Run(); }) {}
+
+LogWriter::~LogWriter() {
+  Flush(kLastFlush);
+  {
+    const std::lock_guard lock(m_mutex);
+    m_is_stopping = true;
+    // A reader that still stalls must not keep the process alive.
+    if (m_writing > 0) m_thread.detach();
+  }
+  m_has_work.notify_one();
+  if (m_thread.joinable()) m_thread.join();
+}
+
+void LogWriter::Write(std::string_view line, LineRank rank) {
+  const std::lock_guard lock(m_mutex);
+  const size_t limit = rank == LineRank::kRoutine ? m_max_bytes / 2 : m_max_bytes;
+  if (m_pending.size() + m_writing + line.size() > limit) {
+    ++m_dropped;
+    return;
+  }
+  const bool was_empty = m_pending.empty();
+  m_pending.append(line);
+  if (was_empty) m_has_work.notify_one();
+}
+
+void LogWriter::Flush(Duration longest) {
+  std::unique_lock lock(m_mutex);
+  m_is_urgent = true;
+  m_has_work.notify_one();
+  m_is_idle.wait_for(lock, longest, [this] { return m_pending.empty() && m_writing == 0; });
+  m_is_urgent = false;
+}
+
+void LogWriter::Run() {
+  std::unique_lock lock(m_mutex);
+  while (true) {
+    m_has_work.wait(lock, [this] { return m_is_stopping || !m_pending.empty(); });
+    if (m_pending.empty()) return;
+    m_has_work.wait_for(lock, kGatherTime, [this] { return m_is_stopping || m_is_urgent; });
+    std::string text = std::exchange(m_pending, {});
+    if (m_dropped > 0) text += m_drop_note(std::exchange(m_dropped, 0));
+    m_writing = text.size();
+    lock.unlock();
+    WriteAll(text);
+    lock.lock();
+    m_writing = 0;
+    m_is_idle.notify_all();
+  }
+}
+
+void LogWriter::WriteAll(const std::string& text) const {
+  size_t written = 0;
+  while (written < text.size()) {
+    const ssize_t size = write(m_descriptor, text.data() + written, text.size() - written);
+    if (size < 0 && errno != EINTR) return;
+    if (size > 0) written += static_cast<size_t>(size);
+  }
+}
+
+}  // namespace plantain
--- a/src/loop.cpp
+++ b/src/loop.cpp
@@ -86,6 +86,20 @@
   });
 }
 
+void Loop::OnHangup(std::function<void()> task) {
+  m_impl->hangups = std::make_unique<boost::asio::signal_set>(m_impl->context, SIGHUP);
+  const auto wait = std::make_shared<std::function<void()>>();
+  // The task holds no owner of itself: the loop keeps the function through the pending wait only.
+  *wait = [this, task = std::move(task), weak = std::weak_ptr<std::function<void()>>(wait)] {
+    m_impl->hangups->async_wait([task, again = weak.lock()](const boost::system::error_code& error, int) {
+      if (error) return;
+      task();
+      if (again != nullptr) (*again)();
+    });
+  };
+  (*wait)();
+}
+
 void Loop::Run() { m_impl->context.run(); }
 
 void Loop::Restart() { m_impl->context.restart(); }
--- a/src/loop.h
+++ b/src/loop.h
@@ -40,6 +40,9 @@
   // Calls `task` on the loop's thread when the process gets SIGTERM or SIGINT.
   void OnTermination(std::function<void()> task);
 
+  // Calls `task` on the loop's thread each time the process gets SIGHUP.
+  void OnHangup(std::function<void()> task);
+
   // Processes callbacks until Stop. Keeps running while idle.
   void Run();
 
--- a/src/loop_asio.h
+++ b/src/loop_asio.h
@@ -19,6 +19,7 @@
   boost::asio::io_context context{1};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard{context.get_executor()};
   std::unique_ptr<boost::asio::signal_set> signals;
+  std::unique_ptr<boost::asio::signal_set> hangups;
 };
 
 }  // namespace plantain
--- a/src/plantain_agent_main.cpp
+++ b/src/plantain_agent_main.cpp
@@ -2,6 +2,7 @@
 #include "agent_self.h"
 #include "attempt_services.h"
 #include "config_services.h"
+#include "hosted_services.h"
 #include "process.h"
 #include "settings_func.h"
 #include "slo_meter.h"
@@ -35,6 +36,9 @@
 }  // namespace plantain
 
 int main(int argc, char** argv) {
-  return plantain::RunProcess(argc, argv, "plantain-agent", plantain::GetAgentSettingsTable(),
-                              plantain::RegisterServices);
+  const std::vector<plantain::ProgramVariant> variants = {
+      {"standin", plantain::GetAgentSettingsTable(), plantain::RegisterServices},
+      {"hosted", plantain::GetHostedAgentSettingsTable(), plantain::hosted::RegisterHostedAgent},
+  };
+  return plantain::RunProcess(argc, argv, "plantain-agent", variants);
 }
--- a/src/plantain_entry_main.cpp
+++ b/src/plantain_entry_main.cpp
@@ -2,6 +2,7 @@
 #include "config_services.h"
 #include "entry_self.h"
 #include "entry_services.h"
+#include "hosted_services.h"
 #include "process.h"
 #include "settings_func.h"
 #include "slo_meter.h"
@@ -31,6 +32,9 @@
 }  // namespace plantain
 
 int main(int argc, char** argv) {
-  return plantain::RunProcess(argc, argv, "plantain-entry", plantain::GetEntrySettingsTable(),
-                              plantain::RegisterServices);
+  const std::vector<plantain::ProgramVariant> variants = {
+      {"standin", plantain::GetEntrySettingsTable(), plantain::RegisterServices},
+      {"hosted", plantain::GetHostedEntrySettingsTable(), plantain::hosted::RegisterHostedEntry},
+  };
+  return plantain::RunProcess(argc, argv, "plantain-entry", variants);
 }
--- a/src/process.cpp
+++ b/src/process.cpp
@@ -1,6 +1,8 @@
 #include "process.h"
 
+#include <algorithm>
 #include <boost/program_options.hpp>
+#include <filesystem>
 #include <iostream>
 #include <optional>
 
@@ -19,15 +21,18 @@
 
 struct CommandLine {
   std::string settings_path;
+  std::string platform;
   bool is_check = false;
   bool is_print = false;
 };
 
 // Returns an exit code if the process should end right away.
-std::optional<int> ParseCommandLine(int argc, char** argv, const std::string& program, CommandLine& out) {
+std::optional<int> ParseCommandLine(int argc, char** argv, const std::string& program, const std::string& platforms,
+                                    CommandLine& out) {
   options::options_description description(program + " options");
   description.add_options()("help,h", "Show this help and exit.")(
       "settings,s", options::value<std::string>(&out.settings_path), "YAML file with the node settings (required).")(
+      "platform,p", options::value<std::string>(&out.platform), ("Platform that it runs on: " + platforms).c_str())(
       "check-settings", options::bool_switch(&out.is_check), "Check the settings file and exit with 0 or 2.")(
       "print-settings", options::bool_switch(&out.is_print), "Print the settings in force as YAML and exit.");
   options::variables_map values;
@@ -56,6 +61,55 @@
   return LogLevel::kInfo;
 }
 
+// Looks for a changed settings file, which may change without a signal.
+constexpr Duration kSettingsPeriod = std::chrono::seconds(2);
+
+// Reads the settings again when told to.
+class SettingsReloader {
+ public:
+  SettingsReloader(ProcessParts& parts, SettingsTable table, std::string path)
+      : m_parts(parts), m_table(table), m_path(std::move(path)), m_text(FormatSettings(parts.settings)) {}
+
+  void Start() {
+    m_parts.control_loop.OnHangup([this] { Reload("signal"); });
+    m_timer = m_parts.control_loop.RunEvery(kSettingsPeriod, [this] {
+      const auto time = GetFileTime();
+      if (time == m_file_time) return;
+      m_file_time = time;
+      Reload("file");
+    });
+    m_file_time = GetFileTime();
+  }
+
+ private:
+  std::filesystem::file_time_type GetFileTime() const {
+    std::error_code error;
+    const auto time = std::filesystem::last_write_time(m_path, error);
+    return error ? m_file_time : time;
+  }
+
+  void Reload(std::string_view cause) {
+    absl::StatusOr<Settings> settings = LoadSettings(m_table, m_path);
+    if (!settings.ok()) {
+      LogEvent(LogLevel::kWarn, "reload_refused", {{"cause", cause}, MakeFailureField(settings.status())});
+      return;
+    }
+    const std::string text = FormatSettings(*settings);
+    const bool is_changed = text != m_text;
+    m_text = text;
+    m_parts.settings = *std::move(settings);
+    SetEventLogLevel(ParseLogLevel(m_parts.settings.GetText("log.level")));
+    LogEvent(LogLevel::kInfo, "reloaded", {{"cause", cause}, {"changed", is_changed}});
+  }
+
+  ProcessParts& m_parts;
+  const SettingsTable m_table;
+  const std::string m_path;
+  std::string m_text;
+  std::filesystem::file_time_type m_file_time{};
+  std::unique_ptr<Timer> m_timer;
+};
+
 // Runs the loops until the control loop is told to stop.
 void RunLoops(ProcessParts& parts) {
   std::vector<std::thread> threads;
@@ -95,11 +149,20 @@
   for (int64_t i = 0; i < count; ++i) traffic_loops.push_back(std::make_unique<Loop>());
 }
 
-int RunProcess(int argc, char** argv, const std::string& program, SettingsTable table,
-               const ServiceRegistrar& register_services) {
+int RunProcess(int argc, char** argv, const std::string& program, const std::vector<ProgramVariant>& variants) {
+  std::string platforms;
+  for (const ProgramVariant& variant : variants) platforms += (platforms.empty() ? "" : ", ") + variant.platform;
   CommandLine command_line;
-  if (const auto exit_code = ParseCommandLine(argc, argv, program, command_line)) return *exit_code;
-  absl::StatusOr<Settings> settings = LoadSettings(table, command_line.settings_path);
+  command_line.platform = variants.front().platform;
+  if (const auto exit_code = ParseCommandLine(argc, argv, program, platforms, command_line)) return *exit_code;
+  const auto variant = std::find_if(variants.begin(), variants.end(), [&](const ProgramVariant& candidate) {
+    return candidate.platform == command_line.platform;
+  });
+  if (variant == variants.end()) {
+    std::cerr << program << ": expected --platform to be one of " << platforms << "\n";
+    return kExitUsage;
+  }
+  absl::StatusOr<Settings> settings = LoadSettings(variant->table, command_line.settings_path);
   if (!settings.ok()) {
     std::cerr << GetFailureText(settings.status()) << "\n";
     return kExitUsage;
@@ -110,7 +173,7 @@
   ProcessParts parts(*std::move(settings));
   InitEventLog(ParseLogLevel(parts.settings.GetText("log.level")), program, parts.vm.Get());
   Kernel kernel;
-  register_services(kernel, parts);
+  variant->register_services(kernel, parts);
   const absl::Status status = kernel.Start();
   if (!status.ok()) {
     LogEvent(LogLevel::kError, "start_failed", {MakeFailureField(status)});
@@ -118,9 +181,12 @@
   }
   LogEvent(LogLevel::kInfo, "started", {{"incarnation", parts.incarnation}, {"zone", parts.zone}});
   parts.control_loop.OnTermination([&] { BeginGracefulStop(kernel, parts); });
+  SettingsReloader reloader(parts, variant->table, command_line.settings_path);
+  reloader.Start();
   RunLoops(parts);
   kernel.Stop();
   LogEvent(LogLevel::kInfo, "stopped", {});
+  FlushEventLog();
   return kExitOk;
 }
 
--- a/src/process.h
+++ b/src/process.h
@@ -37,6 +37,7 @@
 struct ProcessParts {
   explicit ProcessParts(Settings settings_in);
 
+  // Values in force. A reload replaces them; what a service has taken from them at its start stays.
   Settings settings;
   SystemClock clock;
   SeededRandom random;
@@ -58,11 +59,19 @@
 // Registers the services of one program.
 using ServiceRegistrar = std::function<void(Kernel&, ProcessParts&)>;
 
-// Runs a program: reads the command line (`--settings`, `--check-settings`, `--print-settings`, `--help`), builds the
-// services, runs until SIGTERM, drains and stops. Returns the exit code: 0 after a graceful stop, 1 if a service
+// How a program runs on one platform.
+struct ProgramVariant {
+  // Value of `--platform`; the first variant is the default.
+  std::string platform;
+  SettingsTable table;
+  ServiceRegistrar register_services;
+};
+
+// Runs a program: reads the command line (`--settings`, `--platform`, `--check-settings`, `--print-settings`,
+// `--help`), builds the services, runs until SIGTERM, drains and stops. SIGHUP, or a change of the settings file, makes
+// it read the settings again: a file that does not pass the check is refused and the values in force stay. Returns the exit code: 0 after a graceful stop, 1 if a service
 // failed to start, 2 for a wrong command line or wrong settings.
-int RunProcess(int argc, char** argv, const std::string& program, SettingsTable table,
-               const ServiceRegistrar& register_services);
+int RunProcess(int argc, char** argv, const std::string& program, const std::vector<ProgramVariant>& variants);
 
 }  // namespace plantain
 
--- /dev/null
+++ b/src/record_mirror.cpp
@@ -0,0 +1,75 @@
+#include "record_mirror.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace plantain {
+
+bool RecordMirror::HasChanged(const Entry& entry, const KeyedRecord& record) const {
+  const auto& before = entry.record.value;
+  if (before.has_value() != record.value.has_value()) return true;
+  return before.has_value() && !m_is_same(*before, *record.value);
+}
+
+bool RecordMirror::Take(KeyedRecord record) {
+  const auto found = m_entries.find(record.key);
+  if (found == m_entries.end()) {
+    const LogOffset offset = record.offset;
+    m_revision = std::max(m_revision, offset);
+    const std::string key = record.key;
+    m_entries.emplace(key, Entry{std::move(record), offset});
+    return true;
+  }
+  Entry& entry = found->second;
+  if (record.offset <= entry.record.offset) return false;
+  const bool is_changed = HasChanged(entry, record);
+  entry.record = std::move(record);
+  if (!is_changed) return false;
+  entry.revision = entry.record.offset;
+  m_revision = std::max(m_revision, entry.revision);
+  return true;
+}
+
+bool RecordMirror::TakeListing(std::vector<KeyedRecord> records, LogOffset end) {
+  std::set<std::string> listed;
+  bool is_changed = false;
+  for (KeyedRecord& record : records) {
+    listed.insert(record.key);
+    is_changed |= Take(std::move(record));
+  }
+  for (const auto& [key, entry] : m_entries) {
+    if (listed.contains(key) || !entry.record.value.has_value() || entry.record.offset >= end) continue;
+    is_changed = true;
+    // The removal itself is no longer in the log; it came after the last record of the key and before the end.
+    const LogOffset removed_at(std::max(entry.record.offset.Get() + 1, end.Get() - 1));
+    m_entries[key] = Entry{KeyedRecord{key, removed_at, std::nullopt}, removed_at};
+    m_revision = std::max(m_revision, removed_at);
+  }
+  SetCompleteTo(end);
+  return is_changed;
+}
+
+void RecordMirror::SetCompleteTo(LogOffset offset) { m_complete_to = std::max(m_complete_to, offset); }
+
+std::vector<KeyedRecord> RecordMirror::GetChangedFrom(LogOffset after) const {
+  std::vector<KeyedRecord> changed;
+  for (const auto& [key, entry] : m_entries) {
+    if (entry.revision >= after) changed.push_back(entry.record);
+  }
+  return changed;
+}
+
+const std::string* RecordMirror::Find(const std::string& key) const {
+  const auto found = m_entries.find(key);
+  if (found == m_entries.end() || !found->second.record.value.has_value()) return nullptr;
+  return &*found->second.record.value;
+}
+
+void RecordMirror::ForEach(const std::function<void(const std::string& key, const std::string& value)>& visit) const {
+  for (const auto& [key, entry] : m_entries) {
+    if (entry.record.value.has_value()) visit(key, *entry.record.value);
+  }
+}
+
+}  // namespace plantain
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "failure_type.h"
+#include "http_address.h"
 #include "settings_func.h"
 
 namespace plantain {
@@ -62,6 +63,8 @@
       return "true or false";
     case SettingKind::kList:
       return "a list of texts";
+    case SettingKind::kTarget:
+      return "an IP address and a port as ADDRESS:PORT";
     default:
       break;
   }
@@ -79,6 +82,7 @@
   const std::string& text = items.front();
   if (row.kind == SettingKind::kText) return !text.empty();
   if (row.kind == SettingKind::kAddress) return IsAddressText(text);
+  if (row.kind == SettingKind::kTarget) return ParseHttpTarget(text).has_value();
   if (row.kind == SettingKind::kFlag) return text == "true" || text == "false";
   const std::optional<double> value = ParseNumber(text);
   if (!value.has_value() || *value < row.min || *value > row.max) return false;
@@ -186,6 +190,10 @@
 
 Port Settings::GetPort(std::string_view name) const { return Port(static_cast<uint16_t>(GetInteger(name))); }
 
+HttpTarget Settings::GetTarget(std::string_view name) const {
+  return *ParseHttpTarget(GetValue(name, SettingKind::kTarget).front());
+}
+
 absl::StatusOr<Settings> ParseSettings(SettingsTable table, std::string_view file, std::string_view text) {
   if (text.size() > kMaxSettingsBytes) {
     return MakeFailure(FailureCode::kSettingInvalid, std::string(file) + ": expected at most 262144 bytes");
@@ -245,6 +253,9 @@
       case SettingKind::kAddress:
         out << settings.GetAddress(row.name);
         break;
+      case SettingKind::kTarget:
+        out << settings.GetTarget(row.name).address << ":" << settings.GetTarget(row.name).port;
+        break;
       case SettingKind::kFlag:
         out << (settings.GetFlag(row.name) ? "true" : "false");
         break;
--- a/src/settings_func.h
+++ b/src/settings_func.h
@@ -28,6 +28,10 @@
 SettingsTable GetEntrySettingsTable();
 SettingsTable GetAgentSettingsTable();
 
+// Settings tables of the same programs on the hosted platform.
+SettingsTable GetHostedEntrySettingsTable();
+SettingsTable GetHostedAgentSettingsTable();
+
 }  // namespace plantain
 
 #endif  // PLANTAIN_SETTINGS_FUNC_H_
--- a/src/settings_table.cpp
+++ b/src/settings_table.cpp
@@ -109,6 +109,51 @@
     {"once.outcome_bytes", kBytes, "33554432", 0, kMaxBytes, "bytes", "Most bytes of outcomes kept for repeats."},
 };
 
+// Rows that entries and agents share on the hosted platform, which has a store and no VM list.
+constexpr SettingRow kHostedCommonRows[] = {
+    {"vm.id", kText, "", 0, 0, "", "Address of this VM, which names it among its peers."},
+    {"vm.name", kText, "unnamed", 0, 0, "", "Name of this VM for logs."},
+    {"vm.zone", kText, "", 0, 0, "", "Availability zone of this VM."},
+    {"vm.region", kText, "", 0, 0, "", "Region of this VM."},
+    {"vm.address", kAddress, "", 0, 0, "", "IP address that this process listens on."},
+    {"log.level", kText, "info", 0, 0, "", "Lowest level written: debug, info, warn or error."},
+    {"traffic.threads", kInteger, "1", 1, 1, "threads", "Threads that carry requests."},
+    {"admin.port", kInteger, "8081", 1, kMaxPort, "port", "Port of health, metrics and status over HTTP."},
+    {"fleet.zones", kList, "", 0, 0, "", "All availability zones with their regions, each as ZONE=REGION."},
+    {"fleet.seeds", kList, "", 0, 0, "", "Addresses with ports of entries to ask first; only the address is used."},
+    {"relay.port", kInteger, "7400", 1, kMaxPort, "port", "Port for beacons and records between processes."},
+    {"relay.period_ms", kDuration, "250", 10, kHourMs, "ms", "Time between two beacons."},
+    {"store.target", kTarget, "", 0, 0, "", "Address of the platform's store."},
+    {"store.timeout_ms", kDuration, "1200", 50, kHourMs, "ms",
+     "Time allowed for one call to the store, besides the wait that it is asked for."},
+    {"store.operator_wait_ms", kDuration, "2500", 0, kHourMs, "ms", "Longest wait of one read of operators' records."},
+    {"store.directory_period_ms", kDuration, "500", 10, kHourMs, "ms", "Time between two reads of the directory."},
+    {"version.limit_ms", kDuration, "8000", 100, kHourMs, "ms",
+     "Time after which no request may begin on weights that are no longer wanted."},
+    {"drain.grace_ms", kDuration, "8000", 100, kHourMs, "ms", "Time from SIGTERM until the process is killed."},
+};
+
+constexpr SettingRow kHostedEntryOnlyRows[] = {
+    {"http.target", kTarget, "", 0, 0, "", "Address for callers."},
+    {"ready.target", kTarget, "", 0, 0, "", "Address on which the balancer asks for readiness."},
+    {"retry.share", kNumber, "0.2", 0, 1, "share", "Attempts beyond the first as a share of first ones, fleet-wide."},
+    {"retry.slack", kNumber, "0", 0, 1e6, "attempts", "Attempts beyond that share that the fleet may make."},
+};
+
+constexpr SettingRow kHostedAgentOnlyRows[] = {
+    {"vm.pool", kText, "", 0, 0, "", "Pool that this VM's endpoint belongs to."},
+    {"engine.target", kTarget, "", 0, 0, "", "Address of the local engine."},
+    {"engine.poll_ms", kDuration, "150", 10, kHourMs, "ms", "Time between two reads of the engine's report."},
+    {"engine.settle_ms", kDuration, "1500", 0, kHourMs, "ms", "Wait after an order whose answer was lost."},
+    {"transfer.port", kInteger, "7402", 1, kMaxPort, "port", "Port for chunk transfer between agents."},
+    {"transfer.rate", kRate, "900000", 1024, kMaxRate, "bytes/s", "Rate of this VM's link."},
+    {"transfer.shared_rate", kRate, "900000", 1024, kMaxRate, "bytes/s", "Pace of chunks sent to other zones."},
+    {"transfer.cache_bytes", kBytes, "16777216", 1048576, kMaxBytes, "bytes",
+     "Most bytes of chunks kept in memory for peers."},
+    {"transfer.hedge_ms", kDuration, "500", 10, kHourMs, "ms",
+     "Time without progress before another owner takes over."},
+};
+
 template <size_t N, size_t M>
 constexpr std::array<SettingRow, N + M> Join(const SettingRow (&first)[N], const SettingRow (&second)[M]) {
   std::array<SettingRow, N + M> rows{};
@@ -119,6 +164,8 @@
 
 constexpr auto kEntryRows = Join(kCommonRows, kEntryOnlyRows);
 constexpr auto kAgentRows = Join(kCommonRows, kAgentOnlyRows);
+constexpr auto kHostedEntryRows = Join(kHostedCommonRows, kHostedEntryOnlyRows);
+constexpr auto kHostedAgentRows = Join(kHostedCommonRows, kHostedAgentOnlyRows);
 
 }  // namespace
 
@@ -126,4 +173,8 @@
 
 SettingsTable GetAgentSettingsTable() { return kAgentRows; }
 
+SettingsTable GetHostedEntrySettingsTable() { return kHostedEntryRows; }
+
+SettingsTable GetHostedAgentSettingsTable() { return kHostedAgentRows; }
+
 }  // namespace plantain
--- a/src/settings_type.h
+++ b/src/settings_type.h
@@ -11,10 +11,11 @@
 #include <vector>
 
 #include "core_type.h"
+#include "http_type.h"
 
 namespace plantain {
 
-enum class SettingKind { kText, kAddress, kInteger, kNumber, kDuration, kBytes, kRate, kFlag, kList };
+enum class SettingKind { kText, kAddress, kInteger, kNumber, kDuration, kBytes, kRate, kFlag, kList, kTarget };
 
 // One row of a settings table.
 struct SettingRow {
@@ -49,6 +50,7 @@
   bool GetFlag(std::string_view name) const;
   const std::vector<std::string>& GetList(std::string_view name) const;
   Port GetPort(std::string_view name) const;
+  HttpTarget GetTarget(std::string_view name) const;
 
   SettingsTable GetTable() const { return m_table; }
 
--- a/src/stage_pump.cpp
+++ b/src/stage_pump.cpp
@@ -8,24 +8,16 @@
 // Enough to cover the engine's answer time on the local host.
 constexpr size_t kMaxInFlight = 4;
 constexpr Duration kRetryDelay = Milliseconds(200);
-constexpr Duration kPutTimeout = std::chrono::seconds(10);
-constexpr int kHttpOkFirst = 200;
-constexpr int kHttpOkLast = 299;
-
-bool IsSuccess(const absl::StatusOr<HttpResponse>& response) {
-  return response.ok() && response->status >= kHttpOkFirst && response->status <= kHttpOkLast;
-}
 
 }  // namespace
 
-StagePump::StagePump(Loop& loop, HttpTarget engine, ChunkStore& store, const ManifestBook& book,
+StagePump::StagePump(Loop& loop, StageSink& sink, ChunkStore& store, const ManifestBook& book,
                      std::function<void(const Digest& chunk)> on_staged)
     : m_loop(loop),
-      m_engine(std::move(engine)),
+      m_sink(sink),
       m_store(store),
       m_book(book),
-      m_on_staged(std::move(on_staged)),
-      m_client(std::make_unique<HttpClient>(loop)) {}
+      m_on_staged(std::move(on_staged)) {}
 
 StagePump::~StagePump() = default;
 
@@ -113,24 +105,14 @@
 void StagePump::PutManifest() {
   if (m_is_manifest_in_flight) return;
   m_is_manifest_in_flight = true;
-  HttpCallOptions options;
-  options.timeout = kPutTimeout;
-  const HttpRequest request{"PUT", "/staging/" + FormatDigest(m_manifest->digest), {}, m_manifest->content};
-  m_client->Fetch(m_engine, request, options, [this, epoch = m_epoch](const absl::StatusOr<HttpResponse>& response) {
-    OnPut(epoch, std::nullopt, IsSuccess(response));
-  });
+  m_sink.PutManifest(*m_manifest, [this, epoch = m_epoch](bool is_ok) { OnPut(epoch, std::nullopt, is_ok); });
 }
 
 void StagePump::PutChunk(uint32_t index) {
   const auto content = m_store.Get(m_manifest->chunks[index].digest);
   m_in_flight.insert(index);
-  HttpCallOptions options;
-  options.timeout = kPutTimeout;
-  const std::string path = "/staging/" + FormatDigest(m_manifest->digest) + "/" + std::to_string(index);
-  m_client->Fetch(m_engine, HttpRequest{"PUT", path, {}, *content}, options,
-                  [this, epoch = m_epoch, index](const absl::StatusOr<HttpResponse>& response) {
-                    OnPut(epoch, index, IsSuccess(response));
-                  });
+  m_sink.PutChunk(*m_manifest, index, *content,
+                  [this, epoch = m_epoch, index](bool is_ok) { OnPut(epoch, index, is_ok); });
 }
 
 void StagePump::OnPut(uint64_t epoch, std::optional<uint32_t> index, bool is_ok) {
--- a/src/stage_pump.h
+++ b/src/stage_pump.h
@@ -11,7 +11,7 @@
 
 #include "chunk_store.h"
 #include "exchange_type.h"
-#include "http_client.h"
+#include "weight_port.h"
 #include "loop.h"
 #include "manifest_book.h"
 
@@ -21,7 +21,7 @@
 class StagePump {
  public:
   // `on_staged` gets each chunk that the engine has taken.
-  StagePump(Loop& loop, HttpTarget engine, ChunkStore& store, const ManifestBook& book,
+  StagePump(Loop& loop, StageSink& sink, ChunkStore& store, const ManifestBook& book,
             std::function<void(const Digest& chunk)> on_staged);
   ~StagePump();
 
@@ -53,11 +53,10 @@
   void RetryLater();
 
   Loop& m_loop;
-  const HttpTarget m_engine;
+  StageSink& m_sink;
   ChunkStore& m_store;
   const ManifestBook& m_book;
   const std::function<void(const Digest& chunk)> m_on_staged;
-  std::unique_ptr<HttpClient> m_client;
   std::unique_ptr<Timer> m_retry_timer;
   StageState m_state;
   std::shared_ptr<const Manifest> m_manifest;
--- a/src/transfer_service.cpp
+++ b/src/transfer_service.cpp
@@ -22,21 +22,22 @@
 
 }  // namespace
 
-TransferService::TransferService(TransferOptions options, const Clock& clock, Loop& control_loop, Loop& transfer_loop,
-                                 ChannelContext& channels, Metrics& metrics, uint64_t seed)
+TransferService::TransferService(TransferOptions options, TransferPorts ports, const Clock& clock, Loop& control_loop,
+                                 Loop& transfer_loop, ChannelContext& channels, Metrics& metrics, uint64_t seed)
     : m_options(std::move(options)),
+      m_ports(std::move(ports)),
       m_control_loop(control_loop),
       m_loop(transfer_loop),
       m_store(m_options.cache),
       m_pace(m_options.pace, clock),
       m_random(seed),
       m_state{clock, transfer_loop, m_store, m_book, m_pace, metrics, m_options.vm, m_options.zone},
-      m_stage(transfer_loop, m_options.engine, m_store, m_book, [this](const Digest& chunk) { OnStaged(chunk); }),
+      m_stage(transfer_loop, *m_ports.stage, m_store, m_book, [this](const Digest& chunk) { OnStaged(chunk); }),
       m_upload(
           m_state, channels, [this](const VmId& vm) { return FindZone(vm); },
           [this](const Digest& manifest) { return IsHurried(manifest); }),
       m_download(std::make_unique<DownloadSide>(
-          m_state, channels, DownloadOptions{MakePlanOptions(m_options), m_options.origin, m_options.port}, m_random,
+          m_state, channels, DownloadOptions{MakePlanOptions(m_options), m_options.port}, *m_ports.origin, m_random,
           static_cast<DownloadListener&>(*this))),
       m_cache_bytes(metrics.GetGauge("plantain_transfer_cache_bytes", "Bytes of chunks kept in memory.")),
       m_cache_limit(metrics.GetGauge("plantain_transfer_cache_limit_bytes", "Most bytes of chunks kept in memory.")) {
--- a/src/transfer_service.h
+++ b/src/transfer_service.h
@@ -20,18 +20,23 @@
   ZoneName zone;
   IpAddress address;
   Port port;
-  HttpTarget origin;
-  HttpTarget engine;
   Bytes cache;
   Duration hedge{};
   PaceOptions pace;
 };
 
+// Origin and staging area; used on the transfer thread.
+struct TransferPorts {
+  std::unique_ptr<ChunkOrigin> origin;
+  std::unique_ptr<StageSink> stage;
+};
+
 // Joins the two sides of transfer, the store and staging. Goals come from the control thread.
 class TransferService : public Service, public WeightExchange, private DownloadListener {
  public:
-  TransferService(TransferOptions options, const Clock& clock, Loop& control_loop, Loop& transfer_loop,
-                  ChannelContext& channels, Metrics& metrics, uint64_t seed);
+  // `ports` is where chunks come from and where they go besides peers.
+  TransferService(TransferOptions options, TransferPorts ports, const Clock& clock, Loop& control_loop,
+                  Loop& transfer_loop, ChannelContext& channels, Metrics& metrics, uint64_t seed);
   ~TransferService() override;
 
   absl::Status Start() override;
@@ -58,6 +63,7 @@
   bool IsHurried(const Digest& manifest) const;
 
   const TransferOptions m_options;
+  const TransferPorts m_ports;
   Loop& m_control_loop;
   Loop& m_loop;
   ChunkStore m_store;
--- /dev/null
+++ b/src/wait_room.cpp
@@ -0,0 +1,102 @@
+#include "wait_room.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace plantain {
+namespace {
+
+// Every so many picks one goes to the longest waiting request.
+constexpr uint64_t kFairPick = 4;
+// Time constant of the rate of turns.
+constexpr double kRateMemoryS = 1.0;
+constexpr Duration kLongestEstimate = std::chrono::seconds(5);
+
+}  // namespace
+
+bool WaitRoom::GoesBefore(const WaitEntry& a, const WaitEntry& b) {
+  if (a.priority != b.priority) return a.priority < b.priority;
+  return !a.is_late && b.is_late;
+}
+
+size_t WaitRoom::CountAhead(const WaitEntry& entry) const {
+  return static_cast<size_t>(std::count_if(m_entries.begin(), m_entries.end(),
+                                           [&](const WaitEntry& other) { return !GoesBefore(entry, other); }));
+}
+
+std::optional<double> WaitRoom::GetRate(TimePoint now) const {
+  if (!m_has_rate) return std::nullopt;
+  const double elapsed_s = std::chrono::duration<double>(now - m_rate_at).count();
+  return m_rate * std::exp(-elapsed_s / kRateMemoryS);
+}
+
+Duration WaitRoom::EstimateTurn(uint32_t priority, TimePoint now) const {
+  const std::optional<double> rate = GetRate(now);
+  if (!rate.has_value()) return Duration::zero();
+  const WaitEntry newcomer{WaitTicket(), priority, false, now};
+  const double wait_s = static_cast<double>(CountAhead(newcomer)) / std::max(*rate, 1e-3);
+  const double longest_s = std::chrono::duration<double>(kLongestEstimate).count();
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::min(wait_s, longest_s)));
+}
+
+bool WaitRoom::CanExpectTurn(const WaitEntry& entry, TimePoint now) const {
+  const std::optional<double> rate = GetRate(now);
+  if (!rate.has_value()) return true;
+  const size_t ahead = CountAhead(entry);
+  // The first in line always waits; its turn may come with the next answer.
+  if (ahead == 0) return true;
+  const double allowed_s = std::chrono::duration<double>(entry.wait_until - now).count();
+  return static_cast<double>(ahead) <= *rate * allowed_s;
+}
+
+void WaitRoom::Add(const WaitEntry& entry) {
+  const auto place = std::find_if(m_entries.begin(), m_entries.end(),
+                                  [&](const WaitEntry& other) { return GoesBefore(entry, other); });
+  m_entries.insert(place, entry);
+}
+
+void WaitRoom::Remove(WaitTicket ticket) {
+  m_entries.remove_if([&](const WaitEntry& entry) { return entry.ticket == ticket; });
+}
+
+std::vector<WaitTicket> WaitRoom::GetNext(size_t count) const {
+  std::vector<WaitTicket> next;
+  if (m_turns % kFairPick == kFairPick - 1 && !m_entries.empty()) {
+    const auto oldest = std::min_element(
+        m_entries.begin(), m_entries.end(),
+        [](const WaitEntry& a, const WaitEntry& b) { return a.ticket < b.ticket; });
+    next.push_back(oldest->ticket);
+  }
+  for (const WaitEntry& entry : m_entries) {
+    if (next.size() >= count) break;
+    if (next.empty() || next.front() != entry.ticket) next.push_back(entry.ticket);
+  }
+  return next;
+}
+
+void WaitRoom::OnTurn(TimePoint now) {
+  ++m_turns;
+  if (!m_has_rate) {
+    m_has_rate = true;
+    m_rate = 1 / kRateMemoryS;
+    m_rate_at = now;
+    return;
+  }
+  m_rate = *GetRate(now) + 1 / kRateMemoryS;
+  m_rate_at = now;
+}
+
+std::vector<WaitTicket> WaitRoom::TakeExpired(TimePoint now) {
+  std::vector<WaitTicket> expired;
+  for (auto entry = m_entries.begin(); entry != m_entries.end();) {
+    if (entry->wait_until > now) {
+      ++entry;
+      continue;
+    }
+    expired.push_back(entry->ticket);
+    entry = m_entries.erase(entry);
+  }
+  return expired;
+}
+
+}  // namespace plantain
--- /dev/null
+++ b/src/wait_room.h
@@ -0,0 +1,71 @@
+// Requests of one pool that wait for a free place, for the load pattern in which more work is offered than endpoints can
+// begin. No I/O.
+
+#ifndef PLANTAIN_WAIT_ROOM_H_
+#define PLANTAIN_WAIT_ROOM_H_
+
+#include <cstdint>
+#include <list>
+#include <optional>
+#include <vector>
+
+#include "core_type.h"
+
+namespace plantain {
+
+// A place in the room.
+using WaitTicket = StrongNumber<struct WaitTicketTag, uint64_t>;
+
+struct WaitEntry {
+  WaitTicket ticket;
+  // 0 is the most urgent.
+  uint32_t priority = 0;
+  // Whether the answer can no longer be in time, so that those that can go first.
+  bool is_late = false;
+  // From then on waiting is no use.
+  TimePoint wait_until;
+};
+
+// Orders waiting requests: by priority, those that can still be in time first, then by arrival. One pick in a few goes
+// to the longest waiting one regardless of priority, so that no priority starves while more urgent ones fill all
+// places. Under overload each request is refused as soon as it is clear that its turn comes too late, which leaves
+// places to those whose answers are still in time.
+class WaitRoom {
+ public:
+  // Returns whether a request that arrives now can expect its turn before `wait_until`.
+  bool CanExpectTurn(const WaitEntry& entry, TimePoint now) const;
+
+  // Time until a request that comes back can expect a turn.
+  Duration EstimateTurn(uint32_t priority, TimePoint now) const;
+
+  void Add(const WaitEntry& entry);
+  void Remove(WaitTicket ticket);
+
+  // Returns up to `count` tickets in the order in which they should be tried.
+  std::vector<WaitTicket> GetNext(size_t count) const;
+
+  // Tells that a waiting or arriving request got a place.
+  void OnTurn(TimePoint now);
+
+  // Removes and returns those whose wait is over.
+  std::vector<WaitTicket> TakeExpired(TimePoint now);
+
+  size_t GetSize() const { return m_entries.size(); }
+
+ private:
+  static bool GoesBefore(const WaitEntry& a, const WaitEntry& b);
+  size_t CountAhead(const WaitEntry& entry) const;
+  // Places that became free in a second lately; nothing before there was one.
+  std::optional<double> GetRate(TimePoint now) const;
+
+  // In order of picking; equal ones in order of arrival.
+  std::list<WaitEntry> m_entries;
+  uint64_t m_turns = 0;
+  double m_rate = 0;
+  TimePoint m_rate_at;
+  bool m_has_rate = false;
+};
+
+}  // namespace plantain
+
+#endif  // PLANTAIN_WAIT_ROOM_H_
--- a/src/weight_control.cpp
+++ b/src/weight_control.cpp
@@ -17,7 +17,7 @@
 WeightControl::WeightControl(WeightControlOptions options, const WeightControlParts& parts)
     : m_options(std::move(options)),
       m_parts(parts),
-      m_rollout(parts.clock),
+      m_rollout(parts.clock, m_options.rollout_settle),
       m_swap(parts.clock, m_options.swap, parts.gate, *this) {
   m_parts.config.AddConfigListener([this](const std::shared_ptr<const ConfigView>&) { OnConfig(); });
   m_parts.members.AddMemberListener([this](const std::shared_ptr<const MemberView>&) { UpdateGoal(); });
--- a/src/weight_control.h
+++ b/src/weight_control.h
@@ -41,6 +41,8 @@
   // Whether chunks are exchanged with other agents.
   bool has_exchange = true;
   SwapOptions swap;
+  // See RolloutPolicy.
+  Duration rollout_settle = kReadinessSettle;
 };
 
 // What weight control depends on.
@@ -50,7 +52,7 @@
   ConfigSource& config;
   MemberSource& members;
   const AdmissionSource& admission;
-  EngineClient& engine;
+  EngineControl& engine;
   EngineGate& gate;
   WeightExchange& exchange;
   HoldingRegistry& holdings;
--- /dev/null
+++ b/src/weight_http.cpp
@@ -0,0 +1,55 @@
+#include "weight_http.h"
+
+#include "manifest_func.h"
+
+namespace plantain {
+namespace {
+
+// The plan notices stalls itself; this only frees the connection of a call that nobody waits for any more.
+constexpr Duration kOriginTimeout = std::chrono::minutes(5);
+constexpr Duration kPutTimeout = std::chrono::seconds(10);
+constexpr int kHttpOkFirst = 200;
+constexpr int kHttpOkLast = 299;
+
+bool IsSuccess(const absl::StatusOr<HttpResponse>& response) {
+  return response.ok() && response->status >= kHttpOkFirst && response->status <= kHttpOkLast;
+}
+
+}  // namespace
+
+std::shared_ptr<HttpCall> HttpChunkOrigin::FetchManifest(const Digest& manifest, Duration timeout,
+                                                         std::function<void(absl::StatusOr<HttpResponse>)> on_done) {
+  HttpCallOptions options;
+  options.timeout = timeout;
+  options.max_body_bytes = kMaxManifestBytes;
+  const HttpRequest request{"GET", "/manifests/" + FormatDigest(manifest), {}, ""};
+  return m_http.Fetch(m_origin, request, options, std::move(on_done));
+}
+
+std::shared_ptr<HttpCall> HttpChunkOrigin::FetchChunk(const Digest& chunk, HttpCallbacks callbacks) {
+  HttpCallOptions options;
+  options.timeout = kOriginTimeout;
+  options.max_body_bytes = kMaxChunkBytes;
+  const HttpRequest request{"GET", "/chunks/" + FormatDigest(chunk), {}, ""};
+  return m_http.Send(m_origin, request, options, std::move(callbacks));
+}
+
+void HttpStageSink::Put(const std::string& path, const std::string& body, std::function<void(bool)> on_done) {
+  HttpCallOptions options;
+  options.timeout = kPutTimeout;
+  m_http.Fetch(m_engine, HttpRequest{"PUT", path, {}, body}, options,
+               [on_done = std::move(on_done)](const absl::StatusOr<HttpResponse>& response) {
+                 on_done(IsSuccess(response));
+               });
+}
+
+void HttpStageSink::PutManifest(const Manifest& manifest, std::function<void(bool)> on_done) {
+  Put("/staging/" + FormatDigest(manifest.digest), manifest.content, std::move(on_done));
+}
+
+void HttpStageSink::PutChunk(const Manifest& manifest, uint32_t index, const std::string& content,
+                             std::function<void(bool)> on_done) {
+  Put("/staging/" + FormatDigest(manifest.digest) + "/" + std::to_string(index), content, std::move(on_done));
+}
+
+}  // namespace plantain
--- /dev/null
+++ b/src/weight_http.h
@@ -0,0 +1,41 @@
+// Origin and staging area in the HTTP form of docs/design.md, section 9.
+
+#ifndef PLANTAIN_WEIGHT_HTTP_H_
+#define PLANTAIN_WEIGHT_HTTP_H_
+
+#include "loop.h"
+#include "weight_port.h"
+
+namespace plantain {
+
+class HttpChunkOrigin : public ChunkOrigin {
+ public:
+  HttpChunkOrigin(Loop& loop, HttpTarget origin) : m_http(loop), m_origin(std::move(origin)) {}
+
+  std::shared_ptr<HttpCall> FetchManifest(const Digest& manifest, Duration timeout,
+                                          std::function<void(absl::StatusOr<HttpResponse>)> on_done) override;
+  std::shared_ptr<HttpCall> FetchChunk(const Digest& chunk, HttpCallbacks callbacks) override;
+
+ private:
+  HttpClient m_http;
+  const HttpTarget m_origin;
+};
+
+class HttpStageSink : public StageSink {
+ public:
+  HttpStageSink(Loop& loop, HttpTarget engine) : m_http(loop), m_engine(std::move(engine)) {}
+
+  void PutManifest(const Manifest& manifest, std::function<void(bool)> on_done) override;
+  void PutChunk(const Manifest& manifest, uint32_t index, const std::string& content,
+                std::function<void(bool)> on_done) override;
+
+ private:
+  void Put(const std::string& path, const std::string& body, std::function<void(bool)> on_done);
+
+  HttpClient m_http;
+  const HttpTarget m_engine;
+};
+
+}  // namespace plantain
+
+#endif  // PLANTAIN_WEIGHT_HTTP_H_
--- a/src/weight_services.cpp
+++ b/src/weight_services.cpp
@@ -5,6 +5,7 @@
 #include "plain_service.h"
 #include "transfer_service.h"
 #include "weight_control.h"
+#include "weight_http.h"
 
 namespace plantain {
 namespace {
@@ -31,8 +32,6 @@
   options.zone = parts.zone;
   options.address = parts.address;
   options.port = settings.GetPort("transfer.port");
-  options.origin = {settings.GetAddress("platform.origin_address"), settings.GetPort("platform.origin_port")};
-  options.engine = GetEngineTarget(settings);
   options.cache = settings.GetBytes("transfer.cache_bytes");
   options.hedge = settings.GetDuration("transfer.hedge_ms");
   options.pace.up = settings.GetRate("transfer.up_rate");
@@ -41,6 +40,13 @@
   return options;
 }
 
+TransferPorts MakePorts(ProcessParts& parts) {
+  const Settings& settings = parts.settings;
+  const HttpTarget origin{settings.GetAddress("platform.origin_address"), settings.GetPort("platform.origin_port")};
+  return {std::make_unique<HttpChunkOrigin>(parts.transfer_loop, origin),
+          std::make_unique<HttpStageSink>(parts.transfer_loop, GetEngineTarget(settings))};
+}
+
 WeightControlOptions MakeControlOptions(const ProcessParts& parts) {
   const Settings& settings = parts.settings;
   WeightControlOptions options;
@@ -78,7 +84,7 @@
   kernel.Register("gate", [](Kernel&) { return std::make_unique<EngineGate>(); });
   kernel.Register("holdings", [](Kernel&) { return std::make_unique<HoldingRegistry>(); });
   kernel.Register("transfer", [&parts](Kernel&) {
-    return std::make_unique<TransferService>(MakeTransferOptions(parts), parts.clock, parts.control_loop,
+    return std::make_unique<TransferService>(MakeTransferOptions(parts), MakePorts(parts), parts.clock, parts.control_loop,
                                              parts.transfer_loop, parts.channels, parts.metrics,
                                              parts.random.GetBits());
   });
