Choose endpoints by the expected time to the first event and serve loaded weights to newcomers

Cause: a third of the streams missed their goal at three quarters of the load, because several prompts met at one endpoint; endpoints that were added waited for chunk owners that had no reason to fetch; a version superseded after 4 s was dropped with 99 of 100 chunks there.

--- a/src/beacon_book.cpp
+++ b/src/beacon_book.cpp
@@ -20,6 +20,7 @@
   out.set_running(load.running);
   out.set_queued(load.queued);
   out.set_is_switching(load.is_switching);
+  out.set_slowness(load.slowness);
   for (const auto& [model, version] : load.loaded) {
     proto::LoadedVersion* loaded = out.add_loaded();
     loaded->set_model(model.Get());
@@ -33,6 +34,7 @@
   load.running = in.running();
   load.queued = in.queued();
   load.is_switching = in.is_switching();
+  load.slowness = in.slowness();
   for (const proto::LoadedVersion& loaded : in.loaded()) {
     load.loaded[ModelName(loaded.model())] = WeightVersion(loaded.version());
   }
@@ -135,6 +137,11 @@
   return targets;
 }
 
+bool BeaconBook::IsNear(const VmId& vm) const {
+  const auto found = m_heard.find(vm);
+  return found != m_heard.end() && found->second.beacon.zone == m_options.zone && IsFresh(found->second);
+}
+
 std::optional<BeaconBook::Source> BeaconBook::FindNewer(LogOffset operator_revision,
                                                         LogOffset directory_revision) const {
   std::optional<Source> best;
--- a/src/beacon_book.h
+++ b/src/beacon_book.h
@@ -62,6 +62,9 @@
   // others have heard.
   std::vector<VmId> GetTargets(size_t max) const;
 
+  // Whether a process was heard lately in this process's zone.
+  bool IsNear(const VmId& vm) const;
+
   // Returns a process of the own zone if possible that knows of newer changes, or nothing.
   struct Source {
     VmId vm;
--- a/src/config_type.h
+++ b/src/config_type.h
@@ -23,6 +23,8 @@
   Document document;
   // When the log accepted the publish, by the log's clock; known only to processes that read it there.
   std::optional<WallTime> accepted_at;
+  // From then on VMs load the weights that the document places without waiting for their turn.
+  std::optional<TimePoint> load_deadline;
 };
 
 // Gives access to the configuration in force.
--- a/src/endpoint_board.cpp
+++ b/src/endpoint_board.cpp
@@ -13,10 +13,18 @@
 // Without reports each entry takes this multiple of its even share of an endpoint's slots, since entries get uneven
 // parts of the traffic.
 constexpr double kBlindShare = 1.5;
-// What a step away from the entry's own zone counts, in shares of an endpoint's slots. Bytes between zones and
-// regions are scarce, but less so than slots.
-constexpr double kZonePenalty = 0.10;
-constexpr double kRegionPenalty = 0.25;
+// What a step away from the entry's own zone counts, in milliseconds to the first event. Bytes between zones and
+// regions are scarce, and the load of farther endpoints is known less well.
+constexpr double kZonePenaltyMs = 20;
+constexpr double kRegionPenaltyMs = 60;
+// What each request at an endpoint counts beyond the time to the first event: full slots are to be avoided.
+constexpr double kRequestPenaltyMs = 6;
+// What a request waits for each request before it that has no slot yet, in shares of a usual request's time.
+constexpr double kQueueShare = 1.0;
+// How fast what other entries sent is read; half is forgotten in this time.
+constexpr double kUnreadHalfLifeMs = 80;
+// Steps that an engine takes before it reads on.
+constexpr double kStepsInPass = 6;
 // Share of the rate that cold endpoints bear which all entries together use for cold ones, and for warm ones that may
 // turn cold without a word.
 constexpr double kColdShare = 0.7;
@@ -34,7 +42,11 @@
 constexpr double kErrorMemory = 12;
 constexpr double kMinAttempts = 5;
 constexpr double kSuspiciousExcess = 0.25;
-constexpr double kSuspicionPenalty = 1.0;
+// Endpoints with fewer slots feel each request more.
+constexpr double kUsualSlots = 16;
+constexpr double kSuspicionPenaltyMs = 400;
+
+double ToMs(Duration time) { return std::chrono::duration<double, std::milli>(time).count(); }
 
 }  // namespace
 
@@ -69,7 +81,10 @@
   for (const PoolSpec& pool : m_fleet->routing->pools) {
     const auto states = m_pools.find(pool.name);
     if (states == m_pools.end()) continue;
-    for (State* state : states->second) state->cold_per_s = pool.cold_per_s;
+    for (State* state : states->second) {
+      state->cold_per_s = pool.cold_per_s;
+      state->engine = pool.engine;
+    }
   }
 }
 
@@ -79,9 +94,16 @@
   const auto found = m_states.find(load.endpoint);
   if (found == m_states.end()) return;
   State& state = found->second;
+  const TimePoint now = m_clock.GetNow();
   const uint32_t total = load.running + load.queued;
-  state.others = total > state.own ? total - state.own : 0;
-  state.report_at = m_clock.GetNow();
+  const uint32_t others = total > state.own ? total - state.own : 0;
+  const uint32_t newcomers = others > state.others ? others - state.others : 0;
+  const double usual_prompt = state.engine.has_value() ? state.engine->usual_prompt : 0;
+  // Requests that were not there at the last report have prompts that are being read.
+  state.others_unread = HasFreshReport(state, now) ? newcomers * usual_prompt : 0;
+  state.others = others;
+  if (load.slowness > 0) state.slowness = load.slowness;
+  state.report_at = now;
   state.has_report = true;
   state.is_switching = load.is_switching;
   if (!load.loaded.empty()) state.loaded = load.loaded;
@@ -153,14 +175,38 @@
   return state.error_share > mean + kSuspiciousExcess;
 }
 
-double EndpointBoard::GetScore(const State& state, TimePoint now) const {
-  double score = static_cast<double>(GetLoad(state, now)) / std::max(1U, state.info.slots);
+double EndpointBoard::GetUnread(const State& state, TimePoint now) const {
+  const double age_ms = std::chrono::duration<double, std::milli>(now - state.report_at).count();
+  return static_cast<double>(state.own_unread) + state.others_unread * std::exp2(-age_ms / kUnreadHalfLifeMs);
+}
+
+// An engine reads prompts between passes of steps for the requests that are writing. A newcomer waits for the rest of
+// the pass, for the prompts before its own, and for its own first steps; without a free slot it waits for one besides.
+double EndpointBoard::GetExpectedMs(const State& state, uint32_t prompt_tokens, TimePoint now) const {
+  if (!state.engine.has_value()) return 0;
+  const EngineSpec& engine = *state.engine;
+  const uint32_t load = GetLoad(state, now);
+  const uint32_t slots = std::max(1U, state.info.slots);
+  const double step_ms = ToMs(engine.step) + std::min(load, slots) * ToMs(engine.step_per_request);
+  const double pass_ms = kStepsInPass * step_ms;
+  const double read_ms = (GetUnread(state, now) + prompt_tokens) * 1000 / std::max(1.0, engine.read_per_s);
+  double expected_ms = 1.5 * pass_ms + read_ms;
+  if (load >= slots) {
+    const double usual_ms = engine.usual_answer * step_ms * 1.5;
+    expected_ms += kQueueShare * (load - slots + 1) * usual_ms / slots;
+  }
+  return expected_ms * std::max(1.0, state.slowness);
+}
+
+double EndpointBoard::GetScoreMs(const State& state, const EndpointQuery& query, TimePoint now) const {
+  double score = GetExpectedMs(state, query.prompt_tokens, now);
+  score += kRequestPenaltyMs * GetLoad(state, now) * kUsualSlots / std::max(1U, state.info.slots);
   if (state.info.zone != m_options.zone) {
-    score += state.info.region == m_options.region ? kZonePenalty : kRegionPenalty;
+    score += state.info.region == m_options.region ? kZonePenaltyMs : kRegionPenaltyMs;
   }
-  if (IsSuspicious(state)) score += kSuspicionPenalty;
+  if (IsSuspicious(state)) score += kSuspicionPenaltyMs;
   // A tie goes to a random one.
-  return score + m_random.GetUnit() * 1e-3;
+  return score + m_random.GetUnit();
 }
 
 EndpointChoice EndpointBoard::Choose(const EndpointQuery& query) {
@@ -176,7 +222,7 @@
     if (fit == Fit::kBusy) choice.failure = NoEndpoint::kBusy;
     if (fit == Fit::kSetAside && choice.failure == NoEndpoint::kUnknown) choice.failure = NoEndpoint::kSetAside;
     if (fit != Fit::kFree) continue;
-    const double score = GetScore(*state, now);
+    const double score = GetScoreMs(*state, query, now);
     if (best != nullptr && score >= best_score) continue;
     best = state;
     best_score = score;
@@ -186,15 +232,24 @@
   choice.failure = NoEndpoint::kNone;
   const auto loaded = best->loaded.find(query.model);
   if (loaded != best->loaded.end()) choice.version = loaded->second;
+  choice.expected = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(GetExpectedMs(*best, query.prompt_tokens, now)));
   choice.load = GetLoad(*best, now);
   choice.load_age = best->has_report ? now - best->report_at : Duration::max();
   return choice;
 }
 
-void EndpointBoard::OnSent(const EndpointId& id) {
+void EndpointBoard::OnPromptRead(const EndpointId& id, uint32_t prompt_tokens) {
+  const auto found = m_states.find(id);
+  if (found == m_states.end()) return;
+  found->second.own_unread -= std::min<uint64_t>(found->second.own_unread, prompt_tokens);
+}
+
+void EndpointBoard::OnSent(const EndpointId& id, uint32_t prompt_tokens) {
   const auto found = m_states.find(id);
   if (found == m_states.end()) return;
   ++found->second.own;
+  found->second.own_unread += prompt_tokens;
   if (found->second.cold_per_s > 0) found->second.tokens -= 1;
 }
 
--- a/src/endpoint_board.h
+++ b/src/endpoint_board.h
@@ -23,6 +23,8 @@
   uint32_t queued = 0;
   // Whether the engine loads other weights and accepts nothing meanwhile.
   bool is_switching = false;
+  // How many times slower than usual it is; 0 if not known.
+  double slowness = 0;
   std::map<ModelName, WeightVersion> loaded;
 };
 
@@ -56,6 +58,7 @@
   const RouteRule* rule = nullptr;
   const WorkspaceKeys* workspace = nullptr;
   ModelName model;
+  uint32_t prompt_tokens = 0;
   // Lowest version of the weights that may begin a request, or the exact one.
   std::optional<WeightVersion> min_version;
   std::optional<WeightVersion> exact_version;
@@ -79,6 +82,8 @@
   NoEndpoint failure = NoEndpoint::kNone;
   // Weights of the query's model that the endpoint is known to have.
   std::optional<WeightVersion> version;
+  // Time to the first event that the board expects.
+  Duration expected{};
   // Requests believed to be at the endpoint, and the age of the report behind it, for the log.
   uint32_t load = 0;
   Duration load_age{};
@@ -97,7 +102,9 @@
 
   EndpointChoice Choose(const EndpointQuery& query);
 
-  void OnSent(const EndpointId& id);
+  void OnSent(const EndpointId& id, uint32_t prompt_tokens);
+  // The endpoint has read the prompt of an attempt: its first event came, or the attempt ended before.
+  void OnPromptRead(const EndpointId& id, uint32_t prompt_tokens);
   void OnEnded(const EndpointId& id, AttemptEnd end);
 
   // Requests of this entry in progress at the pool, and the places that its endpoints in service have.
@@ -111,12 +118,18 @@
   struct State {
     EndpointInfo info;
     double cold_per_s = 0;
+    std::optional<EngineSpec> engine;
     uint32_t own = 0;
+    // Prompt tokens of own requests that the endpoint has not read yet.
+    uint64_t own_unread = 0;
+    // The same of requests of other entries, as of the last report.
+    double others_unread = 0;
     // The last report.
     uint32_t others = 0;
     TimePoint report_at;
     bool has_report = false;
     bool is_switching = false;
+    double slowness = 1;
     std::map<ModelName, WeightVersion> loaded;
     // After failures.
     TimePoint aside_until;
@@ -139,7 +152,10 @@
   bool MayRun(const State& state, const EndpointQuery& query) const;
   bool HasVersion(const State& state, const EndpointQuery& query) const;
   bool IsSuspicious(const State& state) const;
-  double GetScore(const State& state, TimePoint now) const;
+  double GetUnread(const State& state, TimePoint now) const;
+  // Time to the first event of a request with this prompt, in milliseconds.
+  double GetExpectedMs(const State& state, uint32_t prompt_tokens, TimePoint now) const;
+  double GetScoreMs(const State& state, const EndpointQuery& query, TimePoint now) const;
   uint32_t GetLoad(const State& state, TimePoint now) const;
   uint32_t GetLimit(const State& state, TimePoint now) const;
   bool HasFreshReport(const State& state, TimePoint now) const;
--- a/src/fleet_mirror.cpp
+++ b/src/fleet_mirror.cpp
@@ -11,6 +11,18 @@
 constexpr Duration kTickPeriod = Milliseconds(200);
 // After an outage the platform lists living endpoints again within 2 s; one still missing then is gone.
 constexpr Duration kLapseTime = Milliseconds(2200);
+// More versions than can be due at once.
+constexpr size_t kMaxWanted = 64;
+
+// An endpoint that restarted has a new record while the old one is still listed for a few seconds.
+void DropReplaced(std::vector<EndpointInfo>& endpoints) {
+  std::map<HttpTarget, Incarnation> newest;
+  for (const EndpointInfo& info : endpoints) {
+    Incarnation& incarnation = newest[info.target];
+    incarnation = std::max(incarnation, info.incarnation);
+  }
+  std::erase_if(endpoints, [&](const EndpointInfo& info) { return info.incarnation < newest[info.target]; });
+}
 
 }  // namespace
 
@@ -97,11 +109,14 @@
 void FleetMirror::NoteWanted(const OperatorState& state) {
   const TimePoint now = m_clock.GetNow();
   for (const auto& [model, version] : state.wanted) {
-    const auto known = m_wanted.find(model);
-    if (known != m_wanted.end() && known->second.version >= version) continue;
+    const bool is_known = std::any_of(m_wanted.begin(), m_wanted.end(), [&](const WantedWeights& known) {
+      return known.model == model && known.version >= version;
+    });
+    if (is_known) continue;
     // How long ago a version was named that was there before this process is not known, so it counts as due.
     const TimePoint since = m_has_operator_state ? now : now - m_version_time;
-    m_wanted[model] = WantedWeights{model, version, since};
+    m_wanted.push_back(WantedWeights{model, version, since});
+    if (m_wanted.size() > kMaxWanted) m_wanted.erase(m_wanted.begin());
     LogEvent(LogLevel::kInfo, "weights_wanted", {{"model", model}, {"version", version}});
   }
 }
@@ -166,7 +181,8 @@
   view->is_store_reachable = m_is_store_reachable;
   for (const auto& [id, entry] : m_endpoints) view->endpoints.push_back(entry.info);
   for (const auto& [id, lapsed] : m_lapsed) view->endpoints.push_back(lapsed.entry.info);
-  for (const auto& [model, wanted] : m_wanted) view->wanted.push_back(wanted);
+  DropReplaced(view->endpoints);
+  view->wanted = m_wanted;
   m_view.Set(view);
   for (const auto& listener : m_listeners) listener(view);
 }
--- a/src/fleet_mirror.h
+++ b/src/fleet_mirror.h
@@ -106,7 +106,8 @@
   // Raw values behind m_endpoints, to see which were decoded already.
   std::map<EndpointId, std::string> m_decoded;
   std::map<EndpointId, Lapsed> m_lapsed;
-  std::map<ModelName, WantedWeights> m_wanted;
+  // All versions named so far, oldest first; each one is due in its own time.
+  std::vector<WantedWeights> m_wanted;
   bool m_is_store_reachable = false;
   bool m_was_store_lost = false;
   TimePoint m_regained_at;
--- a/src/fleet_relay.cpp
+++ b/src/fleet_relay.cpp
@@ -16,8 +16,11 @@
 constexpr int kHttpNotFound = 404;
 // Bounds the datagrams of one beacon; beyond it a process is heard through the entries that it does reach.
 constexpr size_t kMaxTargets = 24;
+// Processes in other zones get one beacon in this many, since bytes between regions are scarce.
+constexpr uint64_t kFarDivisor = 3;
 // An entry reads the store itself; it asks a peer only if its own read does not bring the news soon.
 constexpr Duration kOwnReadTime = Milliseconds(800);
+constexpr Duration kPullPeriod = Milliseconds(200);
 constexpr Duration kPullTimeout = Milliseconds(1000);
 constexpr size_t kMaxBatchBytes = 16 * 1024 * 1024;
 
@@ -29,7 +32,14 @@
       m_mirror(mirror),
       m_source(source),
       m_options(std::move(options)),
-      m_book(clock, BeaconOptions{m_options.vm, m_options.zone, Milliseconds(2500), m_options.seeds}) {}
+      m_book(clock, BeaconOptions{m_options.vm, m_options.zone, Milliseconds(2500), m_options.seeds}) {
+  mirror.AddFleetListener([this](const std::shared_ptr<const FleetView>&) { OnFleet(); });
+}
+
+// Tells of operators' changes at once.
+void FleetRelay::OnFleet() {
+  if (m_mirror.GetRecords(FleetTopic::kOperator).GetRevision() > m_told_revision) SendBeacons();
+}
 
 absl::Status FleetRelay::Start() {
   const IpAddress address(m_options.vm.Get());
@@ -42,16 +52,15 @@
                                           });
   if (absl::Status status = m_server->Start(); !status.ok()) return status;
   m_client = std::make_unique<HttpClient>(m_loop);
-  m_beacon_timer = m_loop.RunEvery(m_options.period, [this] {
-    SendBeacons();
-    PullIfBehind();
-  });
+  m_beacon_timer = m_loop.RunEvery(m_options.period, [this] { SendBeacons(); });
+  m_pull_timer = m_loop.RunEvery(kPullPeriod, [this] { PullIfBehind(); });
   m_loop.Post([this] { SendBeacons(); });
   return absl::OkStatus();
 }
 
 void FleetRelay::Stop() {
   m_beacon_timer.reset();
+  m_pull_timer.reset();
   m_socket.reset();
   m_server.reset();
   m_client.reset();
@@ -66,6 +75,8 @@
   if (!beacon.has_value()) return;
   const BeaconInfo copy = *beacon;
   if (!m_book.Take(*std::move(beacon))) return;
+  // Waiting for the next round would cost each hop a part of the time in which operators' changes must be in force.
+  if (copy.operator_revision > m_mirror.GetRecords(FleetTopic::kOperator).GetRevision()) PullIfBehind();
   for (const auto& listener : m_listeners) listener(copy);
 }
 
@@ -78,14 +89,18 @@
   beacon.incarnation = m_options.incarnation;
   beacon.sequence = ++m_sequence;
   beacon.operator_revision = m_mirror.GetRecords(FleetTopic::kOperator).GetRevision();
+  m_told_revision = beacon.operator_revision;
   beacon.directory_revision = m_mirror.GetRecords(FleetTopic::kDirectory).GetRevision();
   beacon.entries = m_book.GetEntries();
   if (m_options.is_entry) beacon.entries.push_back(m_options.vm);
   m_source.FillBeacon(beacon);
   const std::string data = EncodeBeacon(beacon);
+  const bool is_far_turn = m_sequence % kFarDivisor == 1;
   for (const VmId& target : m_book.GetTargets(kMaxTargets)) {
+    if (!is_far_turn && !m_book.IsNear(target)) continue;
     m_socket->Send({IpAddress(target.Get()), m_options.port}, data);
   }
+  if (!is_far_turn && m_options.is_entry) return;
   for (const VmId& target : m_source.GetBeaconTargets()) {
     m_socket->Send({IpAddress(target.Get()), m_options.port}, data);
   }
--- a/src/fleet_relay.h
+++ b/src/fleet_relay.h
@@ -53,6 +53,7 @@
  private:
   void OnDatagram(std::string_view data);
   void SendBeacons();
+  void OnFleet();
   HttpResponse AnswerRecords(const HttpRequest& request) const;
   void PullIfBehind();
   void Pull(const VmId& from, FleetTopic topic);
@@ -69,7 +70,10 @@
   std::unique_ptr<HttpServer> m_server;
   std::unique_ptr<HttpClient> m_client;
   std::unique_ptr<Timer> m_beacon_timer;
+  std::unique_ptr<Timer> m_pull_timer;
   uint64_t m_sequence = 0;
+  // Newest operators' record that a beacon has told of.
+  LogOffset m_told_revision;
   // Since when a peer knows of newer records; unset while none does.
   std::optional<TimePoint> m_behind_since;
   int m_pulls = 0;
--- a/src/fleet_type.h
+++ b/src/fleet_type.h
@@ -162,6 +162,7 @@
   std::vector<EndpointInfo> endpoints;
   // Zones that operators have taken out of service.
   std::set<ZoneName> zones_out;
+  // Versions that operators have named, oldest first.
   std::vector<WantedWeights> wanted;
   // Whether the platform's store answered the last call.
   bool is_store_reachable = false;
--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -77,12 +77,14 @@
   m_outcome.endpoint = choice.endpoint->id;
   m_outcome.load = choice.load;
   m_outcome.load_age = choice.load_age;
+  m_outcome.expected = choice.expected;
   m_endpoint = choice.endpoint->id;
   m_tried.push_back(m_endpoint);
   m_head.reset();
   m_body.clear();
   m_events = EventSplitter(m_last_event);
   m_heard_at = now;
+  m_is_prompt_read = false;
   AttemptHeader header;
   header.time_left = m_deadline - now;
   header.endpoint = m_endpoint;
@@ -135,6 +137,7 @@
     return;
   }
   if (events.empty()) return;
+  NotePromptRead();
   if (!m_has_events) {
     m_has_events = true;
     m_version = m_head->version;
@@ -226,7 +229,13 @@
   TryAgain(true, std::move(reason));
 }
 
+void ForwardRun::NotePromptRead() {
+  if (std::exchange(m_is_prompt_read, true)) return;
+  m_parts.host.OnPromptRead(*this, m_endpoint);
+}
+
 void ForwardRun::EndAttempt(AttemptEnd end) {
+  NotePromptRead();
   ++m_attempt;
   m_call.reset();
   m_parts.host.OnAttemptEnded(*this, m_endpoint, end);
--- a/src/forward_run.h
+++ b/src/forward_run.h
@@ -35,6 +35,8 @@
  public:
   virtual ~RunHost() = default;
 
+  // The endpoint has read the request: its first event came, or the attempt ended before that.
+  virtual void OnPromptRead(ForwardRun& run, const EndpointId& endpoint) = 0;
   virtual void OnAttemptEnded(ForwardRun& run, const EndpointId& endpoint, AttemptEnd end) = 0;
   // The run wants another attempt; StartAttempt or Fail follows, maybe within this call.
   virtual void RequestPlace(ForwardRun& run) = 0;
@@ -65,6 +67,8 @@
   EndpointId endpoint;
   uint32_t load = 0;
   Duration load_age{};
+  // Time to the first event that was expected when the attempt was sent.
+  Duration expected{};
   Duration waited{};
   std::optional<Duration> first_event;
   Duration total{};
@@ -116,6 +120,7 @@
   void Deliver();
   void BreakStream(AttemptEnd end, std::string reason);
   void EndAttempt(AttemptEnd end);
+  void NotePromptRead();
   void TryAgain(bool may_have_run, std::string reason);
   void GiveUp(bool may_have_run, std::string reason);
   void End(int status, ForwardFailure failure, std::string reason);
@@ -142,6 +147,7 @@
   std::string m_body;
   EventSplitter m_events;
   TimePoint m_heard_at;
+  bool m_is_prompt_read = false;
 
   std::vector<EndpointId> m_tried;
   // Whether an attempt that ended may have run.
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -21,7 +21,7 @@
 constexpr size_t kTriedAtOnce = 6;
 // Time before the end of `version_time` from which old weights take no new work; a request may wait in the endpoint's
 // queue before it begins.
-constexpr Duration kVersionMargin = Milliseconds(1800);
+constexpr Duration kVersionMargin = Milliseconds(1300);
 // Shares of the shared retry budget that this entry uses. Entries do not tell each other what they spend.
 constexpr double kBudgetShare = 0.75;
 constexpr double kSlackShare = 0.5;
@@ -170,6 +170,7 @@
   const PoolSpec* pool = run.GetRules().FindPool(run.GetPool());
   if (pool != nullptr && pool->engine.has_value()) {
     query.model = run.GetRequest().model;
+    query.prompt_tokens = run.GetRequest().prompt_tokens;
     query.min_version = GetMinVersion(query.model);
     query.exact_version = run.GetVersion();
   }
@@ -182,7 +183,7 @@
   why = choice.failure;
   if (choice.endpoint == nullptr) return false;
   const bool needs_version = query.min_version.has_value() || query.exact_version.has_value();
-  m_board.OnSent(choice.endpoint->id);
+  m_board.OnSent(choice.endpoint->id, run.GetRequest().prompt_tokens);
   GetPool(run.GetPool()).room.OnTurn(m_clock.GetNow());
   run.StartAttempt(choice, needs_version ? choice.version : std::nullopt);
   return true;
@@ -258,6 +259,10 @@
   return std::clamp<Duration>(std::chrono::duration_cast<Duration>(base * spread), kShortestReturn, kLongestReturn);
 }
 
+void ForwardTraffic::OnPromptRead(ForwardRun& run, const EndpointId& endpoint) {
+  m_board.OnPromptRead(endpoint, run.GetRequest().prompt_tokens);
+}
+
 void ForwardTraffic::OnAttemptEnded(ForwardRun& run, const EndpointId& endpoint, AttemptEnd end) {
   m_metrics.CountAttempt(end);
   m_board.OnEnded(endpoint, end);
@@ -292,6 +297,7 @@
             {"load", outcome.load},
             {"load_age_ms", outcome.load_age == Duration::max() ? -1 : ToMilliseconds(outcome.load_age)},
             {"wait_ms", ToMilliseconds(outcome.waited)},
+            {"expected_ms", ToMilliseconds(outcome.expected)},
             {"first_ms", outcome.first_event.has_value() ? ToMilliseconds(*outcome.first_event) : -1},
             {"total_ms", ToMilliseconds(outcome.total)},
             {"config", run.GetRules().GetDocument().version}});
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -75,6 +75,7 @@
   std::optional<WeightVersion> GetMinVersion(const ModelName& model) const;
   Duration GetRetryAfter(const ForwardRun& run);
 
+  void OnPromptRead(ForwardRun& run, const EndpointId& endpoint) override;
   void OnAttemptEnded(ForwardRun& run, const EndpointId& endpoint, AttemptEnd end) override;
   void RequestPlace(ForwardRun& run) override;
   bool TakeRetry(ForwardRun& run) override;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -122,6 +122,7 @@
     m_request.target(request.target);
     if (request.headers.Find("Host").empty()) m_request.set(http::field::host, m_target.address.Get());
     for (const auto& [name, value] : request.headers.GetFields()) m_request.insert(name, value);
+    if (!m_options.is_kept) m_request.keep_alive(false);
     m_request.body() = request.body;
     m_request.prepare_payload();
   }
@@ -266,7 +267,7 @@
     m_is_done = true;
     m_timer.cancel();
     const bool is_head = m_request.method() == http::verb::head;
-    if (status.ok() && m_parser->get().keep_alive() && !is_head) {
+    if (status.ok() && m_options.is_kept && m_parser->get().keep_alive() && !is_head) {
       m_client->Keep(m_target, std::move(m_connection), m_idle_time);
     } else {
       CloseSocket();
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -41,6 +41,8 @@
   Duration connect_timeout{};
   // Longest idle time of a kept connection that may be used; 0 for a new connection.
   Duration max_idle = std::chrono::hours(1);
+  // Whether the connection is kept for later calls.
+  bool is_kept = true;
   // Longest body kept by Fetch.
   size_t max_body_bytes = 64 * 1024 * 1024;
 };
--- a/src/settings_table.cpp
+++ b/src/settings_table.cpp
@@ -122,7 +122,7 @@
     {"fleet.zones", kList, "", 0, 0, "", "All availability zones with their regions, each as ZONE=REGION."},
     {"fleet.seeds", kList, "", 0, 0, "", "Addresses with ports of entries to ask first; only the address is used."},
     {"relay.port", kInteger, "7400", 1, kMaxPort, "port", "Port for beacons and records between processes."},
-    {"relay.period_ms", kDuration, "250", 10, kHourMs, "ms", "Time between two beacons."},
+    {"relay.period_ms", kDuration, "100", 10, kHourMs, "ms", "Time between two beacons."},
     {"store.target", kTarget, "", 0, 0, "", "Address of the platform's store."},
     {"store.timeout_ms", kDuration, "1200", 50, kHourMs, "ms",
      "Time allowed for one call to the store, besides the wait that it is asked for."},
@@ -143,14 +143,14 @@
 constexpr SettingRow kHostedAgentOnlyRows[] = {
     {"vm.pool", kText, "", 0, 0, "", "Pool that this VM's endpoint belongs to."},
     {"engine.target", kTarget, "", 0, 0, "", "Address of the local engine."},
-    {"engine.poll_ms", kDuration, "150", 10, kHourMs, "ms", "Time between two reads of the engine's report."},
+    {"engine.poll_ms", kDuration, "100", 10, kHourMs, "ms", "Time between two reads of the engine's report."},
     {"engine.settle_ms", kDuration, "1500", 0, kHourMs, "ms", "Wait after an order whose answer was lost."},
     {"transfer.port", kInteger, "7402", 1, kMaxPort, "port", "Port for chunk transfer between agents."},
     {"transfer.rate", kRate, "900000", 1024, kMaxRate, "bytes/s", "Rate of this VM's link."},
     {"transfer.shared_rate", kRate, "900000", 1024, kMaxRate, "bytes/s", "Pace of chunks sent to other zones."},
     {"transfer.cache_bytes", kBytes, "16777216", 1048576, kMaxBytes, "bytes",
      "Most bytes of chunks kept in memory for peers."},
-    {"transfer.hedge_ms", kDuration, "500", 10, kHourMs, "ms",
+    {"transfer.hedge_ms", kDuration, "1200", 10, kHourMs, "ms",
      "Time without progress before another owner takes over."},
 };
 
--- a/src/transfer_service.cpp
+++ b/src/transfer_service.cpp
@@ -11,9 +11,10 @@
 constexpr Duration kTickPeriod = Milliseconds(25);
 // Gathers progress into one report.
 constexpr Duration kReportDelay = Milliseconds(50);
+constexpr Duration kManifestTimeout = std::chrono::seconds(2);
 
 PlanOptions MakePlanOptions(const TransferOptions& options) {
-  PlanOptions plan;
+  PlanOptions plan = options.plan;
   plan.self = options.vm;
   plan.zone = options.zone;
   plan.hedge = options.hedge;
@@ -36,6 +37,8 @@
       m_upload(
           m_state, channels, [this](const VmId& vm) { return FindZone(vm); },
           [this](const Digest& manifest) { return IsHurried(manifest); }),
+      m_restore(*m_ports.stage, m_store,
+                [this](const Digest& chunk, const std::vector<Digest>& dropped) { OnRestored(chunk, dropped); }),
       m_download(std::make_unique<DownloadSide>(
           m_state, channels, DownloadOptions{MakePlanOptions(m_options), m_options.port}, *m_ports.origin, m_random,
           static_cast<DownloadListener&>(*this))),
@@ -56,6 +59,7 @@
   m_tick_timer.reset();
   m_report_timer.reset();
   m_upload.Stop();
+  m_restore.Stop();
   m_download->Stop();
   m_stage.Stop();
 }
@@ -83,9 +87,41 @@
   ForgetUnwanted();
   UpdateHeld();
   UpdateWants();
+  UpdateRestore();
   ScheduleReport();
 }
 
+// Weights that the engine has loaded and peers still lack are read back, unless they are in memory since their fetch.
+void TransferService::UpdateRestore() {
+  const auto is_offered = [](const ExchangeWant& want) { return !want.is_needed; };
+  const auto want = std::find_if(m_goal.wants.begin(), m_goal.wants.end(), is_offered);
+  if (want == m_goal.wants.end()) {
+    m_restore.SetManifest(nullptr);
+    return;
+  }
+  const auto manifest = m_book.Find(want->manifest);
+  if (manifest != nullptr) {
+    m_restore.SetManifest(manifest);
+    return;
+  }
+  if (!m_asked_manifests.insert(want->manifest).second) return;
+  m_ports.origin->FetchManifest(
+      want->manifest, kManifestTimeout, [this, digest = want->manifest](const absl::StatusOr<HttpResponse>& response) {
+        m_asked_manifests.erase(digest);
+        if (!response.ok() || m_book.Find(digest) != nullptr) return;
+        const auto parsed = ParseManifest(digest, response->body);
+        if (!parsed.ok()) return;
+        m_book.Add(*parsed);
+        OnManifest(digest);
+        UpdateRestore();
+      });
+}
+
+void TransferService::OnRestored(const Digest& chunk, const std::vector<Digest>& dropped) {
+  m_download->MarkHeld(chunk);
+  OnChunk(chunk, dropped);
+}
+
 void TransferService::ForgetUnwanted() {
   const auto is_wanted = [&](const Digest& manifest) {
     return std::any_of(m_goal.wants.begin(), m_goal.wants.end(),
@@ -97,6 +133,7 @@
   }
   for (const auto& manifest : unwanted) {
     m_book.Remove(manifest->digest);
+    m_logged_steps.erase(manifest->digest);
     for (const ChunkRef& chunk : manifest->chunks) {
       if (!m_book.FindPlaces(chunk.digest).empty()) continue;
       m_store.Drop(chunk.digest);
@@ -194,12 +231,28 @@
         static_cast<size_t>(std::count_if(manifest->chunks.begin(), manifest->chunks.end(),
                                           [&](const ChunkRef& chunk) { return m_download->IsHeld(chunk.digest); }));
     entry.is_staged = m_stage.IsTarget(digest) && m_stage.IsComplete();
+    LogProgress(digest, entry);
   }
   m_control_loop.Post([this, progress = std::move(progress)] {
     if (m_listener) m_listener(progress);
   });
 }
 
+// One line for each quarter of the chunks.
+void TransferService::LogProgress(const Digest& manifest, const ExchangeProgress& progress) {
+  constexpr size_t kSteps = 4;
+  if (progress.chunk_count == 0) return;
+  const size_t step = progress.verified * kSteps / progress.chunk_count + (progress.is_staged ? 1 : 0);
+  size_t& logged = m_logged_steps[manifest];
+  if (step <= logged) return;
+  logged = step;
+  LogEvent(LogLevel::kInfo, "weights_progress",
+           {{"manifest", FormatDigest(manifest)},
+            {"verified", progress.verified},
+            {"chunks", progress.chunk_count},
+            {"staged", progress.is_staged}});
+}
+
 ZoneName TransferService::FindZone(const VmId& vm) const {
   const auto found = m_zones.find(vm);
   return found == m_zones.end() ? m_options.zone : found->second;
--- a/src/transfer_service.h
+++ b/src/transfer_service.h
@@ -4,8 +4,10 @@
 #define PLANTAIN_TRANSFER_SERVICE_H_
 
 #include <memory>
+#include <set>
 #include <unordered_map>
 
+#include "chunk_restore.h"
 #include "download_side.h"
 #include "exchange_type.h"
 #include "kernel.h"
@@ -21,6 +23,8 @@
   IpAddress address;
   Port port;
   Bytes cache;
+  // Limits of the plan; VM, zone and hedge are filled in from this struct.
+  PlanOptions plan;
   Duration hedge{};
   PaceOptions pace;
 };
@@ -53,12 +57,15 @@
   void ApplyGoal(const ExchangeGoal& goal);
   void ApplyStageState(const StageState& state);
   void UpdateWants();
+  void UpdateRestore();
   void ForgetUnwanted();
   void OnStaged(const Digest& chunk);
+  void OnRestored(const Digest& chunk, const std::vector<Digest>& dropped);
   void UpdateHeld();
   bool IsNeeded(const Digest& chunk) const;
   void ScheduleReport();
   void Report();
+  void LogProgress(const Digest& manifest, const ExchangeProgress& progress);
   ZoneName FindZone(const VmId& vm) const;
   bool IsHurried(const Digest& manifest) const;
 
@@ -73,12 +80,16 @@
   TransferState m_state;
   StagePump m_stage;
   UploadSide m_upload;
+  ChunkRestore m_restore;
   std::unique_ptr<DownloadSide> m_download;
   // Transfer thread.
   ExchangeGoal m_goal;
   std::unordered_map<VmId, ZoneName> m_zones;
+  std::map<Digest, size_t> m_logged_steps;
   std::unique_ptr<Timer> m_tick_timer;
   std::unique_ptr<Timer> m_report_timer;
+  // Manifests that the origin was asked for to restore their chunks.
+  std::set<Digest> m_asked_manifests;
   // Chunks pinned until the engine has staged them.
   std::unordered_set<Digest> m_pinned;
   prometheus::Gauge& m_cache_bytes;
--- a/src/weight_control.cpp
+++ b/src/weight_control.cpp
@@ -95,6 +95,7 @@
 
 bool WeightControl::MayTakeTurn(const RequiredWeights& required) {
   if (m_config == nullptr) return false;
+  if (m_config->load_deadline.has_value() && m_parts.clock.GetNow() >= *m_config->load_deadline) return true;
   const TurnQuery query{m_options.vm, m_options.zone, m_options.pool, required.slot, required.manifest};
   const TurnVerdict verdict = m_rollout.Decide(m_config->document, *GetView(), query);
   if (verdict != m_verdict) LogEvent(LogLevel::kInfo, "rollout_turn", {{"verdict", GetVerdictName(verdict)}});
--- a/src/weight_http.cpp
+++ b/src/weight_http.cpp
@@ -1,5 +1,6 @@
 #include "weight_http.h"
 
+#include "failure_type.h"
 #include "manifest_func.h"
 
 namespace plantain {
@@ -52,4 +53,11 @@
   Put("/staging/" + FormatDigest(manifest.digest) + "/" + std::to_string(index), content, std::move(on_done));
 }
 
+void HttpStageSink::ReadChunk(const Manifest& /*manifest*/, uint32_t /*index*/,
+                              std::function<void(absl::StatusOr<std::string>)> on_done) {
+  m_loop.Post([on_done = std::move(on_done)] {
+    on_done(MakeFailure(FailureCode::kChunkMissing, "the staging area cannot be read"));
+  });
+}
+
 }  // namespace plantain
--- a/src/weight_http.h
+++ b/src/weight_http.h
@@ -23,15 +23,19 @@
 
 class HttpStageSink : public StageSink {
  public:
-  HttpStageSink(Loop& loop, HttpTarget engine) : m_http(loop), m_engine(std::move(engine)) {}
+  HttpStageSink(Loop& loop, HttpTarget engine) : m_loop(loop), m_http(loop), m_engine(std::move(engine)) {}
 
   void PutManifest(const Manifest& manifest, std::function<void(bool)> on_done) override;
   void PutChunk(const Manifest& manifest, uint32_t index, const std::string& content,
                 std::function<void(bool)> on_done) override;
+  // This form of the area cannot be read.
+  void ReadChunk(const Manifest& manifest, uint32_t index,
+                 std::function<void(absl::StatusOr<std::string>)> on_done) override;
 
  private:
   void Put(const std::string& path, const std::string& body, std::function<void(bool)> on_done);
 
+  Loop& m_loop;
   HttpClient m_http;
   const HttpTarget m_engine;
 };
--- a/src/weight_port.h
+++ b/src/weight_port.h
@@ -35,6 +35,11 @@
   virtual void PutManifest(const Manifest& manifest, std::function<void(bool)> on_done) = 0;
   virtual void PutChunk(const Manifest& manifest, uint32_t index, const std::string& content,
                         std::function<void(bool)> on_done) = 0;
+
+  // Reads back a chunk of weights that the engine has loaded; the area still holds them. The bytes are not checked.
+  // Fails with kChunkMissing if the area cannot be read.
+  virtual void ReadChunk(const Manifest& manifest, uint32_t index,
+                         std::function<void(absl::StatusOr<std::string>)> on_done) = 0;
 };
 
 }  // namespace plantain
