--- a/src/config_type.h
+++ b/src/config_type.h
@@ -25,6 +25,9 @@
   std::optional<WallTime> accepted_at;
   // From then on VMs load the weights that the document places without waiting for their turn.
   std::optional<TimePoint> load_deadline;
+  // Weights that will be placed next in the slot of the first assignment; empty if none are known. They are fetched
+  // into memory while the placed ones are being loaded.
+  Digest next_manifest;
 };
 
 // Gives access to the configuration in force.
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -5,6 +5,7 @@
 
 #include "event_log.h"
 #include "failure_type.h"
+#include "weight_time.h"
 
 namespace plantain {
 namespace {
@@ -19,9 +20,6 @@
 // How many waiting requests are tried when a place may be free. Those in front may need other endpoints than those
 // behind them.
 constexpr size_t kTriedAtOnce = 6;
-// Time before the end of `version_time` from which old weights take no new work; a request may wait in the endpoint's
-// queue before it begins.
-constexpr Duration kVersionMargin = Milliseconds(1300);
 // Shares of the shared retry budget that this entry uses. Entries do not tell each other what they spend.
 constexpr double kBudgetShare = 0.75;
 constexpr double kSlackShare = 0.5;
--- a/src/settings_table.cpp
+++ b/src/settings_table.cpp
@@ -146,7 +146,7 @@
     {"engine.poll_ms", kDuration, "100", 10, kHourMs, "ms", "Time between two reads of the engine's report."},
     {"engine.settle_ms", kDuration, "1500", 0, kHourMs, "ms", "Wait after an order whose answer was lost."},
     {"transfer.port", kInteger, "7402", 1, kMaxPort, "port", "Port for chunk transfer between agents."},
-    {"transfer.rate", kRate, "900000", 1024, kMaxRate, "bytes/s", "Rate of this VM's link."},
+    {"vm.link_mbps", kNumber, "1000", 0.1, 1e6, "Mbit/s", "Rate of this VM's link."},
     {"transfer.shared_rate", kRate, "900000", 1024, kMaxRate, "bytes/s", "Pace of chunks sent to other zones."},
     {"transfer.cache_bytes", kBytes, "16777216", 1048576, kMaxBytes, "bytes",
      "Most bytes of chunks kept in memory for peers."},
--- a/src/version_pick.cpp
+++ b/src/version_pick.cpp
@@ -42,7 +42,7 @@
                                          const VersionTimes& times) {
   const WantedWeights* first = FindFirstBeyond(named, loaded);
   if (first == nullptr) return std::nullopt;
-  return first->since + times.limit - times.swap;
+  return first->since + times.limit - times.margin;
 }
 
 }  // namespace plantain
--- a/src/version_pick.h
+++ b/src/version_pick.h
@@ -18,6 +18,8 @@
   Duration fetch{};
   // Time from the end of the fetch until all endpoints have loaded it.
   Duration swap{};
+  // Time before the limit at which entries stop using the older version.
+  Duration margin{};
 };
 
 // Picks the version to have next, given those named for one model, oldest first, and the oldest one loaded anywhere in
@@ -28,8 +30,8 @@
 WeightVersion PickVersion(const std::vector<WantedWeights>& named, WeightVersion loaded, const VersionTimes& times,
                           TimePoint now);
 
-// Returns when endpoints must load the picked version without waiting for each other, so that it is in use before the
-// oldest version beyond `loaded` falls due; nothing if no version beyond `loaded` was named.
+// Returns when entries stop using what is loaded, from which on endpoints gain nothing by waiting for each other; nothing
+// if no version beyond `loaded` was named.
 std::optional<TimePoint> GetLoadDeadline(const std::vector<WantedWeights>& named, WeightVersion loaded,
                                          const VersionTimes& times);
 
--- a/src/weight_control.cpp
+++ b/src/weight_control.cpp
@@ -115,7 +115,12 @@
   goal.has_live_requests = m_has_live_requests;
   for (const Assignment& assignment : GetAssignments(m_config->document, m_options.pool)) {
     ExchangeWant want = MakeWant(m_config->document, *view, assignment);
+    ExchangeWant ahead = want;
     if (want.is_needed || !IsServedByAll(*view, want.peers, want.manifest)) goal.wants.push_back(std::move(want));
+    if (m_config->next_manifest.IsEmpty() || goal.wants.size() > 1) continue;
+    ahead.manifest = m_config->next_manifest;
+    ahead.is_needed = true;
+    goal.wants.push_back(std::move(ahead));
   }
   m_parts.exchange.SetGoal(std::move(goal));
 }
