Test the forwarding path and let late requests wait for what is left over

An origin that was down for 6 s was left alone for 4 s after its return, since the pause after failures doubles.

Change: a request that can no longer be in time waits up to 0.8 s if late ones get places at all, and is told to come back after 1.8 s otherwise; the pause of the origin is capped.

Tests cover sending again, resumption, overload, keys, versions, choice of endpoints, cold limits over all entries, the mirror and the decoders.

--- a/src/chunk_plan.cpp
+++ b/src/chunk_plan.cpp
@@ -264,7 +264,8 @@
     // A single corrupt chunk says little about the origin as a whole.
     if (failure != FetchFailure::kCorrupt || m_origin_strikes > kOriginCorruptLimit) {
       const uint32_t factor = 1U << std::min(m_origin_strikes, kMaxStrikes);
-      m_origin_blocked_until = m_clock.GetNow() + m_options.hedge * factor / 2;
+      m_origin_blocked_until =
+          m_clock.GetNow() + std::min<Duration>(m_options.max_origin_pause, m_options.hedge * factor / 2);
     }
     End(pending);
     AddOwned(chunk);
--- a/src/chunk_plan_type.h
+++ b/src/chunk_plan_type.h
@@ -75,6 +75,8 @@
   uint32_t max_shared = 12;
   // A zone of at most this many VMs forms a full mesh.
   size_t all_neighbours_below = 12;
+  // Longest time for which the origin is left alone after failures.
+  Duration max_origin_pause = std::chrono::minutes(1);
   // VMs of a zone among which chunks have their owners. With more of them the origin would serve so many requests at
   // once that no chunk arrives early; with fewer their links would limit the draw.
   size_t max_owners = 8;
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -13,7 +13,7 @@
 // Share of a request's goal that it may wait; the rest is for the endpoint's own time to the first event.
 constexpr double kWaitShare = 0.45;
 // Longest wait of a request whose goal has passed, and its share of the time that is left.
-constexpr Duration kLongestLateWait = Milliseconds(500);
+constexpr Duration kLongestLateWait = Milliseconds(800);
 constexpr int kLateWaitDivisor = 6;
 // A stream that broke off waits this long for another endpoint.
 constexpr Duration kResumeWait = Milliseconds(600);
@@ -29,7 +29,8 @@
 constexpr Duration kLongestReturn = std::chrono::seconds(3);
 constexpr Duration kReturnWithoutConfig = std::chrono::seconds(1);
 constexpr Duration kReturnFromDraining = Milliseconds(20);
-constexpr Duration kReturnWithoutEndpoint = Milliseconds(700);
+// Swaps of weights and restarts, during which few endpoints serve, take about as long.
+constexpr Duration kReturnWithoutEndpoint = Milliseconds(1800);
 // Requests that usually last longer than this are refused once a stop leaves no more time than that.
 constexpr Duration kStreamTime = Milliseconds(3500);
 constexpr Duration kPlainTime = Milliseconds(1000);
@@ -182,7 +183,7 @@
   if (choice.endpoint == nullptr) return false;
   const bool needs_version = query.min_version.has_value() || query.exact_version.has_value();
   m_board.OnSent(choice.endpoint->id, run.GetRequest().prompt_tokens);
-  GetPool(run.GetPool()).room.OnTurn(m_clock.GetNow());
+  GetPool(run.GetPool()).room.OnTurn(IsLate(run), m_clock.GetNow());
   run.StartAttempt(choice, needs_version ? choice.version : std::nullopt);
   return true;
 }
@@ -198,14 +199,25 @@
     RefuseWaiting(run, ForwardFailure::kNoEndpoint);
     return;
   }
-  if (!room.CanExpectTurn(entry, now)) {
+  if (room.CanExpectTurn(entry, now)) {
+    room.Add(entry);
+  } else if (const WaitEntry late = MakeLate(entry, run); room.CanExpectTurn(late, now)) {
+    // It cannot be in time any more, but late is better than another round trip.
+    room.Add(late);
+  } else {
     RefuseWaiting(run, ForwardFailure::kOverloaded);
     return;
   }
-  room.Add(entry);
   if (room.GetSize() > 1) PumpPool(run.GetPool());
 }
 
+WaitEntry ForwardTraffic::MakeLate(WaitEntry entry, const ForwardRun& run) const {
+  const TimePoint now = m_clock.GetNow();
+  entry.is_late = true;
+  entry.wait_until = now + std::min<Duration>(kLongestLateWait, (run.GetDeadline() - now) / kLateWaitDivisor);
+  return entry;
+}
+
 void ForwardTraffic::RefuseWaiting(ForwardRun& run, ForwardFailure failure) {
   run.Fail(failure, failure == ForwardFailure::kOverloaded ? "its turn would come too late" : "no endpoint takes it");
 }
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -66,6 +66,7 @@
   void StartRun(ForwardRequest request, const RouteMatch& match, const std::shared_ptr<HttpResponder>& responder);
   void Enqueue(ForwardRun& run);
   bool IsLate(const ForwardRun& run) const;
+  WaitEntry MakeLate(WaitEntry entry, const ForwardRun& run) const;
   Duration GetLongestWait(const ForwardRun& run) const;
   EndpointQuery MakeQuery(const ForwardRun& run) const;
   bool TryDispatch(ForwardRun& run, NoEndpoint& why);
--- a/src/wait_room.cpp
+++ b/src/wait_room.cpp
@@ -19,19 +19,30 @@
   return !a.is_late && b.is_late;
 }
 
+size_t WaitRoom::CountLate() const {
+  return static_cast<size_t>(
+      std::count_if(m_entries.begin(), m_entries.end(), [](const WaitEntry& entry) { return entry.is_late; }));
+}
+
 size_t WaitRoom::CountAhead(const WaitEntry& entry) const {
   return static_cast<size_t>(std::count_if(m_entries.begin(), m_entries.end(),
                                            [&](const WaitEntry& other) { return !GoesBefore(entry, other); }));
 }
 
-std::optional<double> WaitRoom::GetRate(TimePoint now) const {
-  if (!m_has_rate) return std::nullopt;
-  const double elapsed_s = std::chrono::duration<double>(now - m_rate_at).count();
-  return m_rate * std::exp(-elapsed_s / kRateMemoryS);
+void WaitRoom::Rate::Count(TimePoint now) {
+  per_s = Get(now).value_or(0) + 1 / kRateMemoryS;
+  at = now;
+  is_known = true;
+}
+
+std::optional<double> WaitRoom::Rate::Get(TimePoint now) const {
+  if (!is_known) return std::nullopt;
+  const double elapsed_s = std::chrono::duration<double>(now - at).count();
+  return per_s * std::exp(-elapsed_s / kRateMemoryS);
 }
 
 Duration WaitRoom::EstimateTurn(uint32_t priority, TimePoint now) const {
-  const std::optional<double> rate = GetRate(now);
+  const std::optional<double> rate = m_rate.Get(now);
   if (!rate.has_value()) return Duration::zero();
   const WaitEntry newcomer{WaitTicket(), priority, false, now};
   const double wait_s = static_cast<double>(CountAhead(newcomer)) / std::max(*rate, 1e-3);
@@ -40,11 +51,12 @@
 }
 
 bool WaitRoom::CanExpectTurn(const WaitEntry& entry, TimePoint now) const {
-  const std::optional<double> rate = GetRate(now);
-  if (!rate.has_value()) return true;
-  const size_t ahead = CountAhead(entry);
+  const std::optional<double> rate = entry.is_late ? m_late_rate.Get(now) : m_rate.Get(now);
+  size_t ahead = CountAhead(entry);
+  if (entry.is_late) ahead = CountLate();
   // The first in line always waits; its turn may come with the next answer.
-  if (ahead == 0) return true;
+  if (ahead == 0 || (!rate.has_value() && !entry.is_late)) return true;
+  if (!rate.has_value()) return false;
   const double allowed_s = std::chrono::duration<double>(entry.wait_until - now).count();
   return static_cast<double>(ahead) <= *rate * allowed_s;
 }
@@ -62,9 +74,8 @@
 std::vector<WaitTicket> WaitRoom::GetNext(size_t count) const {
   std::vector<WaitTicket> next;
   if (m_turns % kFairPick == kFairPick - 1 && !m_entries.empty()) {
-    const auto oldest = std::min_element(
-        m_entries.begin(), m_entries.end(),
-        [](const WaitEntry& a, const WaitEntry& b) { return a.ticket < b.ticket; });
+    const auto oldest = std::min_element(m_entries.begin(), m_entries.end(),
+                                         [](const WaitEntry& a, const WaitEntry& b) { return a.ticket < b.ticket; });
     next.push_back(oldest->ticket);
   }
   for (const WaitEntry& entry : m_entries) {
@@ -74,16 +85,10 @@
   return next;
 }
 
-void WaitRoom::OnTurn(TimePoint now) {
+void WaitRoom::OnTurn(bool is_late, TimePoint now) {
   ++m_turns;
-  if (!m_has_rate) {
-    m_has_rate = true;
-    m_rate = 1 / kRateMemoryS;
-    m_rate_at = now;
-    return;
-  }
-  m_rate = *GetRate(now) + 1 / kRateMemoryS;
-  m_rate_at = now;
+  m_rate.Count(now);
+  if (is_late) m_late_rate.Count(now);
 }
 
 std::vector<WaitTicket> WaitRoom::TakeExpired(TimePoint now) {
--- a/src/wait_room.h
+++ b/src/wait_room.h
@@ -1,5 +1,5 @@
-// Requests of one pool that wait for a free place, for the load pattern in which more work is offered than endpoints can
-// begin. No I/O.
+// Requests of one pool that wait for a free place, for the load pattern in which more work is offered than endpoints
+// can begin. No I/O.
 
 #ifndef PLANTAIN_WAIT_ROOM_H_
 #define PLANTAIN_WAIT_ROOM_H_
@@ -45,7 +45,7 @@
   std::vector<WaitTicket> GetNext(size_t count) const;
 
   // Tells that a waiting or arriving request got a place.
-  void OnTurn(TimePoint now);
+  void OnTurn(bool is_late, TimePoint now);
 
   // Removes and returns those whose wait is over.
   std::vector<WaitTicket> TakeExpired(TimePoint now);
@@ -55,15 +55,24 @@
  private:
   static bool GoesBefore(const WaitEntry& a, const WaitEntry& b);
   size_t CountAhead(const WaitEntry& entry) const;
-  // Places that became free in a second lately; nothing before there was one.
-  std::optional<double> GetRate(TimePoint now) const;
+  size_t CountLate() const;
+  // Turns in a second lately, of all requests or of late ones.
+  struct Rate {
+    double per_s = 0;
+    TimePoint at;
+    bool is_known = false;
+
+    void Count(TimePoint now);
+    // Returns nothing before the first turn.
+    std::optional<double> Get(TimePoint now) const;
+  };
 
   // In order of picking; equal ones in order of arrival.
   std::list<WaitEntry> m_entries;
   uint64_t m_turns = 0;
-  double m_rate = 0;
-  TimePoint m_rate_at;
-  bool m_has_rate = false;
+  Rate m_rate;
+  // What those that can be in time leave over.
+  Rate m_late_rate;
 };
 
 }  // namespace plantain
--- /dev/null
+++ b/tests/endpoint_board_test.cpp
@@ -0,0 +1,189 @@
+#include "endpoint_board.h"
+
+#include <catch2/catch.hpp>
+
+#include "forward_fake.h"
+
+namespace plantain {
+namespace {
+
+struct Board {
+  explicit Board(std::vector<EndpointInfo> endpoints)
+      : random(20261204), board(clock, random, {ZoneName("praha"), RegionName("praha")}) {
+    fleet = MakeFleet(std::move(endpoints));
+    board.SetFleet(fleet);
+  }
+
+  EndpointChoice Choose(uint32_t prompt = 900, const RegionName& only = RegionName()) {
+    rule.regions.clear();
+    if (!only.IsEmpty()) rule.regions.push_back(only);
+    EndpointQuery query;
+    query.pool = kEnginePool;
+    query.rule = &rule;
+    query.model = kVeilModel;
+    query.prompt_tokens = prompt;
+    query.min_version = min_version;
+    return board.Choose(query);
+  }
+
+  std::string Send(uint32_t prompt = 900) {
+    const EndpointChoice choice = Choose(prompt);
+    if (choice.endpoint == nullptr) return "";
+    board.OnSent(choice.endpoint->id, prompt);
+    return choice.endpoint->id.Get();
+  }
+
+  VirtualClock clock;
+  SeededRandom random;
+  EndpointBoard board;
+  std::shared_ptr<FleetView> fleet;
+  RouteRule rule;
+  std::optional<WeightVersion> min_version;
+};
+
+// Guards against prompts that meet at one endpoint while others have none to read.
+TEST_CASE("Requests go where their first event is expected soonest") {
+  Board board({MakeEndpoint("e1", kEnginePool, "praha"), MakeEndpoint("e2", kEnginePool, "praha")});
+
+  SECTION("an endpoint that still reads a long prompt is passed over") {
+    const std::string first = board.Send(4000);
+    CHECK(board.Send(100) != first);
+    CHECK(board.Send(100) != first);
+  }
+  SECTION("a prompt that has been read no longer counts") {
+    const std::string first = board.Send(4000);
+    const std::string second = board.Send(100);
+    board.board.OnPromptRead(EndpointId(first), 4000);
+    board.board.OnEnded(EndpointId(first), AttemptEnd::kSuccess);
+    CHECK(board.Send(100) == first);
+    CHECK(second != first);
+  }
+  SECTION("what other entries sent counts as its agent reports it") {
+    board.board.OnLoad({EndpointId("e1"), 4, 2, false, 1, {}});
+    CHECK(board.Send() == "e2");
+    CHECK(board.Choose().load <= 1);
+  }
+  SECTION("a slow endpoint counts as far") {
+    board.board.OnLoad({EndpointId("e1"), 0, 0, false, 5, {}});
+    CHECK(board.Send() == "e2");
+  }
+  SECTION("full endpoints get nothing") {
+    for (int i = 0; i < 10; ++i) CHECK_FALSE(board.Send().empty());
+    CHECK(board.Choose().endpoint == nullptr);
+    CHECK(board.Choose().failure == NoEndpoint::kBusy);
+  }
+}
+
+// Guards against bytes between regions and requests outside the regions that are allowed.
+TEST_CASE("The own zone comes first and regions are a wall") {
+  Board board({MakeEndpoint("e1", kEnginePool, "praha"), MakeEndpoint("e2", kEnginePool, "brno")});
+  CHECK(board.Send(100) == "e1");
+  CHECK(board.Choose(900, RegionName("brno")).endpoint->id == EndpointId("e2"));
+  CHECK(board.Choose(900, RegionName("ostrava")).failure == NoEndpoint::kUnknown);
+
+  SECTION("a zone out of service gets nothing") {
+    board.fleet = std::make_shared<FleetView>(*board.fleet);
+    board.fleet->zones_out.insert(ZoneName("praha"));
+    board.board.SetFleet(board.fleet);
+    CHECK(board.Send(100) == "e2");
+  }
+  SECTION("a leaving endpoint gets nothing") {
+    board.fleet = std::make_shared<FleetView>(*board.fleet);
+    board.fleet->endpoints[0].is_leaving = true;
+    board.board.SetFleet(board.fleet);
+    CHECK(board.Send(100) == "e2");
+  }
+  SECTION("an endpoint that loads weights gets nothing") {
+    board.board.OnLoad({EndpointId("e1"), 0, 0, true, 1, {}});
+    CHECK(board.Send(100) == "e2");
+  }
+  SECTION("endpoints with old weights get nothing once a version is due") {
+    board.min_version = WeightVersion(2);
+    board.board.OnLoad({EndpointId("e2"), 0, 0, false, 1, {{kVeilModel, WeightVersion(2)}}});
+    CHECK(board.Send(100) == "e2");
+    CHECK(board.Choose().version == WeightVersion(2));
+  }
+}
+
+// Guards against requests that wait for dead or failing endpoints again and again.
+TEST_CASE("Endpoints that fail are set aside for a time that fits") {
+  Board board({MakeEndpoint("e1", kEnginePool, "praha"), MakeEndpoint("e2", kEnginePool, "brno")});
+
+  SECTION("an unreachable one returns after a while") {
+    board.board.OnEnded(EndpointId("e1"), AttemptEnd::kUnreachable);
+    CHECK(board.Choose().endpoint->id == EndpointId("e2"));
+    board.clock.Advance(Milliseconds(450));
+    CHECK(board.Choose().endpoint->id == EndpointId("e1"));
+  }
+  SECTION("each further failure doubles the time") {
+    for (int i = 0; i < 3; ++i) board.board.OnEnded(EndpointId("e1"), AttemptEnd::kUnreachable);
+    board.clock.Advance(Milliseconds(1500));
+    CHECK(board.Choose().endpoint->id == EndpointId("e2"));
+  }
+  SECTION("a full one is asked again soon") {
+    board.board.OnEnded(EndpointId("e1"), AttemptEnd::kFull);
+    CHECK(board.Choose().endpoint->id == EndpointId("e2"));
+    board.clock.Advance(Milliseconds(70));
+    CHECK(board.Choose().endpoint->id == EndpointId("e1"));
+  }
+  SECTION("one with far more errors than the others is avoided") {
+    for (int i = 0; i < 12; ++i) {
+      board.board.OnEnded(EndpointId("e1"), AttemptEnd::kError);
+      board.board.OnEnded(EndpointId("e2"), AttemptEnd::kSuccess);
+    }
+    CHECK(board.Choose().endpoint->id == EndpointId("e2"));
+  }
+  SECTION("a restart clears what was held against it") {
+    board.board.OnEnded(EndpointId("e1"), AttemptEnd::kSilent);
+    board.fleet = std::make_shared<FleetView>(*board.fleet);
+    board.fleet->endpoints[0].incarnation = Incarnation(2);
+    board.board.SetFleet(board.fleet);
+    CHECK(board.Choose().endpoint->id == EndpointId("e1"));
+  }
+}
+
+// Guards against a cold endpoint that all entries together send more than it bears.
+TEST_CASE("Entries together stay below the rate of a cold endpoint") {
+  const uint32_t entries = GENERATE(1U, 4U, 7U);
+  constexpr double kColdPerS = 28;
+  constexpr double kAllowed = kColdPerS * 1.5 + 5;
+  VirtualClock clock;
+  SeededRandom random(20261204);
+  auto fleet = MakeFleet({MakeEndpoint("e1", kEnginePool, "praha", 1000)});
+  auto document = std::make_shared<RoutingDocument>(*fleet->routing);
+  document->pools[0].cold_per_s = kColdPerS;
+  fleet->routing = document;
+  fleet->endpoints[0].cold_until = clock.GetNow() + std::chrono::seconds(30);
+  std::vector<std::unique_ptr<EndpointBoard>> boards;
+  for (uint32_t i = 0; i < entries; ++i) {
+    boards.push_back(
+        std::make_unique<EndpointBoard>(clock, random, BoardOptions{ZoneName("praha"), RegionName("praha")}));
+    boards.back()->SetEntryCount(entries);
+    boards.back()->SetFleet(fleet);
+  }
+  RouteRule rule;
+  EndpointQuery query;
+  query.pool = kEnginePool;
+  query.rule = &rule;
+  query.model = kVeilModel;
+  std::vector<int> sent_in_step;
+  for (int step = 0; step < 300; ++step) {
+    clock.Advance(Milliseconds(10));
+    int sent = 0;
+    for (const auto& board : boards) {
+      while (board->Choose(query).endpoint != nullptr) {
+        board->OnSent(EndpointId("e1"), 0);
+        ++sent;
+      }
+    }
+    sent_in_step.push_back(sent);
+  }
+  for (size_t begin = 0; begin + 100 <= sent_in_step.size(); ++begin) {
+    int sum = 0;
+    for (size_t i = begin; i < begin + 100; ++i) sum += sent_in_step[i];
+    CHECK(sum <= kAllowed);
+  }
+}
+
+}  // namespace
+}  // namespace plantain
--- /dev/null
+++ b/tests/fleet_mirror_test.cpp
@@ -0,0 +1,214 @@
+#include "fleet_mirror.h"
+
+#include <catch2/catch.hpp>
+#include <catch2/trompeloeil.hpp>
+
+#include "beacon_book.h"
+#include "fleet_decoder.h"
+#include "store_client.h"
+
+namespace plantain {
+namespace {
+
+std::string MakeServer(const std::string& address, const std::string& state = "ready", int seq = 1,
+                       uint64_t born = 100) {
+  return R"({"service":"gpu","address":")" + address + R"(","zone":"praha-a","slots":16,"state":")" + state +
+         R"(","cold_left_ms":0,"models":[{"name":"m","version":1}],"seq":)" + std::to_string(seq) + R"(,"born":)" +
+         std::to_string(born) + "}";
+}
+
+std::string MakeConfig(int version) {
+  return R"({"version":)" + std::to_string(version) +
+         R"(,"routes":[{"name":"r","host":"h","path_prefix":"/a/","type":"idempotent","timeout_ms":600,)"
+         R"("latency_target_ms":100,"attempts":2,"service":"gpu"}],"services":[{"name":"gpu","max_conns":3}]})";
+}
+
+struct World {
+  World()
+      : decoder({{ZoneName("praha-a"), RegionName("praha")}}), mirror(loop, clock, decoder, std::chrono::seconds(8)) {}
+
+  void Server(uint64_t offset, const std::string& key, std::optional<std::string> value,
+              RecordOrigin origin = RecordOrigin::kStore) {
+    mirror.TakeRecords(FleetTopic::kDirectory, {{key, LogOffset(offset), std::move(value)}}, LogOffset(offset + 1),
+                       origin);
+  }
+  void Operator(uint64_t offset, const std::string& key, std::optional<std::string> value) {
+    mirror.TakeRecords(FleetTopic::kOperator, {{key, LogOffset(offset), std::move(value)}}, LogOffset(offset + 1),
+                       RecordOrigin::kStore);
+  }
+  size_t Count() const { return mirror.GetFleet()->endpoints.size(); }
+
+  Loop loop;
+  VirtualClock clock;
+  hosted::HostedDecoder decoder;
+  FleetMirror mirror;
+};
+
+// Guards against records that come late, twice or from a stale source.
+TEST_CASE("The newest record of a key counts, whichever way it came") {
+  World world;
+  world.mirror.SetStoreReachable(true);
+  world.Server(10, "i-1", MakeServer("10.0.0.1:80"));
+  REQUIRE(world.Count() == 1);
+
+  SECTION("an older record changes nothing") {
+    world.Server(5, "i-1", std::nullopt);
+    CHECK(world.Count() == 1);
+  }
+  SECTION("a heartbeat alone is no change for peers") {
+    const LogOffset before = world.mirror.GetRecords(FleetTopic::kDirectory).GetRevision();
+    world.Server(11, "i-1", MakeServer("10.0.0.1:80", "ready", 2));
+    CHECK(world.mirror.GetRecords(FleetTopic::kDirectory).GetRevision() == before);
+  }
+  SECTION("a removal takes the endpoint away") {
+    world.Server(11, "i-1", std::nullopt);
+    CHECK(world.Count() == 0);
+  }
+  SECTION("a listing without the key takes it away") {
+    world.mirror.TakeListing(FleetTopic::kDirectory, {}, LogOffset(20));
+    CHECK(world.Count() == 0);
+  }
+  SECTION("a stale listing without the key does not") {
+    world.mirror.TakeListing(FleetTopic::kDirectory, {}, LogOffset(10));
+    CHECK(world.Count() == 1);
+  }
+  SECTION("an entry of another form names no endpoint") {
+    world.Server(12, "i-2", R"({"service":"gpu","address":7,"state":"ready"})");
+    world.Server(13, "i-3", R"({"service":"gpu","address":"10.0.0.3:80","zone":"praha-a","slots":1,"state":"odd"})");
+    world.Server(14, "i-4", "\xff\xfe");
+    CHECK(world.Count() == 1);
+  }
+  SECTION("an endpoint that restarted replaces its former run at the address") {
+    world.Server(12, "i-9", MakeServer("10.0.0.1:80", "ready", 1, 200));
+    REQUIRE(world.Count() == 1);
+    CHECK(world.mirror.GetFleet()->endpoints.front().id == EndpointId("i-9"));
+  }
+}
+
+// Guards against endpoints that are dropped because they could not renew their records during an outage.
+TEST_CASE("Records that vanish with an outage of the store may only have lapsed") {
+  World world;
+  world.mirror.SetStoreReachable(true);
+  world.Server(10, "i-1", MakeServer("10.0.0.1:80"));
+  world.mirror.SetStoreReachable(false);
+  world.clock.Advance(std::chrono::seconds(5));
+  world.mirror.SetStoreReachable(true);
+  world.Server(11, "i-1", std::nullopt);
+  CHECK(world.Count() == 1);
+
+  SECTION("it stays if it is listed again") {
+    world.Server(12, "i-1", MakeServer("10.0.0.1:80"));
+    CHECK(world.Count() == 1);
+  }
+  SECTION("a peer's word is taken at once") {
+    world.Server(12, "i-1", MakeServer("10.0.0.1:80"));
+    world.Server(13, "i-1", std::nullopt, RecordOrigin::kPeer);
+    CHECK(world.Count() == 0);
+  }
+}
+
+// Guards against a configuration that goes back, and against versions that are forgotten when a newer one is named.
+TEST_CASE("What operators asked for never goes back") {
+  World world;
+  world.Operator(1, "config", MakeConfig(7));
+  REQUIRE(world.mirror.GetFleet()->routing->version == ConfigVersion(7));
+
+  SECTION("an older version in a newer record is not adopted") {
+    world.Operator(2, "config", MakeConfig(5));
+    CHECK(world.mirror.GetFleet()->routing->version == ConfigVersion(7));
+  }
+  SECTION("a record that cannot be read leaves the one in force") {
+    world.Operator(2, "config", "{");
+    CHECK(world.mirror.GetFleet()->routing->version == ConfigVersion(7));
+  }
+  SECTION("zones go out and come back") {
+    world.Operator(2, "evacuate/praha-a", "{}");
+    CHECK(world.mirror.GetFleet()->zones_out.contains(ZoneName("praha-a")));
+    world.Operator(3, "evacuate/praha-a", std::nullopt);
+    CHECK(world.mirror.GetFleet()->zones_out.empty());
+  }
+  SECTION("each version of weights keeps its own time") {
+    const TimePoint first = world.clock.GetNow();
+    world.Operator(2, "version/m", R"({"model":"m","version":2})");
+    world.clock.Advance(std::chrono::seconds(4));
+    world.Operator(3, "version/m", R"({"model":"m","version":3})");
+    const auto fleet = world.mirror.GetFleet();
+    REQUIRE(fleet->wanted.size() == 2);
+    CHECK(fleet->wanted[0].since == first);
+    CHECK(fleet->wanted[1].version == WeightVersion(3));
+  }
+}
+
+// Guards against hostile or torn answers of the store.
+TEST_CASE("Answers of the store are decoded with bounds") {
+  std::string body(16, '\0');
+  body += std::string("\0\0\0\4\2ab", 7) + "v" + std::string("\0\0\0\3\2cd", 7);
+  const auto whole = hosted::DecodeReadBatch(body, LogOffset(5));
+  REQUIRE(whole.ok());
+  REQUIRE(whole->records.size() == 2);
+  CHECK(whole->records[0].key == "ab");
+  CHECK(whole->records[0].value == "v");
+  CHECK(whole->records[1].offset == LogOffset(6));
+  CHECK_FALSE(whole->records[1].value.has_value());
+  CHECK(whole->next == LogOffset(7));
+  for (size_t size = 0; size < body.size(); ++size) {
+    if (size == 16 || size == 24) continue;
+    CHECK_FALSE(hosted::DecodeReadBatch(body.substr(0, size), LogOffset(5)).ok());
+  }
+
+  hosted::Listing listing;
+  const auto next = hosted::DecodeListingPage(
+      R"({"entries":[{"key":"config","value":"aGk=","offset":4}],"more_pages":true,"end":6})", true, listing);
+  REQUIRE(next.ok());
+  CHECK(*next == "config");
+  CHECK(listing.records.front().value == "hi");
+  CHECK(listing.end == LogOffset(6));
+  for (const std::string wrong : {"", "[]", "{}", R"({"entries":[{}],"end":1})", R"({"entries":[]})",
+                                  R"({"entries":[{"key":"a","value":"?","offset":1}],"end":2})"}) {
+    hosted::Listing out;
+    CHECK_FALSE(hosted::DecodeListingPage(wrong, true, out).ok());
+  }
+}
+
+BeaconInfo MakeBeacon(const std::string& vm, uint64_t sequence, uint64_t revision = 0) {
+  BeaconInfo beacon;
+  beacon.vm = VmId(vm);
+  beacon.zone = ZoneName("praha-a");
+  beacon.is_entry = true;
+  beacon.incarnation = Incarnation(1);
+  beacon.sequence = sequence;
+  beacon.operator_revision = LogOffset(revision);
+  return beacon;
+}
+
+// Guards against old, foreign and damaged datagrams.
+TEST_CASE("Beacons tell who is there and who knows more") {
+  VirtualClock clock;
+  BeaconBook book(clock, {VmId("10.0.0.1"), ZoneName("praha-a"), Milliseconds(2500), {VmId("10.0.0.9")}});
+  CHECK(book.GetTargets(8) == std::vector<VmId>{VmId("10.0.0.9")});
+  CHECK(book.Take(MakeBeacon("10.0.0.2", 5, 3)));
+  CHECK_FALSE(book.Take(MakeBeacon("10.0.0.2", 5, 9)));
+  CHECK_FALSE(book.Take(MakeBeacon("10.0.0.1", 9)));
+  CHECK(book.GetEntries() == std::vector<VmId>{VmId("10.0.0.2")});
+  CHECK(book.FindNewer(LogOffset(2), LogOffset(0))->vm == VmId("10.0.0.2"));
+  CHECK_FALSE(book.FindNewer(LogOffset(3), LogOffset(0)).has_value());
+  clock.Advance(std::chrono::seconds(3));
+  CHECK(book.GetEntries().empty());
+
+  SECTION("a beacon survives encoding") {
+    BeaconInfo beacon = MakeBeacon("10.0.0.3", 1, 8);
+    beacon.load = EndpointLoad{EndpointId("e"), 3, 2, true, 1.5, {{ModelName("m"), WeightVersion(4)}}};
+    const auto decoded = DecodeBeacon(EncodeBeacon(beacon));
+    REQUIRE(decoded.has_value());
+    CHECK(decoded->operator_revision == LogOffset(8));
+    CHECK(decoded->load->running == 3);
+    CHECK(decoded->load->loaded.at(ModelName("m")) == WeightVersion(4));
+  }
+  SECTION("bytes that are no beacon are refused") {
+    CHECK_FALSE(DecodeBeacon("").has_value());
+    CHECK_FALSE(DecodeBeacon("\xff\xff\xff").has_value());
+  }
+}
+
+}  // namespace
+}  // namespace plantain
--- /dev/null
+++ b/tests/forward_traffic_test.cpp
@@ -0,0 +1,256 @@
+#include "forward_traffic.h"
+
+#include <catch2/catch.hpp>
+
+#include "failure_type.h"
+#include "forward_fake.h"
+
+namespace plantain {
+namespace {
+
+std::vector<EndpointInfo> MakeRegisters() {
+  return {MakeEndpoint("g1", kRegisterPool, "praha"), MakeEndpoint("g2", kRegisterPool, "brno")};
+}
+
+std::vector<EndpointInfo> MakeEngines() {
+  return {MakeEndpoint("e1", kEnginePool, "praha"), MakeEndpoint("e2", kEnginePool, "praha")};
+}
+
+// Guards against a request that is recorded twice, or called "not run" though it may have run.
+TEST_CASE("A request that must run once is sent again only if it certainly did not run") {
+  ForwardWorld world(MakeRegisters());
+  const auto caller = world.Ask("/seal/1", "1000");
+  REQUIRE(world.sender.GetCount() == 1);
+  ForwardSenderFake::Sent& first = world.sender.At(0);
+
+  SECTION("it goes out on a new connection, since a kept one may be closing") {
+    CHECK(first.options.max_idle == Duration::zero());
+  }
+
+  SECTION("an endpoint that says it did not run it") {
+    first.RefuseAsNotRun();
+    REQUIRE(world.sender.GetCount() == 2);
+    CHECK(world.sender.At(1).GetEndpoint() != first.GetEndpoint());
+    world.sender.At(1).AnswerWhole(200, "sealed");
+    CHECK(caller->status == 200);
+    CHECK(caller->body == "sealed");
+  }
+
+  SECTION("a connection that could not be made") {
+    first.Done(MakeFailure(FailureCode::kConnectFailed, "refused"));
+    CHECK(world.sender.GetCount() == 2);
+  }
+
+  SECTION("a connection that was reset after the request was sent") {
+    first.Done(MakeFailure(FailureCode::kProtocol, "reset"));
+    CHECK(world.sender.GetCount() == 1);
+    CHECK(caller->status == 502);
+  }
+
+  SECTION("an endpoint that stays silent until the deadline") {
+    world.Pass(Milliseconds(1010));
+    CHECK(world.sender.GetCount() == 1);
+    CHECK(caller->status == 504);
+  }
+
+  SECTION("an answer with a status that would promise the caller that it has not run") {
+    first.AnswerWhole(503, "busy");
+    CHECK(world.sender.GetCount() == 1);
+    CHECK(caller->status == 502);
+  }
+
+  SECTION("its own failure is passed on as it is") {
+    first.AnswerWhole(500, "no");
+    CHECK(caller->status == 500);
+    CHECK(caller->body == "no");
+  }
+
+  SECTION("a caller that leaves does not break it off") {
+    caller->on_closed();
+    CHECK_FALSE(first.is_cancelled);
+  }
+}
+
+// Guards against answers that belong to another request or are not whole.
+TEST_CASE("Only a whole answer to the request itself counts as success") {
+  ForwardWorld world(MakeRegisters());
+  const auto caller = world.Ask("/look/1", "1000");
+  ForwardSenderFake::Sent& first = world.sender.At(0);
+
+  SECTION("an answer that names another request is not passed on") {
+    HttpHeaders headers;
+    headers.Add("Plantainmast-Attempt-Id", "somebody-else");
+    headers.Add("Plantainmast-Server-Stamp", "s");
+    first.callbacks.on_head(200, headers);
+    first.Data("other");
+    first.Done();
+    REQUIRE(world.sender.GetCount() == 2);
+    world.sender.At(1).AnswerWhole(200, "mine");
+    CHECK(caller->body == "mine");
+  }
+
+  SECTION("a success without receipt is not passed on") {
+    first.Head(200, {});
+    first.Data("?");
+    first.Done();
+    REQUIRE(world.sender.GetCount() == 2);
+    world.sender.At(1).RefuseAsNotRun();
+    CHECK(caller->status == 502);
+  }
+
+  SECTION("an endpoint's failure is passed on if no further attempt succeeds") {
+    first.AnswerWhole(500, "first");
+    world.sender.At(1).AnswerWhole(500, "second");
+    CHECK(caller->status == 500);
+    CHECK(world.sender.GetCount() == 2);
+  }
+
+  SECTION("a silent endpoint is given up for another one in time") {
+    world.Pass(Milliseconds(470));
+    REQUIRE(world.sender.GetCount() == 2);
+    CHECK(first.is_cancelled);
+  }
+
+  SECTION("a caller that leaves frees the endpoint") {
+    caller->on_closed();
+    CHECK(first.is_cancelled);
+    CHECK(world.traffic->GetInFlight() == 0);
+  }
+}
+
+// Guards against streams with missing, repeated or torn events.
+TEST_CASE("A stream goes on at another endpoint after its last whole event") {
+  ForwardWorld world(MakeEngines());
+  const auto caller = world.Ask("/draft/1", "6000");
+  ForwardSenderFake::Sent& first = world.sender.At(0);
+  first.BeginStream();
+  first.Data("id: 1\ndata: a\n\nid: 2\nda");
+  CHECK(caller->body == "id: 1\ndata: a\n\n");
+
+  SECTION("the endpoint breaks off within an event") {
+    first.Done(MakeFailure(FailureCode::kProtocol, "reset"));
+    REQUIRE(world.sender.GetCount() == 2);
+    ForwardSenderFake::Sent& second = world.sender.At(1);
+    CHECK(second.GetField("Last-Event-Id") == "1");
+    CHECK(second.GetField("Plantainmast-Expect-Version") == "1");
+    second.BeginStream();
+    second.Data("id: 2\ndata: b\n\n");
+    second.Done();
+    CHECK(caller->body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    CHECK(caller->is_complete);
+  }
+
+  SECTION("events that the caller has already are dropped") {
+    first.Done(MakeFailure(FailureCode::kProtocol, "reset"));
+    ForwardSenderFake::Sent& second = world.sender.At(1);
+    second.BeginStream();
+    second.Data("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    CHECK(caller->body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  }
+
+  SECTION("a stream that ends whole but within an event does not look complete") {
+    first.Done();
+    world.sender.At(1).Done(MakeFailure(FailureCode::kProtocol, "reset"));
+    CHECK(caller->is_cut);
+    CHECK_FALSE(caller->is_complete);
+  }
+
+  SECTION("an event is missing") {
+    first.Data("ta: b\n\nid: 4\ndata: d\n\n");
+    CHECK(first.is_cancelled);
+    CHECK(caller->body == "id: 1\ndata: a\n\n");
+  }
+
+  SECTION("the route's time is over") {
+    world.Pass(Milliseconds(6010));
+    CHECK(caller->is_cut);
+  }
+}
+
+// Guards against an overload in which callers wait long and are refused in the end, or not at all.
+TEST_CASE("When more work is offered than endpoints can begin, callers are told at once") {
+  ForwardWorld world({MakeEndpoint("e1", kEnginePool, "praha")});
+  std::vector<std::shared_ptr<ForwardCallerFake>> callers;
+  // Four run and one waits in the endpoint's queue.
+  for (int i = 0; i < 5; ++i) callers.push_back(world.Ask("/draft/1", "6000"));
+  REQUIRE(world.sender.GetCount() == 5);
+
+  SECTION("the next one waits for a place that becomes free") {
+    const auto next = world.Ask("/draft/1", "6000");
+    world.sender.At(0).BeginStream();
+    world.sender.At(0).Data("id: 1\ndata: a\n\n");
+    world.sender.At(0).Done();
+    CHECK(world.sender.GetCount() == 6);
+    CHECK(next->status == 0);
+  }
+
+  SECTION("it is refused, with a time to return, once its answer would come too late") {
+    const auto next = world.Ask("/draft/1", "6000");
+    world.Pass(Milliseconds(200));
+    CHECK(next->status == 503);
+    CHECK_FALSE(next->headers.Find("Retry-After").empty());
+  }
+
+  SECTION("those that can still be in time go before those that came back") {
+    const auto late = world.Ask("/draft/1", "4000");
+    const auto fresh = world.Ask("/draft/1", "6000");
+    world.sender.At(0).BeginStream();
+    world.sender.At(0).Data("id: 1\ndata: a\n\n");
+    world.sender.At(0).Done();
+    REQUIRE(world.sender.GetCount() == 6);
+    CHECK(world.sender.At(5).GetField("Plantainmast-Attempt-Id") == "r7");
+  }
+}
+
+// Guards against requests that begin on weights that are no longer wanted.
+TEST_CASE("Old weights take no new requests once the time for a new version is over") {
+  ForwardWorld world(MakeEngines());
+  world.fleet = std::make_shared<FleetView>(*world.fleet);
+  world.fleet->endpoints[1].loaded[kVeilModel] = WeightVersion(3);
+  world.fleet->wanted = {{kVeilModel, WeightVersion(2), world.clock.GetNow()},
+                         {kVeilModel, WeightVersion(3), world.clock.GetNow() + std::chrono::seconds(4)}};
+  world.traffic->SetFleet(world.fleet);
+  world.Pass(Milliseconds(6900));
+  for (int i = 0; i < 4; ++i) world.Ask("/draft/1", "6000");
+  REQUIRE(world.sender.GetCount() == 4);
+  for (size_t i = 0; i < 4; ++i) {
+    CHECK(world.sender.At(i).GetEndpoint() == "e2");
+    CHECK(world.sender.At(i).GetField("Plantainmast-Expect-Version") == "3");
+  }
+}
+
+// Guards against answers to callers whom the configuration does not know, and against keys that reach endpoints.
+TEST_CASE("Keys decide about the workspace and stay at the entry") {
+  ForwardWorld world(MakeRegisters());
+  auto document = MakeForwardDocument();
+  document->has_workspaces = true;
+  WorkspaceKeys workspace;
+  workspace.name = WorkspaceName("maker");
+  workspace.keys = {"k1"};
+  document->workspaces = {workspace};
+  world.fleet = std::make_shared<FleetView>(*world.fleet);
+  world.fleet->routing = document;
+  world.traffic->SetFleet(world.fleet);
+
+  SECTION("a known key") {
+    world.Ask("/look/1", "1000", {{"X-Api-Key", "k1"}, {"Plantainmast-Tenant", "forged"}});
+    REQUIRE(world.sender.GetCount() == 1);
+    CHECK(world.sender.At(0).GetField("X-Api-Key").empty());
+    CHECK(world.sender.At(0).GetField("Plantainmast-Tenant") == "maker");
+  }
+  SECTION("an unknown key") { CHECK(world.Ask("/look/1", "1000", {{"X-Api-Key", "k2"}})->status == 401); }
+  SECTION("an unknown path") { CHECK(world.Ask("/none/1", "1000", {{"X-Api-Key", "k1"}})->status == 404); }
+  SECTION("no configuration yet") {
+    ForwardTraffic fresh(world.clock, world.random, world.protocol, world.sender, world.forward_metrics,
+                         ForwardWorld::MakeOptions());
+    HttpRequest request{"GET", "/look/1", {}, ""};
+    request.headers.Add("Host", "h.example");
+    request.headers.Add("Plantainmast-Attempt-Id", "r");
+    auto caller = std::make_shared<ForwardCallerFake>();
+    fresh.HandleHttp(std::move(request), caller);
+    CHECK(caller->status == 503);
+  }
+}
+
+}  // namespace
+}  // namespace plantain
--- /dev/null
+++ b/tests/version_pick_test.cpp
@@ -0,0 +1,127 @@
+#include "version_pick.h"
+
+#include <catch2/catch.hpp>
+
+#include "event_splitter.h"
+#include "wait_room.h"
+
+namespace plantain {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+const ModelName kModel("m");
+
+WantedWeights Name(uint64_t version, Duration at) { return {kModel, WeightVersion(version), kStart + at}; }
+
+// Guards against a fleet that drops a nearly fetched version for each newer one and never has weights in time.
+TEST_CASE("Versions named in quick succession are fetched so that usable weights are missing for the shortest time") {
+  const VersionTimes times{seconds(8), Milliseconds(4300), Milliseconds(2800), Milliseconds(1300)};
+  const WeightVersion one(1);
+
+  SECTION("a single version") {
+    CHECK(PickVersion({Name(2, {})}, one, times, kStart) == WeightVersion(2));
+    CHECK(PickVersion({}, one, times, kStart) == one);
+  }
+  SECTION("a newer one right after it replaces it") {
+    CHECK(PickVersion({Name(2, {}), Name(3, Milliseconds(500))}, one, times, kStart + Milliseconds(600)) ==
+          WeightVersion(3));
+  }
+  SECTION("one that is nearly there is finished, also while endpoints swap") {
+    const std::vector<WantedWeights> named = {Name(2, {}), Name(3, seconds(4))};
+    CHECK(PickVersion(named, one, times, kStart + seconds(4)) == WeightVersion(2));
+    CHECK(PickVersion(named, one, times, kStart + Milliseconds(5500)) == WeightVersion(2));
+    CHECK(PickVersion(named, WeightVersion(2), times, kStart + seconds(6)) == WeightVersion(3));
+  }
+  SECTION("one that is long due is not fetched any more") {
+    CHECK(PickVersion({Name(2, {}), Name(3, seconds(4))}, one, times, kStart + seconds(20)) == WeightVersion(3));
+  }
+  SECTION("endpoints wait for each other only as long as the old weights are of use") {
+    CHECK(GetLoadDeadline({Name(2, {})}, one, times) == kStart + Milliseconds(6700));
+    CHECK_FALSE(GetLoadDeadline({Name(2, {})}, WeightVersion(2), times).has_value());
+  }
+}
+
+// Guards against an overload in which the order of service starves a priority or keeps callers waiting in vain.
+TEST_CASE("Waiting requests are served by urgency without starving anyone") {
+  WaitRoom room;
+  const auto add = [&](uint64_t ticket, uint32_t priority, bool is_late = false) {
+    room.Add({WaitTicket(ticket), priority, is_late, kStart + seconds(1)});
+  };
+
+  SECTION("urgent ones first, then those that can be in time, then by arrival") {
+    add(1, 1, true);
+    add(2, 1);
+    add(3, 0);
+    add(4, 1);
+    CHECK(room.GetNext(4) == std::vector<WaitTicket>{WaitTicket(3), WaitTicket(2), WaitTicket(4), WaitTicket(1)});
+  }
+  SECTION("under a steady stream of urgent ones the longest waiting gets every fourth place") {
+    add(1, 5);
+    uint64_t next = 2;
+    int picks = 0;
+    while (room.GetSize() > 0 && picks < 10) {
+      add(next++, 0);
+      const WaitTicket picked = room.GetNext(1).front();
+      room.Remove(picked);
+      room.OnTurn(false, kStart);
+      ++picks;
+      if (picked == WaitTicket(1)) break;
+    }
+    CHECK(picks == 4);
+  }
+  SECTION("a request whose turn would come too late is told so at its arrival") {
+    for (int i = 0; i < 10; ++i) room.OnTurn(false, kStart);
+    for (uint64_t i = 1; i <= 4; ++i) add(i, 1);
+    const WaitEntry patient{WaitTicket(9), 1, false, kStart + seconds(1)};
+    const WaitEntry hurried{WaitTicket(9), 1, false, kStart + Milliseconds(100)};
+    CHECK(room.CanExpectTurn(patient, kStart));
+    CHECK_FALSE(room.CanExpectTurn(hurried, kStart));
+  }
+  SECTION("late ones wait only for what those in time leave over") {
+    for (int i = 0; i < 10; ++i) room.OnTurn(false, kStart);
+    add(1, 1, true);
+    const WaitEntry late{WaitTicket(9), 1, true, kStart + seconds(1)};
+    CHECK_FALSE(room.CanExpectTurn(late, kStart));
+    for (int i = 0; i < 5; ++i) room.OnTurn(true, kStart);
+    CHECK(room.CanExpectTurn(late, kStart));
+  }
+  SECTION("waits end") {
+    add(1, 1);
+    CHECK(room.TakeExpired(kStart).empty());
+    CHECK(room.TakeExpired(kStart + seconds(1)) == std::vector<WaitTicket>{WaitTicket(1)});
+    CHECK(room.GetSize() == 0);
+  }
+}
+
+// Guards against torn, repeated or changed events.
+TEST_CASE("A stream is split into whole events, byte for byte") {
+  const std::string text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\nid: 3\ndata: c\n\n";
+  SECTION("in pieces of any size") {
+    for (size_t size = 1; size <= text.size(); ++size) {
+      EventSplitter splitter;
+      std::string out;
+      for (size_t at = 0; at < text.size(); at += size) out += splitter.Take(text.substr(at, size));
+      CHECK(out == text);
+      CHECK(splitter.IsAtBoundary());
+      CHECK(splitter.GetLastId() == 3U);
+      CHECK_FALSE(splitter.HasGap());
+    }
+  }
+  SECTION("the rest of an event is kept back") {
+    EventSplitter splitter;
+    CHECK(splitter.Take("id: 1\ndata").empty());
+    CHECK_FALSE(splitter.IsAtBoundary());
+  }
+  SECTION("events before a resumption are dropped, and a gap is seen") {
+    EventSplitter splitter(1);
+    CHECK(splitter.Take("id: 1\ndata: a\n\nid: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
+    CHECK_FALSE(splitter.HasGap());
+    splitter.Take("id: 4\ndata: d\n\n");
+    CHECK(splitter.HasGap());
+  }
+}
+
+}  // namespace
+}  // namespace plantain
