--- a/src/fleet_relay.cpp
+++ b/src/fleet_relay.cpp
@@ -106,8 +106,20 @@
   }
 }
 
+void FleetRelay::FetchContent(const VmId& peer, const std::string& target,
+                              std::function<void(absl::StatusOr<HttpResponse>)> on_done) {
+  HttpCallOptions options;
+  options.timeout = kPullTimeout;
+  options.max_body_bytes = kMaxBatchBytes;
+  m_client->Fetch({IpAddress(peer.Get()), m_options.port}, HttpRequest{"GET", target, {}, ""}, options,
+                  std::move(on_done));
+}
+
 HttpResponse FleetRelay::AnswerRecords(const HttpRequest& request) const {
   const std::string_view path = GetPath(request.target);
+  if (m_content) {
+    if (std::optional<HttpResponse> content = m_content(request)) return *std::move(content);
+  }
   if (path != kOperatorPath && path != kDirectoryPath) return MakeTextResponse(kHttpNotFound, "no such topic\n");
   const RecordMirror& mirror =
       m_mirror.GetRecords(path == kOperatorPath ? FleetTopic::kOperator : FleetTopic::kDirectory);
--- a/src/fleet_relay.h
+++ b/src/fleet_relay.h
@@ -47,6 +47,15 @@
 
   const BeaconBook& GetBook() const { return m_book; }
 
+  // Also answers peers' requests that `answer` returns a response for.
+  void SetContent(std::function<std::optional<HttpResponse>(const HttpRequest&)> answer) {
+    m_content = std::move(answer);
+  }
+
+  // Asks a peer for content that it offers.
+  void FetchContent(const VmId& peer, const std::string& target,
+                    std::function<void(absl::StatusOr<HttpResponse>)> on_done);
+
   // Calls `listener` for each beacon taken.
   void AddBeaconListener(std::function<void(const BeaconInfo&)> listener);
 
@@ -66,6 +75,7 @@
   const RelayOptions m_options;
   BeaconBook m_book;
   std::vector<std::function<void(const BeaconInfo&)>> m_listeners;
+  std::function<std::optional<HttpResponse>(const HttpRequest&)> m_content;
   std::unique_ptr<UdpSocket> m_socket;
   std::unique_ptr<HttpServer> m_server;
   std::unique_ptr<HttpClient> m_client;
