--- a/src/beacon_book.cpp
+++ b/src/beacon_book.cpp
@@ -152,10 +152,9 @@
         beacon.operator_revision > operator_revision || beacon.directory_revision > directory_revision;
     if (!is_newer || !IsFresh(heard)) continue;
     const bool is_near = beacon.zone == m_options.zone;
-    const bool is_better =
-        !best.has_value() || (is_near && !is_best_near) ||
-        (is_near == is_best_near && beacon.operator_revision + beacon.directory_revision >
-                                        best->operator_revision + best->directory_revision);
+    const bool is_better = !best.has_value() || (is_near && !is_best_near) ||
+                           (is_near == is_best_near && beacon.operator_revision + beacon.directory_revision >
+                                                           best->operator_revision + best->directory_revision);
     if (!is_better) continue;
     best = Source{vm, beacon.operator_revision, beacon.directory_revision};
     is_best_near = is_near;
--- a/src/download_side.h
+++ b/src/download_side.h
@@ -10,8 +10,8 @@
 
 #include "channel.h"
 #include "chunk_plan.h"
-#include "weight_port.h"
 #include "upload_side.h"
+#include "weight_port.h"
 
 namespace plantain::proto {
 class ChunkReply;
--- a/src/event_log.cpp
+++ b/src/event_log.cpp
@@ -35,9 +35,7 @@
 constexpr size_t kLogBufferBytes = 512 * 1024;
 constexpr Duration kFlushTime = Milliseconds(300);
 
-std::string MakeDropNote(uint64_t dropped) {
-  return FormatEvent("log_dropped", {{"lines", dropped}}) + "\n";
-}
+std::string MakeDropNote(uint64_t dropped) { return FormatEvent("log_dropped", {{"lines", dropped}}) + "\n"; }
 
 // Hands formatted lines to the writer's thread.
 class BufferedAppender : public log4cplus::Appender {
--- a/src/fleet_relay.cpp
+++ b/src/fleet_relay.cpp
@@ -43,8 +43,8 @@
 
 absl::Status FleetRelay::Start() {
   const IpAddress address(m_options.vm.Get());
-  m_socket = std::make_unique<UdpSocket>(m_loop, address, m_options.port,
-                                         [this](std::string_view data) { OnDatagram(data); });
+  m_socket =
+      std::make_unique<UdpSocket>(m_loop, address, m_options.port, [this](std::string_view data) { OnDatagram(data); });
   if (absl::Status status = m_socket->Start(); !status.ok()) return status;
   m_server = std::make_unique<HttpServer>(m_loop, address, m_options.port, 0,
                                           [this](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
--- a/src/fleet_type.h
+++ b/src/fleet_type.h
@@ -63,7 +63,9 @@
   std::vector<RegionName> regions;
 
   // Whether running a request of this route twice is harmless.
-  bool IsRepeatable() const { return kind == RequestKind::kIdempotent || (kind == RequestKind::kStream && is_resumable); }
+  bool IsRepeatable() const {
+    return kind == RequestKind::kIdempotent || (kind == RequestKind::kStream && is_resumable);
+  }
 };
 
 // The engine that the endpoints of a pool run.
--- a/src/forward_run.h
+++ b/src/forward_run.h
@@ -79,8 +79,9 @@
 class ForwardRun : public std::enable_shared_from_this<ForwardRun> {
  public:
   // `rules` keeps the document alive that `match` points into.
-  ForwardRun(RunParts& parts, ForwardRequest request, const RouteMatch& match, std::shared_ptr<const RouteMatcher> rules,
-             PoolName pool, WaitTicket ticket, std::shared_ptr<HttpResponder> responder);
+  ForwardRun(RunParts& parts, ForwardRequest request, const RouteMatch& match,
+             std::shared_ptr<const RouteMatcher> rules, PoolName pool, WaitTicket ticket,
+             std::shared_ptr<HttpResponder> responder);
 
   // Begins to watch whether the caller goes away.
   void WatchCaller();
--- a/src/forward_service.cpp
+++ b/src/forward_service.cpp
@@ -60,8 +60,8 @@
       m_random(parts.random.GetBits()),
       m_metrics(parts.metrics),
       m_sender(std::make_unique<Sender>(m_loop)),
-      m_traffic(std::make_unique<ForwardTraffic>(parts.clock, m_random, protocol, *m_sender, m_metrics,
-                                                 ReadOptions(parts))) {
+      m_traffic(
+          std::make_unique<ForwardTraffic>(parts.clock, m_random, protocol, *m_sender, m_metrics, ReadOptions(parts))) {
   const HttpTarget target = parts.settings.GetTarget("http.target");
   m_server = std::make_unique<HttpServer>(m_loop, target.address, target.port, CallerLimits().max_body_bytes,
                                           [this](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -302,6 +302,7 @@
             {"status", outcome.status},
             {"failure", GetForwardFailureName(outcome.failure)},
             {"reason", outcome.reason},
+            {"waiting", GetPool(run.GetPool()).room.GetSize()},
             {"attempts", outcome.attempts},
             {"endpoint", outcome.endpoint},
             {"load", outcome.load},
--- a/src/forward_type.cpp
+++ b/src/forward_type.cpp
@@ -8,8 +8,8 @@
 namespace plantain {
 namespace {
 
-constexpr std::array<std::string_view, 9> kHopFields = {"connection",       "keep-alive", "proxy-authenticate",
-                                                        "proxy-connection", "te",         "trailer",
+constexpr std::array<std::string_view, 9> kHopFields = {"connection",        "keep-alive", "proxy-authenticate",
+                                                        "proxy-connection",  "te",         "trailer",
                                                         "transfer-encoding", "upgrade",    "content-length"};
 
 bool IsSameName(std::string_view a, std::string_view b) {
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -236,15 +236,14 @@
   }
 
   void Discard() {
-    m_socket.async_read_some(asio::buffer(m_linger_bytes),
-                             [self = shared_from_this()](const ErrorCode& error, size_t) {
-                               if (self->m_is_closed) return;
-                               if (error) {
-                                 self->Close();
-                               } else {
-                                 self->Discard();
-                               }
-                             });
+    m_socket.async_read_some(asio::buffer(m_linger_bytes), [self = shared_from_this()](const ErrorCode& error, size_t) {
+      if (self->m_is_closed) return;
+      if (error) {
+        self->Close();
+      } else {
+        self->Discard();
+      }
+    });
   }
 
   void OnRead(const ErrorCode& error) {
--- a/src/log_writer.cpp
+++ b/src/log_writer.cpp
@@ -1,7 +1,7 @@
 #include "log_writer.h"
 
-#include <cerrno>
 #include <unistd.h>
+#include <cerrno>
 
 #include <utility>
 
--- a/src/process.h
+++ b/src/process.h
@@ -69,8 +69,8 @@
 
 // Runs a program: reads the command line (`--settings`, `--platform`, `--check-settings`, `--print-settings`,
 // `--help`), builds the services, runs until SIGTERM, drains and stops. SIGHUP, or a change of the settings file, makes
-// it read the settings again: a file that does not pass the check is refused and the values in force stay. Returns the exit code: 0 after a graceful stop, 1 if a service
-// failed to start, 2 for a wrong command line or wrong settings.
+// it read the settings again: a file that does not pass the check is refused and the values in force stay. Returns the
+// exit code: 0 after a graceful stop, 1 if a service failed to start, 2 for a wrong command line or wrong settings.
 int RunProcess(int argc, char** argv, const std::string& program, const std::vector<ProgramVariant>& variants);
 
 }  // namespace plantain
--- a/src/stage_pump.cpp
+++ b/src/stage_pump.cpp
@@ -13,11 +13,7 @@
 
 StagePump::StagePump(Loop& loop, StageSink& sink, ChunkStore& store, const ManifestBook& book,
                      std::function<void(const Digest& chunk)> on_staged)
-    : m_loop(loop),
-      m_sink(sink),
-      m_store(store),
-      m_book(book),
-      m_on_staged(std::move(on_staged)) {}
+    : m_loop(loop), m_sink(sink), m_store(store), m_book(book), m_on_staged(std::move(on_staged)) {}
 
 StagePump::~StagePump() = default;
 
--- a/src/stage_pump.h
+++ b/src/stage_pump.h
@@ -11,9 +11,9 @@
 
 #include "chunk_store.h"
 #include "exchange_type.h"
-#include "weight_port.h"
 #include "loop.h"
 #include "manifest_book.h"
+#include "weight_port.h"
 
 namespace plantain {
 
--- a/src/transfer_service.cpp
+++ b/src/transfer_service.cpp
@@ -39,9 +39,9 @@
           [this](const Digest& manifest) { return IsHurried(manifest); }),
       m_restore(*m_ports.stage, m_store,
                 [this](const Digest& chunk, const std::vector<Digest>& dropped) { OnRestored(chunk, dropped); }),
-      m_download(std::make_unique<DownloadSide>(
-          m_state, channels, DownloadOptions{MakePlanOptions(m_options), m_options.port}, *m_ports.origin, m_random,
-          static_cast<DownloadListener&>(*this))),
+      m_download(std::make_unique<DownloadSide>(m_state, channels,
+                                                DownloadOptions{MakePlanOptions(m_options), m_options.port},
+                                                *m_ports.origin, m_random, static_cast<DownloadListener&>(*this))),
       m_cache_bytes(metrics.GetGauge("plantain_transfer_cache_bytes", "Bytes of chunks kept in memory.")),
       m_cache_limit(metrics.GetGauge("plantain_transfer_cache_limit_bytes", "Most bytes of chunks kept in memory.")) {
   m_cache_limit.Set(static_cast<double>(m_options.cache.Get()));
@@ -105,16 +105,16 @@
     return;
   }
   if (!m_asked_manifests.insert(want->manifest).second) return;
-  m_ports.origin->FetchManifest(
-      want->manifest, kManifestTimeout, [this, digest = want->manifest](const absl::StatusOr<HttpResponse>& response) {
-        m_asked_manifests.erase(digest);
-        if (!response.ok() || m_book.Find(digest) != nullptr) return;
-        const auto parsed = ParseManifest(digest, response->body);
-        if (!parsed.ok()) return;
-        m_book.Add(*parsed);
-        OnManifest(digest);
-        UpdateRestore();
-      });
+  m_ports.origin->FetchManifest(want->manifest, kManifestTimeout,
+                                [this, digest = want->manifest](const absl::StatusOr<HttpResponse>& response) {
+                                  m_asked_manifests.erase(digest);
+                                  if (!response.ok() || m_book.Find(digest) != nullptr) return;
+                                  const auto parsed = ParseManifest(digest, response->body);
+                                  if (!parsed.ok()) return;
+                                  m_book.Add(*parsed);
+                                  OnManifest(digest);
+                                  UpdateRestore();
+                                });
 }
 
 void TransferService::OnRestored(const Digest& chunk, const std::vector<Digest>& dropped) {
--- a/src/udp_socket.cpp
+++ b/src/udp_socket.cpp
@@ -52,8 +52,8 @@
   if (!error) m_impl->socket.bind(udp::endpoint(address, m_impl->port.Get()), error);
   if (!error) m_impl->socket.non_blocking(true, error);
   if (error) {
-    return MakeFailure(FailureCode::kAddressInUse, m_impl->address.Get() + ":" + std::to_string(m_impl->port.Get()) +
-                                                       "/udp: " + error.message());
+    return MakeFailure(FailureCode::kAddressInUse,
+                       m_impl->address.Get() + ":" + std::to_string(m_impl->port.Get()) + "/udp: " + error.message());
   }
   m_impl->Receive();
   return absl::OkStatus();
--- a/src/version_pick.h
+++ b/src/version_pick.h
@@ -1,5 +1,5 @@
-// Which version of a model's weights to fetch next, for the load pattern in which versions are named faster than a fleet
-// can fetch them. No I/O.
+// Which version of a model's weights to fetch next, for the load pattern in which versions are named faster than a
+// fleet can fetch them. No I/O.
 
 #ifndef PLANTAIN_VERSION_PICK_H_
 #define PLANTAIN_VERSION_PICK_H_
@@ -25,13 +25,13 @@
 // Picks the version to have next, given those named for one model, oldest first, and the oldest one loaded anywhere in
 // the pool (0 if none). The newest one is best if it is in use before an older one falls due, since each fetch that is
 // skipped saves its time. Otherwise the choice leaves the shortest time in which the old weights may no longer be used
-// and the new ones are not there yet: an older version whose fetch is far on is finished first. All VMs of a pool decide by
-// the same times, so that they fetch the same version from each other.
+// and the new ones are not there yet: an older version whose fetch is far on is finished first. All VMs of a pool
+// decide by the same times, so that they fetch the same version from each other.
 WeightVersion PickVersion(const std::vector<WantedWeights>& named, WeightVersion loaded, const VersionTimes& times,
                           TimePoint now);
 
-// Returns when entries stop using what is loaded, from which on endpoints gain nothing by waiting for each other; nothing
-// if no version beyond `loaded` was named.
+// Returns when entries stop using what is loaded, from which on endpoints gain nothing by waiting for each other;
+// nothing if no version beyond `loaded` was named.
 std::optional<TimePoint> GetLoadDeadline(const std::vector<WantedWeights>& named, WeightVersion loaded,
                                          const VersionTimes& times);
 
--- a/src/weight_http.cpp
+++ b/src/weight_http.cpp
@@ -38,10 +38,9 @@
 void HttpStageSink::Put(const std::string& path, const std::string& body, std::function<void(bool)> on_done) {
   HttpCallOptions options;
   options.timeout = kPutTimeout;
-  m_http.Fetch(m_engine, HttpRequest{"PUT", path, {}, body}, options,
-               [on_done = std::move(on_done)](const absl::StatusOr<HttpResponse>& response) {
-                 on_done(IsSuccess(response));
-               });
+  m_http.Fetch(
+      m_engine, HttpRequest{"PUT", path, {}, body}, options,
+      [on_done = std::move(on_done)](const absl::StatusOr<HttpResponse>& response) { on_done(IsSuccess(response)); });
 }
 
 void HttpStageSink::PutManifest(const Manifest& manifest, std::function<void(bool)> on_done) {
--- a/src/weight_services.cpp
+++ b/src/weight_services.cpp
@@ -84,8 +84,8 @@
   kernel.Register("gate", [](Kernel&) { return std::make_unique<EngineGate>(); });
   kernel.Register("holdings", [](Kernel&) { return std::make_unique<HoldingRegistry>(); });
   kernel.Register("transfer", [&parts](Kernel&) {
-    return std::make_unique<TransferService>(MakeTransferOptions(parts), MakePorts(parts), parts.clock, parts.control_loop,
-                                             parts.transfer_loop, parts.channels, parts.metrics,
+    return std::make_unique<TransferService>(MakeTransferOptions(parts), MakePorts(parts), parts.clock,
+                                             parts.control_loop, parts.transfer_loop, parts.channels, parts.metrics,
                                              parts.random.GetBits());
   });
   kernel.Register("weights", [&parts](Kernel& k) {
--- a/src/weight_time.h
+++ b/src/weight_time.h
@@ -7,8 +7,8 @@
 
 namespace plantain {
 
-// Time before the limit of a version from which entries send nothing more to endpoints with older weights; a request may
-// wait in the endpoint's queue before it begins.
+// Time before the limit of a version from which entries send nothing more to endpoints with older weights; a request
+// may wait in the endpoint's queue before it begins.
 inline constexpr Duration kVersionMargin = Milliseconds(1300);
 
 }  // namespace plantain
