--- a/src/fleet_mirror.cpp
+++ b/src/fleet_mirror.cpp
@@ -108,7 +108,9 @@
 
 void FleetMirror::NoteWanted(const OperatorState& state) {
   const TimePoint now = m_clock.GetNow();
-  for (const auto& [model, version] : state.wanted) {
+  for (const auto& wanted : state.wanted) {
+    const ModelName& model = wanted.first;
+    const WeightVersion version = wanted.second;
     const bool is_known = std::any_of(m_wanted.begin(), m_wanted.end(), [&](const WantedWeights& known) {
       return known.model == model && known.version >= version;
     });
