Count the first record of a topic as news for peers

Agents learned no configuration until the next change at 19 s, so ten endpoints that had been added stayed empty.

Change: a revision is the offset after the newest change.

--- a/src/fleet_relay.cpp
+++ b/src/fleet_relay.cpp
@@ -124,10 +124,10 @@
   const RecordMirror& mirror =
       m_mirror.GetRecords(path == kOperatorPath ? FleetTopic::kOperator : FleetTopic::kDirectory);
   uint64_t from = 0;
-  const std::string text = GetQueryValue(request.target, "from");
+  const std::string text = GetQueryValue(request.target, "beyond");
   std::from_chars(text.data(), text.data() + text.size(), from);
   proto::RecordBatch batch;
-  for (const KeyedRecord& record : mirror.GetChangedFrom(LogOffset(from))) {
+  for (const KeyedRecord& record : mirror.GetChangedBeyond(LogOffset(from))) {
     proto::Record* out = batch.add_records();
     out->set_key(record.key);
     out->set_offset(record.offset.Get());
@@ -165,7 +165,7 @@
   options.timeout = kPullTimeout;
   options.max_body_bytes = kMaxBatchBytes;
   m_client->Fetch({IpAddress(from.Get()), m_options.port},
-                  HttpRequest{"GET", path + "?from=" + std::to_string(known), {}, ""}, options,
+                  HttpRequest{"GET", path + "?beyond=" + std::to_string(known), {}, ""}, options,
                   [this, topic](const absl::StatusOr<HttpResponse>& response) {
                     --m_pulls;
                     OnBatch(topic, response);
--- a/src/record_mirror.cpp
+++ b/src/record_mirror.cpp
@@ -15,10 +15,10 @@
 bool RecordMirror::Take(KeyedRecord record) {
   const auto found = m_entries.find(record.key);
   if (found == m_entries.end()) {
-    const LogOffset offset = record.offset;
-    m_revision = std::max(m_revision, offset);
+    const LogOffset revision = record.offset.Next();
+    m_revision = std::max(m_revision, revision);
     const std::string key = record.key;
-    m_entries.emplace(key, Entry{std::move(record), offset});
+    m_entries.emplace(key, Entry{std::move(record), revision});
     return true;
   }
   Entry& entry = found->second;
@@ -26,7 +26,7 @@
   const bool is_changed = HasChanged(entry, record);
   entry.record = std::move(record);
   if (!is_changed) return false;
-  entry.revision = entry.record.offset;
+  entry.revision = entry.record.offset.Next();
   m_revision = std::max(m_revision, entry.revision);
   return true;
 }
@@ -43,8 +43,8 @@
     is_changed = true;
     // The removal itself is no longer in the log; it came after the last record of the key and before the end.
     const LogOffset removed_at(std::max(entry.record.offset.Get() + 1, end.Get() - 1));
-    m_entries[key] = Entry{KeyedRecord{key, removed_at, std::nullopt}, removed_at};
-    m_revision = std::max(m_revision, removed_at);
+    m_entries[key] = Entry{KeyedRecord{key, removed_at, std::nullopt}, removed_at.Next()};
+    m_revision = std::max(m_revision, removed_at.Next());
   }
   SetCompleteTo(end);
   return is_changed;
@@ -52,10 +52,10 @@
 
 void RecordMirror::SetCompleteTo(LogOffset offset) { m_complete_to = std::max(m_complete_to, offset); }
 
-std::vector<KeyedRecord> RecordMirror::GetChangedFrom(LogOffset after) const {
+std::vector<KeyedRecord> RecordMirror::GetChangedBeyond(LogOffset revision) const {
   std::vector<KeyedRecord> changed;
   for (const auto& [key, entry] : m_entries) {
-    if (entry.revision >= after) changed.push_back(entry.record);
+    if (entry.revision > revision) changed.push_back(entry.record);
   }
   return changed;
 }
--- a/src/record_mirror.h
+++ b/src/record_mirror.h
@@ -42,11 +42,11 @@
   LogOffset GetCompleteTo() const { return m_complete_to; }
   void SetCompleteTo(LogOffset offset);
 
-  // The largest offset of a record that changed what is known.
+  // The offset after the newest record that changed what is known; 0 while nothing is known.
   LogOffset GetRevision() const { return m_revision; }
 
-  // Returns the records that changed at `after` or later, removed keys included.
-  std::vector<KeyedRecord> GetChangedFrom(LogOffset after) const;
+  // Returns the records that changed beyond a revision, removed keys included.
+  std::vector<KeyedRecord> GetChangedBeyond(LogOffset revision) const;
 
   // Returns the value of a key, or null.
   const std::string* Find(const std::string& key) const;
@@ -57,7 +57,7 @@
  private:
   struct Entry {
     KeyedRecord record;
-    // Offset at which the value last changed its meaning.
+    // Offset after the record with which the value last changed its meaning.
     LogOffset revision;
   };
 
--- a/tests/fleet_mirror_test.cpp
+++ b/tests/fleet_mirror_test.cpp
@@ -51,6 +51,15 @@
   world.Server(10, "i-1", MakeServer("10.0.0.1:80"));
   REQUIRE(world.Count() == 1);
 
+  SECTION("peers can tell that even the very first record of a topic is new") {
+    World fresh;
+    const LogOffset nothing = fresh.mirror.GetRecords(FleetTopic::kOperator).GetRevision();
+    fresh.Operator(0, "config", MakeConfig(3));
+    const RecordMirror& records = fresh.mirror.GetRecords(FleetTopic::kOperator);
+    CHECK(records.GetRevision() > nothing);
+    CHECK(records.GetChangedBeyond(nothing).size() == 1);
+    CHECK(records.GetChangedBeyond(records.GetRevision()).empty());
+  }
   SECTION("an older record changes nothing") {
     world.Server(5, "i-1", std::nullopt);
     CHECK(world.Count() == 1);
