End stopped processes and refuse what a stop would cut

Requests that came 4 s after SIGTERM and ran for 3.6 s were cut at the end of the grace (LOST).

Ruled out: connections, the writer's thread and the loops; traces after each of them returned.

Change: the programs end without destroying static objects; from 2.5 s after the beginning of a stop, requests are refused unless the route's whole time fits.

--- a/src/event_log.cpp
+++ b/src/event_log.cpp
@@ -33,7 +33,6 @@
 
 // A few seconds of lines at the highest rate of requests.
 constexpr size_t kLogBufferBytes = 512 * 1024;
-constexpr Duration kFlushTime = Milliseconds(300);
 
 std::string MakeDropNote(uint64_t dropped) { return FormatEvent("log_dropped", {{"lines", dropped}}) + "\n"; }
 
@@ -44,7 +43,7 @@
   ~BufferedAppender() override { destructorImpl(); }
 
   void close() override {}
-  void Flush() { m_writer.Flush(kFlushTime); }
+  void Stop() { m_writer.Stop(); }
 
  protected:
   void append(const log4cplus::spi::InternalLoggingEvent& event) override {
@@ -89,9 +88,9 @@
   out += '"';
 }
 
-// log4cplus must be shut down after the last event, hence the static storage.
-std::unique_ptr<log4cplus::Initializer>& GetInitializer() {
-  static std::unique_ptr<log4cplus::Initializer> initializer;
+// Never destroyed, since events may be logged until the very end.
+log4cplus::Initializer*& GetInitializer() {
+  static log4cplus::Initializer* initializer = nullptr;
   return initializer;
 }
 
@@ -114,7 +113,7 @@
 }
 
 void InitEventLog(LogLevel level, const std::string& process, const std::string& vm) {
-  GetInitializer() = std::make_unique<log4cplus::Initializer>();
+  GetInitializer() = new log4cplus::Initializer();
   GetAppender() = new BufferedAppender();
   log4cplus::SharedAppenderPtr appender(GetAppender());
   const std::string pattern = "time=%d{%Y-%m-%dT%H:%M:%S.%qZ} level=%p process=" + process + " vm=" + vm + " %m%n";
@@ -126,8 +125,11 @@
 
 void SetEventLogLevel(LogLevel level) { log4cplus::Logger::getRoot().setLogLevel(ToLog4cplus(level)); }
 
-void FlushEventLog() {
-  if (GetAppender() != nullptr) GetAppender()->Flush();
+void StopEventLog() {
+  if (GetAppender() == nullptr) return;
+  GetAppender()->Stop();
+  GetAppender() = nullptr;
+  log4cplus::Logger::shutdown();
 }
 
 void LogEvent(LogLevel level, std::string_view name, std::initializer_list<EventField> fields) {
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -48,8 +48,8 @@
 // Changes the lowest level that is written.
 void SetEventLogLevel(LogLevel level);
 
-// Writes what is buffered, as far as the reader takes it within a short time.
-void FlushEventLog();
+// Writes what is buffered, as far as the reader takes it within a short time, and ends logging. Call last in main.
+void StopEventLog();
 
 // Writes one event. Safe from any thread.
 void LogEvent(LogLevel level, std::string_view name, std::initializer_list<EventField> fields);
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -31,9 +31,6 @@
 constexpr Duration kReturnFromDraining = Milliseconds(20);
 // Swaps of weights and restarts, during which few endpoints serve, take about as long.
 constexpr Duration kReturnWithoutEndpoint = Milliseconds(1800);
-// Requests that usually last longer than this are refused once a stop leaves no more time than that.
-constexpr Duration kStreamTime = Milliseconds(3500);
-constexpr Duration kPlainTime = Milliseconds(1000);
 
 int64_t ToMilliseconds(Duration time) { return std::chrono::duration_cast<Milliseconds>(time).count(); }
 
@@ -112,14 +109,19 @@
     Refuse(*request, responder, ForwardFailure::kUnknownKey, "no workspace has this key");
     return;
   }
-  const Duration usual = match.rule->kind == RequestKind::kStream ? kStreamTime : kPlainTime;
-  if (m_drain_end.has_value() && m_clock.GetNow() + usual > *m_drain_end) {
+  if (IsTooLateForStop(*match.rule)) {
     Refuse(*request, responder, ForwardFailure::kDraining, "this process stops before the request could end");
     return;
   }
   StartRun(*std::move(request), match, responder);
 }
 
+bool ForwardTraffic::IsTooLateForStop(const RouteRule& rule) const {
+  if (!m_drain_end.has_value()) return false;
+  const TimePoint now = m_clock.GetNow();
+  return now >= m_drain_refuse_at && now + rule.timeout > *m_drain_end;
+}
+
 void ForwardTraffic::StartRun(ForwardRequest request, const RouteMatch& match,
                               const std::shared_ptr<HttpResponder>& responder) {
   m_next_ticket = m_next_ticket.Next();
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -21,6 +21,9 @@
 
 namespace plantain {
 
+// Time for the balancer to notice that a stopping entry is no longer ready. It asks once a second and needs two misses.
+inline constexpr Duration kDrainNoticeTime = Milliseconds(2500);
+
 struct ForwardOptions {
   BoardOptions board;
   // Bound on arrivals beyond the first of each request, over all entries: a share of the first ones and a number more.
@@ -50,8 +53,12 @@
   // Does what is due. Call every few milliseconds.
   void CheckDue();
 
-  // The process must have ended at `end`; requests that would last longer are refused.
-  void BeginDrain(TimePoint end) { m_drain_end = end; }
+  // A stop has begun, and the process must have ended at `end`. New requests are taken while the balancer may not have
+  // noticed yet; later ones are refused unless even the route's whole time fits.
+  void BeginDrain(TimePoint end) {
+    m_drain_end = end;
+    m_drain_refuse_at = m_clock.GetNow() + kDrainNoticeTime;
+  }
 
   size_t GetInFlight() const { return m_runs.size(); }
 
@@ -63,6 +70,7 @@
 
   void Refuse(const ForwardRequest& request, const std::shared_ptr<HttpResponder>& responder, ForwardFailure failure,
               std::string_view reason);
+  bool IsTooLateForStop(const RouteRule& rule) const;
   void StartRun(ForwardRequest request, const RouteMatch& match, const std::shared_ptr<HttpResponder>& responder);
   void Enqueue(ForwardRun& run);
   bool IsLate(const ForwardRun& run) const;
@@ -98,6 +106,7 @@
   std::vector<std::shared_ptr<ForwardRun>> m_ended;
   WaitTicket m_next_ticket;
   std::optional<TimePoint> m_drain_end;
+  TimePoint m_drain_refuse_at;
 };
 
 }  // namespace plantain
--- a/src/log_writer.cpp
+++ b/src/log_writer.cpp
@@ -18,7 +18,10 @@
 LogWriter::LogWriter(int descriptor, size_t max_bytes, std::string (*drop_note)(uint64_t dropped))
     : m_descriptor(descriptor), m_max_bytes(max_bytes), m_drop_note(drop_note), m_thread([this] { Run(); }) {}
 
-LogWriter::~LogWriter() {
+LogWriter::~LogWriter() { Stop(); }
+
+void LogWriter::Stop() {
+  if (!m_thread.joinable()) return;
   Flush(kLastFlush);
   {
     const std::lock_guard lock(m_mutex);
--- a/src/log_writer.h
+++ b/src/log_writer.h
@@ -36,6 +36,9 @@
   // Waits until everything is written, or until the time is over.
   void Flush(Duration longest);
 
+  // Ends the thread; what is written later is dropped. Called by the destructor if not before.
+  void Stop();
+
  private:
   void Run();
   void WriteAll(const std::string& text) const;
--- a/src/plantain_agent_main.cpp
+++ b/src/plantain_agent_main.cpp
@@ -40,5 +40,5 @@
       {"standin", plantain::GetAgentSettingsTable(), plantain::RegisterServices},
       {"hosted", plantain::GetHostedAgentSettingsTable(), plantain::hosted::RegisterHostedAgent},
   };
-  return plantain::RunProcess(argc, argv, "plantain-agent", variants);
+  plantain::EndProcess(plantain::RunProcess(argc, argv, "plantain-agent", variants));
 }
--- a/src/plantain_entry_main.cpp
+++ b/src/plantain_entry_main.cpp
@@ -36,5 +36,5 @@
       {"standin", plantain::GetEntrySettingsTable(), plantain::RegisterServices},
       {"hosted", plantain::GetHostedEntrySettingsTable(), plantain::hosted::RegisterHostedEntry},
   };
-  return plantain::RunProcess(argc, argv, "plantain-entry", variants);
+  plantain::EndProcess(plantain::RunProcess(argc, argv, "plantain-entry", variants));
 }
--- a/src/process.cpp
+++ b/src/process.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/program_options.hpp>
+#include <cstdlib>
 #include <filesystem>
 #include <iostream>
 #include <optional>
@@ -186,8 +187,14 @@
   RunLoops(parts);
   kernel.Stop();
   LogEvent(LogLevel::kInfo, "stopped", {});
-  FlushEventLog();
+  StopEventLog();
   return kExitOk;
 }
 
+void EndProcess(int exit_code) {
+  std::cout.flush();
+  std::cerr.flush();
+  std::_Exit(exit_code);
+}
+
 }  // namespace plantain
--- a/src/process.h
+++ b/src/process.h
@@ -73,6 +73,10 @@
 // exit code: 0 after a graceful stop, 1 if a service failed to start, 2 for a wrong command line or wrong settings.
 int RunProcess(int argc, char** argv, const std::string& program, const std::vector<ProgramVariant>& variants);
 
+// Ends the process after RunProcess without destroying static objects: log4cplus joins its own threads there, which
+// does not return on every machine, and a process that has stopped must end.
+[[noreturn]] void EndProcess(int exit_code);
+
 }  // namespace plantain
 
 #endif  // PLANTAIN_PROCESS_H_
--- a/tests/forward_traffic_test.cpp
+++ b/tests/forward_traffic_test.cpp
@@ -202,6 +202,18 @@
   }
 }
 
+// Guards against requests that are cut because their entry stops.
+TEST_CASE("An entry that stops takes only what it can finish") {
+  ForwardWorld world(MakeEngines());
+  world.traffic->BeginDrain(world.clock.GetNow() + Milliseconds(7600));
+  CHECK(world.Ask("/draft/1", "6000")->status == 0);
+  world.Pass(Milliseconds(2600));
+  const auto caller = world.Ask("/draft/1", "6000");
+  CHECK(caller->status == 503);
+  CHECK_FALSE(caller->headers.Find("Retry-After").empty());
+  CHECK(world.sender.GetCount() == 1);
+}
+
 // Guards against requests that begin on weights that are no longer wanted.
 TEST_CASE("Old weights take no new requests once the time for a new version is over") {
   ForwardWorld world(MakeEngines());
