--- a/src/forward_service.cpp
+++ b/src/forward_service.cpp
@@ -27,7 +27,6 @@
   options.retry_share = parts.settings.GetNumber("retry.share");
   options.retry_slack = parts.settings.GetNumber("retry.slack");
   options.version_time = parts.settings.GetDuration("version.limit_ms");
-  options.grace = parts.settings.GetDuration("drain.grace_ms");
   return options;
 }
 
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -31,8 +31,6 @@
   double retry_slack = 0;
   // Time after which no request may begin on weights that are no longer wanted.
   Duration version_time = std::chrono::seconds(8);
-  // Time that a stop may take.
-  Duration grace = std::chrono::seconds(8);
 };
 
 // Takes requests and gives them to runs. Does no I/O itself. Used on one traffic loop.
