Keep the log appender until the process ends

Cause, found by reading: a writer's thread that is held by a stalled reader is left behind at the stop, and destroying its appender under it could crash the last moment of a process.

Change: the appender is stopped and not destroyed.

--- a/src/event_log.cpp
+++ b/src/event_log.cpp
@@ -126,10 +126,8 @@
 void SetEventLogLevel(LogLevel level) { log4cplus::Logger::getRoot().setLogLevel(ToLog4cplus(level)); }
 
 void StopEventLog() {
-  if (GetAppender() == nullptr) return;
-  GetAppender()->Stop();
-  GetAppender() = nullptr;
-  log4cplus::Logger::shutdown();
+  // The appender stays: a reader that still stalls holds its thread until the process ends.
+  if (GetAppender() != nullptr) GetAppender()->Stop();
 }
 
 void LogEvent(LogLevel level, std::string_view name, std::initializer_list<EventField> fields) {
