--- a/tests/fleet_mirror_test.cpp
+++ b/tests/fleet_mirror_test.cpp
@@ -6,6 +6,7 @@
 #include "beacon_book.h"
 #include "fleet_decoder.h"
 #include "store_client.h"
+#include "weight_ports.h"
 
 namespace plantain {
 namespace {
@@ -179,6 +180,32 @@
   }
 }
 
+// Guards against an engine that takes chunks of two versions, because newer ones are staged between check and order.
+TEST_CASE("Nothing is put into the staging area between the check of its chunks and the engine's answer") {
+  const Digest two(std::string(32, '2'));
+  const Digest three(std::string(32, '3'));
+  hosted::StageLedger ledger;
+  REQUIRE(ledger.Begin(two, 2));
+  REQUIRE(ledger.BeginPut());
+
+  SECTION("puts on their way are waited for, and no further ones begin") {
+    REQUIRE(ledger.Freeze(two));
+    CHECK_FALSE(ledger.IsQuiet());
+    CHECK_FALSE(ledger.BeginPut());
+    CHECK_FALSE(ledger.Begin(three, 2));
+    ledger.EndPut(two, 0, true);
+    CHECK(ledger.IsQuiet());
+    ledger.Thaw();
+    CHECK(ledger.Begin(three, 2));
+  }
+  SECTION("an area that was filled with something else meanwhile is not ordered") {
+    ledger.EndPut(two, 0, true);
+    REQUIRE(ledger.Begin(three, 2));
+    CHECK_FALSE(ledger.Freeze(two));
+    CHECK(ledger.BeginPut());
+  }
+}
+
 BeaconInfo MakeBeacon(const std::string& vm, uint64_t sequence, uint64_t revision = 0) {
   BeaconInfo beacon;
   beacon.vm = VmId(vm);
