Ask a store that failed for what it has, without a wait

A read that asked it to wait 2.5 s took 3.7 s to fail, so that the configuration acknowledged shortly before its return came 4 s late to one entry, while reads of the directory made the store look reachable.

--- a/tests/fleet_mirror_test.cpp
+++ b/tests/fleet_mirror_test.cpp
@@ -149,6 +149,12 @@
   }
 }
 
+// Guards against a configuration that comes seconds after a silent store has returned, because a long read still hangs.
+TEST_CASE("A store that failed is not asked to wait for news") {
+  CHECK(hosted::ChooseReadWait(Milliseconds(2500), 0) == Milliseconds(2500));
+  CHECK(hosted::ChooseReadWait(Milliseconds(2500), 1) == Duration::zero());
+}
+
 // Guards against hostile or torn answers of the store.
 TEST_CASE("Answers of the store are decoded with bounds") {
   std::string body(16, '\0');
