Hold lapsed records until a fixed time after the store's return

A removal that it read at 34.0 s, acknowledged at 33.7 s, counted as a possible lapse and was held for 2.2 s from then on, beyond the 2 s of a departure.

Change: the time counts from the store's return.

--- a/src/fleet_mirror.cpp
+++ b/src/fleet_mirror.cpp
@@ -163,20 +163,27 @@
     const bool is_kept = may_have_lapsed && !entry.info.is_leaving;
     LogEvent(LogLevel::kInfo, is_kept ? "endpoint_lapsed" : "endpoint_gone",
              {{"endpoint", id}, {"pool", entry.info.pool}, {"offset", m_directory.GetRevision()}});
-    if (is_kept) m_lapsed[id] = Lapsed{entry, std::max(now, m_regained_at) + kLapseTime};
+    // Living endpoints are listed again within this time of the store's return, whenever the removal is seen. While
+    // one of the topics is still not read, the return is now.
+    const TimePoint returned_at = m_is_store_reachable ? m_regained_at : now;
+    if (is_kept) m_lapsed[id] = Lapsed{entry, returned_at + kLapseTime};
   }
   for (const auto& [id, entry] : endpoints) m_lapsed.erase(id);
   m_endpoints = std::move(endpoints);
   m_decoded = std::move(decoded);
 }
 
-void FleetMirror::Tick() {
+size_t FleetMirror::DropExpired() {
   const TimePoint now = m_clock.GetNow();
-  const size_t expired = std::erase_if(m_lapsed, [&](const auto& lapsed) { return lapsed.second.until <= now; });
-  if (expired > 0) Publish();
+  return std::erase_if(m_lapsed, [&](const auto& lapsed) { return lapsed.second.until <= now; });
+}
+
+void FleetMirror::Tick() {
+  if (DropExpired() > 0) Publish();
 }
 
 void FleetMirror::Publish() {
+  DropExpired();
   auto view = std::make_shared<FleetView>();
   view->routing = m_operator_state.routing;
   view->zones_out = m_operator_state.zones_out;
--- a/src/fleet_mirror.h
+++ b/src/fleet_mirror.h
@@ -92,6 +92,8 @@
   void NoteWanted(const OperatorState& state);
   void Publish();
   void Tick();
+  // Forgets endpoints that did not come back in time. Returns their number.
+  size_t DropExpired();
   bool MayHaveLapsed(RecordOrigin origin) const;
 
   Loop& m_loop;
--- a/tests/fleet_mirror_test.cpp
+++ b/tests/fleet_mirror_test.cpp
@@ -110,6 +110,15 @@
     world.Server(12, "i-1", MakeServer("10.0.0.1:80"));
     CHECK(world.Count() == 1);
   }
+  SECTION("one that is not listed again is gone soon after the store's return, however late its removal is seen") {
+    world.Server(12, "i-1", MakeServer("10.0.0.1:80"));
+    world.clock.Advance(Milliseconds(1500));
+    world.Server(13, "i-1", std::nullopt);
+    world.clock.Advance(Milliseconds(800));
+    world.Server(14, "i-2", MakeServer("10.0.0.2:80"));
+    REQUIRE(world.Count() == 1);
+    CHECK(world.mirror.GetFleet()->endpoints.front().id == EndpointId("i-2"));
+  }
   SECTION("a peer's word is taken at once") {
     world.Server(12, "i-1", MakeServer("10.0.0.1:80"));
     world.Server(13, "i-1", std::nullopt, RecordOrigin::kPeer);
