--- a/src/forward_type.cpp
+++ b/src/forward_type.cpp
@@ -12,12 +12,6 @@
                                                         "proxy-connection",  "te",         "trailer",
                                                         "transfer-encoding", "upgrade",    "content-length"};
 
-bool IsSameName(std::string_view a, std::string_view b) {
-  return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](unsigned char x, unsigned char y) {
-           return std::tolower(x) == std::tolower(y);
-         });
-}
-
 // Whether a comma-separated list names the field.
 bool IsListed(std::string_view list, std::string_view name) {
   while (!list.empty()) {
@@ -25,7 +19,7 @@
     std::string_view item = list.substr(0, comma);
     while (!item.empty() && item.front() == ' ') item.remove_prefix(1);
     while (!item.empty() && item.back() == ' ') item.remove_suffix(1);
-    if (IsSameName(item, name)) return true;
+    if (IsSameFieldName(item, name)) return true;
     if (comma == std::string_view::npos) return false;
     list.remove_prefix(comma + 1);
   }
@@ -34,9 +28,15 @@
 
 }  // namespace
 
+bool IsSameFieldName(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](unsigned char x, unsigned char y) {
+           return std::tolower(x) == std::tolower(y);
+         });
+}
+
 bool IsHopField(std::string_view name) {
   return std::any_of(kHopFields.begin(), kHopFields.end(),
-                     [&](std::string_view field) { return IsSameName(field, name); });
+                     [&](std::string_view field) { return IsSameFieldName(field, name); });
 }
 
 HttpHeaders FilterHopFields(const HttpHeaders& headers) {
--- a/src/forward_type.h
+++ b/src/forward_type.h
@@ -76,6 +76,9 @@
   virtual AnswerHead ReadAnswer(const RequestId& id, int status, const HttpHeaders& headers) const = 0;
 };
 
+// Returns whether two names of header fields are the same, which compare without regard to case.
+bool IsSameFieldName(std::string_view a, std::string_view b);
+
 // Returns whether a header field concerns one connection only and must not be passed on.
 bool IsHopField(std::string_view name);
 
