Explain a request from the log files of many processes

Cause: `plantainctl explain` asked live processes for their recent events only, so a complaint about a process that is gone, or that came an hour later, left an engineer with grep.

The deduction is a module without I/O.

--- a/src/ctl_status_cmd.cpp
+++ b/src/ctl_status_cmd.cpp
@@ -1,6 +1,8 @@
 // Commands that show the state of the fleet: status, explain.
 
 #include <algorithm>
+#include <fstream>
+#include <functional>
 #include <iomanip>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -9,6 +11,7 @@
 
 #include "ctl_type.h"
 #include "failure_type.h"
+#include "request_story.h"
 
 namespace plantain {
 namespace {
@@ -189,11 +192,19 @@
 class ExplainCommand : public CtlCommand {
  public:
   std::string_view GetName() const override { return "explain"; }
-  std::string_view GetUsage() const override { return "REQUEST-ID"; }
-  std::string_view GetHelp() const override { return "Show what happened to one request, from recent events."; }
-  std::string_view GetExample() const override { return "plantainctl explain req-42 --vms 127.0.0.1:9300"; }
+  std::string_view GetUsage() const override { return "REQUEST-ID | --request ID LOGFILE..."; }
+  std::string_view GetHelp() const override {
+    return "Show what happened to one request and why, from recent events or from log files.";
+  }
+  std::string_view GetExample() const override {
+    return "plantainctl explain --request req-42 entry-*.log agent-*.log";
+  }
+  std::vector<CtlOption> GetOptions() const override {
+    return {{"request", "ID", "Read the files that are named, and tell the cause of this request's end."}};
+  }
 
   CtlExit Run(const CtlArguments& arguments, CtlPlatform& platform, CtlOutput output) const override {
+    if (arguments.Has("request")) return ExplainFromFiles(arguments, output);
     if (arguments.positional.size() != 1 || !IsSafe(arguments.positional[0])) {
       output.err << "plantainctl explain: expected one REQUEST-ID of letters, digits, '-', '_', '.' or ':'\n";
       return CtlExit::kInvalid;
@@ -224,6 +235,58 @@
   }
 
  private:
+  static CtlExit ExplainFromFiles(const CtlArguments& arguments, CtlOutput output) {
+    if (arguments.positional.empty()) {
+      output.err << "plantainctl explain: expected one or more files after --request ID\n";
+      return CtlExit::kInvalid;
+    }
+    RequestStory story{RequestId(arguments.Get("request"))};
+    // News of the endpoints may stand in a file before the line that names them, so the files are read twice.
+    for (const auto add : {&RequestStory::AddOwn, &RequestStory::AddContext}) {
+      for (const std::string& path : arguments.positional) {
+        const absl::Status status = ForEachLogLine(path, [&](const LogLine& line) { (story.*add)(line); });
+        if (!status.ok()) return ReportFailure(status, CtlExit::kFailed, arguments, output);
+      }
+    }
+    if (!story.IsFound()) {
+      return ReportFailure(MakeFailure(FailureCode::kNotFound, "no line names request " + arguments.Get("request")),
+                           CtlExit::kFailed, arguments, output);
+    }
+    if (arguments.IsJson()) {
+      output.out << StoryToJson(story).dump(1) << "\n";
+      return CtlExit::kOk;
+    }
+    for (const LogLine& line : story.GetTimeline()) PrintLogLine(line, output.out);
+    output.out << story.GetSummary() << "\n";
+    return CtlExit::kOk;
+  }
+
+  static absl::Status ForEachLogLine(const std::string& path, const std::function<void(const LogLine&)>& take) {
+    std::ifstream file(path);
+    if (!file) return MakeFailure(FailureCode::kNotFound, path + ": cannot be read");
+    std::string text;
+    while (std::getline(file, text)) {
+      if (const std::optional<LogLine> line = ParseLogLine(text)) take(*line);
+    }
+    return absl::OkStatus();
+  }
+
+  static json StoryToJson(const RequestStory& story) {
+    json lines = json::array();
+    for (const LogLine& line : story.GetTimeline()) {
+      lines.push_back({{"time", line.time}, {"vm", line.vm}, {"event", line.event}, {"fields", line.fields}});
+    }
+    return {{"cause", GetStoryCauseName(story.GetCause())}, {"lines", std::move(lines)}};
+  }
+
+  static void PrintLogLine(const LogLine& line, std::ostream& out) {
+    out << line.time << " " << std::left << std::setw(18) << line.vm << std::setw(18) << line.event;
+    for (const auto& [name, value] : line.fields) {
+      if (name != "level") out << " " << name << "=" << value;
+    }
+    out << "\n";
+  }
+
   static bool IsSafe(const std::string& id) {
     return !id.empty() && std::all_of(id.begin(), id.end(), [](unsigned char c) {
       return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.' || c == ':';
--- a/tests/ctl_test.cpp
+++ b/tests/ctl_test.cpp
@@ -170,6 +170,16 @@
     CHECK(ctl.Run({"explain", "r-2"}) == CtlExit::kFailed);
     CHECK(ctl.Run({"explain", "a&b=c"}) == CtlExit::kInvalid);
   }
+
+  SECTION("explain tells the cause from log files, and which file cannot be read") {
+    const std::string log = std::string(PLANTAIN_SOURCE_DIR) + "/tests/logs/refused.log";
+    REQUIRE(ctl.Run({"explain", "--request", "b7ad1cebe0bfd488", log}) == CtlExit::kOk);
+    CHECK(ctl.out.str().find("cause=capacity_lost") != std::string::npos);
+    CHECK(ctl.Run({"explain", "--request", "none", log}) == CtlExit::kFailed);
+    CHECK(ctl.Run({"explain", "--request", "b7ad1cebe0bfd488"}) == CtlExit::kInvalid);
+    CHECK(ctl.Run({"explain", "--request", "b7ad1cebe0bfd488", "/nonexistent.log"}) == CtlExit::kFailed);
+    CHECK(ctl.err.str().find("/nonexistent.log") != std::string::npos);
+  }
 }
 
 // Guards against a plan that understates what a publish moves.
--- /dev/null
+++ b/tests/request_story_test.cpp
@@ -0,0 +1,146 @@
+#include "request_story.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "event_log.h"
+
+namespace plantain {
+namespace {
+
+constexpr char kId[] = "b7ad1cebe0bfd488";
+
+std::string MakeLine(std::string_view second, std::string_view vm, const std::string& event) {
+  return "time=2026-12-04T06:13:" + std::string(second) + "Z level=INFO process=plantain-entry vm=" + std::string(vm) +
+         " " + event;
+}
+
+std::string MakeEnd(std::string_view second, std::string_view failure, std::string_view endpoint) {
+  return MakeLine(
+      second, "entry-1",
+      FormatEvent("request_end", {{"request", kId},
+                                  {"status", failure == "none" ? 200 : 503},
+                                  {"failure", failure},
+                                  {"reason", failure == "none" ? "complete" : "its turn would come too late"},
+                                  {"attempts", endpoint.empty() ? 0 : 1},
+                                  {"endpoint", endpoint},
+                                  {"expected_ms", 120},
+                                  {"first_ms", 131}}));
+}
+
+std::string MakeFailedAttempt(std::string_view second, std::string_view entry, std::string_view request,
+                              std::string_view end) {
+  return MakeLine(second, entry,
+                  FormatEvent("attempt_failed", {{"request", request}, {"endpoint", "i-1"}, {"end", end}}));
+}
+
+RequestStory Read(const std::vector<std::string>& lines) {
+  RequestStory story{RequestId(kId)};
+  for (const auto add : {&RequestStory::AddOwn, &RequestStory::AddContext}) {
+    for (const std::string& text : lines) {
+      if (const auto line = ParseLogLine(text)) (story.*add)(*line);
+    }
+  }
+  return story;
+}
+
+// Guards against a reader that a quoted value, a prefix of another program or a line that was cut off leads astray.
+TEST_CASE("A line of the log is read as it was written") {
+  const std::string event = FormatEvent("attempt_failed", {{"reason", "said \"no\" to a=b"}, {"empty", ""}});
+  const auto line = ParseLogLine("12.5 edge-1 " + MakeLine("01.250", "entry-1", event) + "\r\n");
+  REQUIRE(line.has_value());
+  CHECK(line->time == "2026-12-04T06:13:01.250Z");
+  CHECK(line->vm == "entry-1");
+  CHECK(line->event == "attempt_failed");
+  CHECK(line->Get("reason") == "said \"no\" to a=b");
+  CHECK(line->Get("empty").empty());
+
+  SECTION("text of another form is no line") {
+    CHECK_FALSE(ParseLogLine("").has_value());
+    CHECK_FALSE(ParseLogLine("Segmentation fault").has_value());
+    CHECK_FALSE(ParseLogLine("time=2026-12-04T06:13:01.250Z level=INFO").has_value());
+    CHECK_FALSE(ParseLogLine("time=2026-12-04T06:13:01.250Z event=x reason=\"cut of").has_value());
+  }
+}
+
+// Guards against an explanation that blames demand where capacity went, or an endpoint where its path was cut.
+TEST_CASE("The cause of a request's end follows from the lines around it") {
+  SECTION("a refusal with nothing else around it is overload") {
+    const RequestStory story = Read({MakeEnd("10.000", "overloaded", "")});
+    CHECK(story.GetCause() == StoryCause::kOverload);
+    CHECK(story.GetSummary().find("cause=overload status=503") == 0);
+  }
+
+  SECTION("given news that endpoints went") {
+    const std::string gone = FormatEvent("endpoint_gone", {{"endpoint", "i-7"}});
+
+    SECTION("a refusal shortly afterwards is lost capacity, whatever the order of the files") {
+      CHECK(Read({MakeLine("05.000", "entry-1", gone), MakeEnd("10.000", "overloaded", "")}).GetCause() ==
+            StoryCause::kCapacityLost);
+      CHECK(Read({MakeEnd("10.000", "overloaded", ""), MakeLine("05.000", "entry-1", gone)}).GetCause() ==
+            StoryCause::kCapacityLost);
+    }
+
+    SECTION("old news and news at another entry explain nothing") {
+      CHECK(Read({MakeLine("05.000", "entry-1", gone), MakeEnd("40.000", "overloaded", "")}).GetCause() ==
+            StoryCause::kOverload);
+      CHECK(Read({MakeLine("05.000", "entry-2", gone), MakeEnd("10.000", "overloaded", "")}).GetCause() ==
+            StoryCause::kOverload);
+    }
+  }
+
+  SECTION("given a request that was sent and got nothing") {
+    const std::vector<std::string> silent = {MakeFailedAttempt("09.000", "entry-1", kId, "silent"),
+                                             MakeEnd("10.000", "timeout", "i-1")};
+
+    SECTION("its answer is lost if nothing else is wrong with the endpoint") {
+      CHECK(Read(silent).GetCause() == StoryCause::kAnswerLost);
+    }
+
+    SECTION("the endpoint crashed if it left the directory") {
+      std::vector<std::string> lines = silent;
+      lines.push_back(MakeLine("12.000", "entry-2", FormatEvent("endpoint_gone", {{"endpoint", "i-1"}})));
+      CHECK(Read(lines).GetCause() == StoryCause::kEndpointCrashed);
+    }
+
+    SECTION("the endpoint crashed if others cannot reach it") {
+      std::vector<std::string> lines = silent;
+      lines.push_back(MakeFailedAttempt("09.500", "entry-2", "other", "unreachable"));
+      CHECK(Read(lines).GetCause() == StoryCause::kEndpointCrashed);
+    }
+
+    SECTION("the timeline holds the lines of the request and of its endpoint by time") {
+      std::vector<std::string> lines = silent;
+      lines.push_back(MakeLine("08.000", "agent-1", FormatEvent("engine_order", {{"endpoint", "i-1"}})));
+      const std::vector<LogLine> timeline = Read(lines).GetTimeline();
+      REQUIRE(timeline.size() == 3);
+      CHECK(timeline[0].event == "engine_order");
+      CHECK(timeline[2].event == "request_end");
+    }
+  }
+
+  SECTION("what ended it is told by its type") {
+    CHECK(Read({MakeEnd("10.000", "caller_gone", "")}).GetCause() == StoryCause::kCallerGone);
+    CHECK(Read({MakeEnd("10.000", "draining", "")}).GetCause() == StoryCause::kEntryStopping);
+    CHECK(Read({MakeEnd("10.000", "no_endpoint", "")}).GetCause() == StoryCause::kNoEndpoint);
+    CHECK(Read({MakeFailedAttempt("09.000", "entry-1", kId, "error"), MakeEnd("10.000", "broken_answer", "i-1")})
+              .GetCause() == StoryCause::kEndpointError);
+    CHECK(Read({MakeFailedAttempt("09.000", "entry-1", kId, "broken"), MakeEnd("10.000", "unknown_outcome", "i-1")})
+              .GetCause() == StoryCause::kBrokenAnswer);
+    CHECK(Read({MakeEnd("10.000", "none", "i-1")}).GetCause() == StoryCause::kServed);
+  }
+
+  SECTION("a request that never took a route leaves one line") {
+    const std::string refused = FormatEvent("request_refused", {{"request", kId}, {"failure", "unknown_key"}});
+    CHECK(Read({MakeLine("10.000", "entry-1", refused)}).GetCause() == StoryCause::kUnknownKey);
+  }
+
+  SECTION("without its end the cause stays open") {
+    CHECK(Read({MakeFailedAttempt("09.000", "entry-1", kId, "broken")}).GetCause() == StoryCause::kUnknown);
+    CHECK_FALSE(Read({MakeFailedAttempt("09.000", "entry-1", "other", "broken")}).IsFound());
+  }
+}
+
+}  // namespace
+}  // namespace plantain
