Cut a link of the stand-in one way and reset its connections

Cause: tests could only cut both directions at once, so half-open connections were never played.

Change: control fields cut_one_way and reset. A test shows that answers still pass a one-way cut.

--- a/standin/link_network.cpp
+++ b/standin/link_network.cpp
@@ -6,10 +6,6 @@
 // The shared link's bucket holds this much time's worth of bytes.
 constexpr double kBurstSeconds = 0.01;
 
-LinkNetwork::Pair MakeSortedPair(const std::string& one, const std::string& other) {
-  return one < other ? LinkNetwork::Pair(one, other) : LinkNetwork::Pair(other, one);
-}
-
 }  // namespace
 
 TokenBucket& LinkNetwork::GetBucket(const Pair& regions) {
@@ -27,17 +23,18 @@
 }
 
 void LinkNetwork::SetCut(const std::string& one, const std::string& other, bool is_cut) {
+  SetOneWayCut(one, other, is_cut);
+  SetOneWayCut(other, one, is_cut);
+}
+
+void LinkNetwork::SetOneWayCut(const std::string& from, const std::string& to, bool is_cut) {
   if (is_cut) {
-    m_cuts.insert(MakeSortedPair(one, other));
+    m_cuts.insert({from, to});
   } else {
-    m_cuts.erase(MakeSortedPair(one, other));
+    m_cuts.erase({from, to});
   }
 }
 
-bool LinkNetwork::IsCut(const std::string& one, const std::string& other) const {
-  return m_cuts.count(MakeSortedPair(one, other)) > 0;
-}
-
 void LinkNetwork::SetRegionRate(double bytes_per_s) {
   m_region_rate = bytes_per_s;
   for (auto& [regions, bucket] : m_buckets) bucket.SetRate(bytes_per_s, bytes_per_s * kBurstSeconds);
--- a/standin/link_relay.cpp
+++ b/standin/link_relay.cpp
@@ -210,6 +210,18 @@
     m_relays.connections.erase(self);
   }
 
+  bool IsBetween(const std::string& one, const std::string& other) const {
+    return (m_spec.from_zone == one && m_spec.to_zone == other) || (m_spec.from_zone == other && m_spec.to_zone == one);
+  }
+
+  // Closes both sockets with a reset in place of an orderly end.
+  void Reset() {
+    ErrorCode ignored;
+    m_near.set_option(asio::socket_base::linger(true, 0), ignored);
+    m_far.set_option(asio::socket_base::linger(true, 0), ignored);
+    Close();
+  }
+
   void Resume() {
     if (!m_has_begun) {
       Begin();
@@ -311,4 +323,11 @@
   for (const auto& connection : connections) connection->Resume();
 }
 
+void LinkRelays::Reset(const std::string& one, const std::string& other) {
+  const auto connections = m_impl->connections;
+  for (const auto& connection : connections) {
+    if (connection->IsBetween(one, other)) connection->Reset();
+  }
+}
+
 }  // namespace plantain::standin
--- a/standin/link_relay.h
+++ b/standin/link_relay.h
@@ -1,4 +1,4 @@
-// TCP relays that model the network between zones: shared rate, one-way delay, partition.
+// TCP relays that model the network between zones: shared rate, one-way delay, partition, connection resets.
 
 #ifndef PLANTAIN_LINK_RELAY_H_
 #define PLANTAIN_LINK_RELAY_H_
@@ -57,9 +57,12 @@
 
   // Stops or resumes all traffic between two zones, in both directions.
   void SetCut(const std::string& one, const std::string& other, bool is_cut);
+  // Stops or resumes what the zone `from` sends to the zone `to`; answers still pass.
+  void SetOneWayCut(const std::string& from, const std::string& to, bool is_cut);
   void HealAll() { m_cuts.clear(); }
 
-  bool IsCut(const std::string& one, const std::string& other) const;
+  // Whether bytes that `from` sends to `to` are held back.
+  bool IsCut(const std::string& from, const std::string& to) const { return m_cuts.count({from, to}) > 0; }
 
   void SetRegionRate(double bytes_per_s);
 
@@ -80,7 +83,7 @@
   Duration m_extra_delay{};
   std::map<Pair, TokenBucket> m_buckets;
   std::map<Pair, LinkPairStats> m_stats;
-  // Each pair in sorted order.
+  // Sending and receiving zone.
   std::set<Pair> m_cuts;
 };
 
@@ -97,6 +100,9 @@
   // Makes connections go on after a heal.
   void Resume();
 
+  // Resets every connection between two zones, whichever of them opened it.
+  void Reset(const std::string& one, const std::string& other);
+
  private:
   std::shared_ptr<Impl> m_impl;
 };
--- a/standin/standin_link_main.cpp
+++ b/standin/standin_link_main.cpp
@@ -14,6 +14,8 @@
     "  standin-link --file link.json\n"
     "  curl -X POST -d '{\"cut\":[[\"praha\",\"brno\"]]}' 127.0.0.1:9400/control\n"
     "  curl -X POST -d '{\"heal\":[[\"praha\",\"brno\"]]}' 127.0.0.1:9400/control\n"
+    "  curl -X POST -d '{\"cut_one_way\":[[\"praha\",\"brno\"]]}' 127.0.0.1:9400/control\n"
+    "  curl -X POST -d '{\"reset\":[[\"praha\",\"brno\"]]}' 127.0.0.1:9400/control\n"
     "  curl 127.0.0.1:9400/stats\n"
     "link.json:\n"
     "  {\"rate\":2500000,\n"
@@ -56,7 +58,13 @@
 absl::Status Control(const nlohmann::json& fields, LinkNetwork& network, LinkRelays& relays) {
   SetCuts(fields.value("cut", nlohmann::json::array()), true, network);
   SetCuts(fields.value("heal", nlohmann::json::array()), false, network);
+  for (const auto& pair : fields.value("cut_one_way", nlohmann::json::array())) {
+    network.SetOneWayCut(pair.at(0).get<std::string>(), pair.at(1).get<std::string>(), true);
+  }
   if (fields.value("heal_all", false)) network.HealAll();
+  for (const auto& pair : fields.value("reset", nlohmann::json::array())) {
+    relays.Reset(pair.at(0).get<std::string>(), pair.at(1).get<std::string>());
+  }
   if (fields.contains("rate")) network.SetRegionRate(fields["rate"].get<double>());
   if (fields.contains("delay_ms")) network.SetExtraDelay(ParseDelay(fields["delay_ms"].get<double>()));
   relays.Resume();
--- a/tests/standin_link_test.cpp
+++ b/tests/standin_link_test.cpp
@@ -61,5 +61,16 @@
   }
 }
 
+// Guards against a one-way cut that stops the answers too, or that a heal of the pair leaves behind.
+TEST_CASE("A one-way cut stops one direction until the pair is healed") {
+  VirtualClock clock;
+  LinkNetwork network(clock, 0);
+  network.SetOneWayCut("praha", "brno", true);
+  CHECK(network.IsCut("praha", "brno"));
+  CHECK_FALSE(network.IsCut("brno", "praha"));
+  network.SetCut("brno", "praha", false);
+  CHECK_FALSE(network.IsCut("praha", "brno"));
+}
+
 }  // namespace
 }  // namespace plantain::standin
