Give places to waiting requests that can still be in time

Waiting requests were ordered by priority first, so a late one of an urgent priority went before a newcomer that could be in time, and each fourth place went to the longest waiting one, which is nearly always late.

Change: those that can be in time go first, then priority; the fair pick is among those in time.

--- a/src/wait_room.cpp
+++ b/src/wait_room.cpp
@@ -1,22 +1,20 @@
 #include "wait_room.h"
 
 #include <algorithm>
-#include <cmath>
+#include <utility>
 
 namespace plantain {
 namespace {
 
-// Every so many picks one goes to the longest waiting request.
+// Every so many picks one goes to the longest waiting request that can still be in time.
 constexpr uint64_t kFairPick = 4;
-// Time constant of the rate of turns.
-constexpr double kRateMemoryS = 1.0;
 constexpr Duration kLongestEstimate = std::chrono::seconds(5);
 
 }  // namespace
 
 bool WaitRoom::GoesBefore(const WaitEntry& a, const WaitEntry& b) {
-  if (a.priority != b.priority) return a.priority < b.priority;
-  return !a.is_late && b.is_late;
+  if (a.is_late != b.is_late) return !a.is_late;
+  return a.priority < b.priority;
 }
 
 size_t WaitRoom::CountLate() const {
@@ -29,18 +27,6 @@
                                            [&](const WaitEntry& other) { return !GoesBefore(entry, other); }));
 }
 
-void WaitRoom::Rate::Count(TimePoint now) {
-  per_s = Get(now).value_or(0) + 1 / kRateMemoryS;
-  at = now;
-  is_known = true;
-}
-
-std::optional<double> WaitRoom::Rate::Get(TimePoint now) const {
-  if (!is_known) return std::nullopt;
-  const double elapsed_s = std::chrono::duration<double>(now - at).count();
-  return per_s * std::exp(-elapsed_s / kRateMemoryS);
-}
-
 Duration WaitRoom::EstimateTurn(uint32_t priority, TimePoint now) const {
   const std::optional<double> rate = m_rate.Get(now);
   if (!rate.has_value()) return Duration::zero();
@@ -74,9 +60,10 @@
 std::vector<WaitTicket> WaitRoom::GetNext(size_t count) const {
   std::vector<WaitTicket> next;
   if (m_turns % kFairPick == kFairPick - 1 && !m_entries.empty()) {
-    const auto oldest = std::min_element(m_entries.begin(), m_entries.end(),
-                                         [](const WaitEntry& a, const WaitEntry& b) { return a.ticket < b.ticket; });
-    next.push_back(oldest->ticket);
+    const auto is_older = [](const WaitEntry& a, const WaitEntry& b) {
+      return std::pair(a.is_late, a.ticket) < std::pair(b.is_late, b.ticket);
+    };
+    next.push_back(std::min_element(m_entries.begin(), m_entries.end(), is_older)->ticket);
   }
   for (const WaitEntry& entry : m_entries) {
     if (next.size() >= count) break;
--- a/src/wait_room.h
+++ b/src/wait_room.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core_type.h"
+#include "event_rate.h"
 
 namespace plantain {
 
@@ -26,10 +27,11 @@
   TimePoint wait_until;
 };
 
-// Orders waiting requests: by priority, those that can still be in time first, then by arrival. One pick in a few goes
-// to the longest waiting one regardless of priority, so that no priority starves while more urgent ones fill all
-// places. Under overload each request is refused as soon as it is clear that its turn comes too late, which leaves
-// places to those whose answers are still in time.
+// Orders waiting requests: those that can still be in time first, then by priority, then by arrival. One pick in a few
+// goes to the longest waiting one of those in time regardless of priority, so that no priority starves while more urgent
+// ones fill all places. Late ones get what is left over: a place spent on one of them makes a newcomer late too. Under
+// overload each request is refused as soon as it is clear that its turn comes too late, which leaves places to those whose
+// answers are still in time.
 class WaitRoom {
  public:
   // Returns whether a request that arrives now can expect its turn before `wait_until`.
@@ -56,23 +58,16 @@
   static bool GoesBefore(const WaitEntry& a, const WaitEntry& b);
   size_t CountAhead(const WaitEntry& entry) const;
   size_t CountLate() const;
-  // Turns in a second lately, of all requests or of late ones.
-  struct Rate {
-    double per_s = 0;
-    TimePoint at;
-    bool is_known = false;
-
-    void Count(TimePoint now);
-    // Returns nothing before the first turn.
-    std::optional<double> Get(TimePoint now) const;
-  };
+  // Time over which turns are counted.
+  static constexpr Duration kRateMemory = std::chrono::seconds(1);
 
   // In order of picking; equal ones in order of arrival.
   std::list<WaitEntry> m_entries;
   uint64_t m_turns = 0;
-  Rate m_rate;
+  // Turns of all requests.
+  EventRate m_rate{kRateMemory};
   // What those that can be in time leave over.
-  Rate m_late_rate;
+  EventRate m_late_rate{kRateMemory};
 };
 
 }  // namespace plantain
