Split the slots of an endpoint among entries by demand

Beyond 16 requests half of the first events came after 330 ms; up to 13 after 190 ms.

Change: entries tell their demand for each pool in their beacons. Each entry has its part of every endpoint's slots, in proportion to its demand and so that all parts add up to the slots exactly; between two reports it also takes its part of what the last one showed as free. An entry takes its own slots back from those that borrowed them.

--- a/src/beacon_book.cpp
+++ b/src/beacon_book.cpp
@@ -1,6 +1,7 @@
 #include "beacon_book.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 #include "fleet.pb.h"
@@ -14,6 +15,7 @@
 constexpr int kMaxNamed = 64;
 constexpr size_t kMaxHeard = 4096;
 constexpr int kMaxFetches = 8;
+constexpr int kMaxPools = 64;
 
 void EncodeLoad(const EndpointLoad& load, proto::LoadReport& out) {
   out.set_endpoint(load.endpoint.Get());
@@ -59,15 +61,20 @@
     state->set_manifest(fetch.manifest.Get());
     state->set_permille(fetch.permille);
   }
+  for (const auto& [pool, per_s] : beacon.demand) {
+    proto::PoolDemand* demand = message.add_demand();
+    demand->set_pool(pool.Get());
+    demand->set_per_s(per_s);
+  }
   return message.SerializeAsString();
 }
 
 std::optional<BeaconInfo> DecodeBeacon(std::string_view bytes) {
   proto::Beacon message;
   if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) return std::nullopt;
-  if (message.vm().empty() || message.entries_size() > kMaxNamed || message.fetches_size() > kMaxFetches) {
-    return std::nullopt;
-  }
+  const bool is_bounded = message.entries_size() <= kMaxNamed && message.fetches_size() <= kMaxFetches &&
+                          message.demand_size() <= kMaxPools;
+  if (message.vm().empty() || !is_bounded) return std::nullopt;
   BeaconInfo beacon;
   beacon.vm = VmId(message.vm());
   beacon.zone = ZoneName(message.zone());
@@ -84,6 +91,9 @@
     fetch.permille = state.permille();
     beacon.fetches.push_back(std::move(fetch));
   }
+  for (const proto::PoolDemand& demand : message.demand()) {
+    if (std::isfinite(demand.per_s())) beacon.demand[PoolName(demand.pool())] = demand.per_s();
+  }
   return beacon;
 }
 
--- a/src/beacon_book.h
+++ b/src/beacon_book.h
@@ -29,6 +29,8 @@
   std::optional<EndpointLoad> load;
   // Weights that it fetches and how much of them it has.
   std::vector<HoldingInfo> fetches;
+  // Requests/s that callers offer to an entry, for each pool.
+  std::map<PoolName, double> demand;
 };
 
 // Encodes and decodes beacons. Decoding returns nothing for bytes that are no beacon.
--- a/src/endpoint_board.cpp
+++ b/src/endpoint_board.cpp
@@ -8,11 +8,12 @@
 
 // A report older than this says nothing about the present load; requests last about as long.
 constexpr Duration kReportLife = Milliseconds(1500);
-// Requests beyond its slots that an endpoint may queue, so that it need not wait for the entry after each answer.
+// Requests beyond its slots that an endpoint may queue, so that it need not wait for a lone entry after each answer.
 constexpr uint32_t kQueueAhead = 1;
-// Without reports each entry takes this multiple of its even share of an endpoint's slots, since entries get uneven
-// parts of the traffic.
+// Without reports each entry takes this multiple of its own slots.
 constexpr double kBlindShare = 1.5;
+// Requests beyond its slots that an endpoint gets while entries that lent slots take them back.
+constexpr uint32_t kTakenBackAhead = 2;
 // What a step away from the entry's own zone counts, in milliseconds to the first event. Bytes between zones and
 // regions are scarce, and the load of farther endpoints is known less well.
 constexpr double kZonePenaltyMs = 20;
@@ -77,6 +78,7 @@
     m_pools[info.pool].push_back(&state);
   }
   std::erase_if(m_states, [](const auto& entry) { return !entry.second.is_listed && entry.second.own == 0; });
+  SplitSlots();
   if (m_fleet->routing == nullptr) return;
   for (const PoolSpec& pool : m_fleet->routing->pools) {
     const auto states = m_pools.find(pool.name);
@@ -88,7 +90,20 @@
   }
 }
 
-void EndpointBoard::SetEntryCount(uint32_t count) { m_entries = std::max(1U, count); }
+void EndpointBoard::SetEntries(std::vector<EntryDemand> entries) {
+  m_entries = std::move(entries);
+  SplitSlots();
+}
+
+void EndpointBoard::SplitSlots() {
+  for (const auto& [pool, states] : m_pools) {
+    const ShareRange range = GetShareRange(m_entries, m_options.self, pool);
+    for (State* state : states) {
+      state->share = range.to - range.from;
+      state->own_slots = GetOwnSlots(range, state->info.id, std::max(1U, state->info.slots));
+    }
+  }
+}
 
 void EndpointBoard::OnLoad(const EndpointLoad& load) {
   const auto found = m_states.find(load.endpoint);
@@ -102,6 +117,7 @@
   // Requests that were not there at the last report have prompts that are being read.
   state.others_unread = HasFreshReport(state, now) ? newcomers * usual_prompt : 0;
   state.others = others;
+  state.quota = ComputeQuota(state, total);
   if (load.slowness > 0) state.slowness = load.slowness;
   state.report_at = now;
   state.has_report = true;
@@ -117,16 +133,30 @@
   return state.own + (HasFreshReport(state, now) ? state.others : 0);
 }
 
-uint32_t EndpointBoard::GetLimit(const State& state, TimePoint now) const {
+bool EndpointBoard::IsFull(const State& state, TimePoint now) const {
+  const uint32_t slots = std::max(1U, state.info.slots);
+  const uint32_t load = GetLoad(state, now);
+  if (m_entries.size() < 2) return load >= slots + kQueueAhead;
+  if (!HasFreshReport(state, now)) {
+    return state.own >= std::max(1U, static_cast<uint32_t>(std::lround(kBlindShare * state.own_slots)));
+  }
+  if (state.own < state.own_slots) return load >= slots + kTakenBackAhead;
+  return state.own >= state.quota || load >= slots;
+}
+
+// If each entry takes at most its part of what a report shows as free, all together take no more than is free. Above
+// the slots, those that use more than their own give way.
+uint32_t EndpointBoard::ComputeQuota(const State& state, uint32_t total) {
   const uint32_t slots = std::max(1U, state.info.slots);
-  if (HasFreshReport(state, now) || m_entries == 1) return slots + kQueueAhead;
-  const double share = kBlindShare * static_cast<double>(slots) / m_entries;
-  return std::max(1U, static_cast<uint32_t>(std::lround(share)));
+  if (total > slots) return std::max(state.own_slots, state.own - std::min(state.own, total - slots));
+  // Rounded at random, so that small parts get a whole slot now and then.
+  const double part = state.share * (slots - total) + m_random.GetUnit();
+  return std::max(state.own_slots, state.own + static_cast<uint32_t>(part));
 }
 
 void EndpointBoard::Refill(State& state, TimePoint now) const {
   const bool is_cold = state.info.cold_until > now;
-  const double rate = state.cold_per_s * (is_cold ? kColdShare : kWarmShare) / m_entries;
+  const double rate = state.cold_per_s * (is_cold ? kColdShare : kWarmShare) / std::max<size_t>(1, m_entries.size());
   const double elapsed_s = std::chrono::duration<double>(now - state.tokens_at).count();
   state.tokens = std::min(kPaceBurst, state.tokens + elapsed_s * rate);
   state.tokens_at = now;
@@ -152,7 +182,7 @@
   if (state.pause_until > now) return Fit::kBusy;
   if (state.is_switching && HasFreshReport(state, now)) return Fit::kBusy;
   if (!HasVersion(state, query)) return Fit::kBusy;
-  if (GetLoad(state, now) >= GetLimit(state, now)) return Fit::kBusy;
+  if (IsFull(state, now)) return Fit::kBusy;
   if (state.cold_per_s > 0) {
     Refill(state, now);
     if (state.tokens < 1) return Fit::kBusy;
--- a/src/endpoint_board.h
+++ b/src/endpoint_board.h
@@ -13,6 +13,7 @@
 #include "fleet_type.h"
 #include "random.h"
 #include "route_match.h"
+#include "slot_share.h"
 
 namespace plantain {
 
@@ -48,6 +49,8 @@
 };
 
 struct BoardOptions {
+  // This entry.
+  VmId self;
   ZoneName zone;
   RegionName region;
 };
@@ -96,8 +99,8 @@
   EndpointBoard(const Clock& clock, Random& random, BoardOptions options);
 
   void SetFleet(std::shared_ptr<const FleetView> fleet);
-  // Number of entries that send to the same endpoints, this one included.
-  void SetEntryCount(uint32_t count);
+  // The entries that send to the same endpoints, this one included.
+  void SetEntries(std::vector<EntryDemand> entries);
   void OnLoad(const EndpointLoad& load);
 
   EndpointChoice Choose(const EndpointQuery& query);
@@ -120,6 +123,11 @@
     double cold_per_s = 0;
     std::optional<EngineSpec> engine;
     uint32_t own = 0;
+    // This entry's part of the endpoint, and the slots that it may fill whatever the others do.
+    double share = 1;
+    uint32_t own_slots = 1;
+    // Most requests of this entry until the next report: its own slots, or what it has and its part of the free ones.
+    uint32_t quota = 1;
     // Prompt tokens of own requests that the endpoint has not read yet.
     uint64_t own_unread = 0;
     // The same of requests of other entries, as of the last report.
@@ -157,7 +165,9 @@
   double GetExpectedMs(const State& state, uint32_t prompt_tokens, TimePoint now) const;
   double GetScoreMs(const State& state, const EndpointQuery& query, TimePoint now) const;
   uint32_t GetLoad(const State& state, TimePoint now) const;
-  uint32_t GetLimit(const State& state, TimePoint now) const;
+  bool IsFull(const State& state, TimePoint now) const;
+  void SplitSlots();
+  uint32_t ComputeQuota(const State& state, uint32_t total);
   bool HasFreshReport(const State& state, TimePoint now) const;
   void Refill(State& state, TimePoint now) const;
   void NoteOutcome(State& state, bool is_error);
@@ -169,7 +179,7 @@
   std::shared_ptr<const FleetView> m_fleet;
   std::map<EndpointId, State> m_states;
   std::map<PoolName, std::vector<State*>> m_pools;
-  uint32_t m_entries = 1;
+  std::vector<EntryDemand> m_entries;
 };
 
 }  // namespace plantain
--- a/src/fleet_relay.cpp
+++ b/src/fleet_relay.cpp
@@ -70,6 +70,8 @@
   m_listeners.push_back(std::move(listener));
 }
 
+void FleetRelay::AddBeaconFiller(std::function<void(BeaconInfo&)> filler) { m_fillers.push_back(std::move(filler)); }
+
 void FleetRelay::OnDatagram(std::string_view data) {
   std::optional<BeaconInfo> beacon = DecodeBeacon(data);
   if (!beacon.has_value()) return;
@@ -94,6 +96,7 @@
   beacon.entries = m_book.GetEntries();
   if (m_options.is_entry) beacon.entries.push_back(m_options.vm);
   m_source.FillBeacon(beacon);
+  for (const auto& filler : m_fillers) filler(beacon);
   const std::string data = EncodeBeacon(beacon);
   const bool is_far_turn = m_sequence % kFarDivisor == 1;
   for (const VmId& target : m_book.GetTargets(kMaxTargets)) {
--- a/src/fleet_relay.h
+++ b/src/fleet_relay.h
@@ -59,6 +59,9 @@
   // Calls `listener` for each beacon taken.
   void AddBeaconListener(std::function<void(const BeaconInfo&)> listener);
 
+  // Adds what is asked, besides the source, for its part of each beacon.
+  void AddBeaconFiller(std::function<void(BeaconInfo&)> filler);
+
  private:
   void OnDatagram(std::string_view data);
   void SendBeacons();
@@ -75,6 +78,7 @@
   const RelayOptions m_options;
   BeaconBook m_book;
   std::vector<std::function<void(const BeaconInfo&)>> m_listeners;
+  std::vector<std::function<void(BeaconInfo&)>> m_fillers;
   std::function<std::optional<HttpResponse>(const HttpRequest&)> m_content;
   std::unique_ptr<UdpSocket> m_socket;
   std::unique_ptr<HttpServer> m_server;
--- a/src/forward_service.cpp
+++ b/src/forward_service.cpp
@@ -22,6 +22,7 @@
 
 ForwardOptions ReadOptions(const ProcessParts& parts) {
   ForwardOptions options;
+  options.board.self = parts.vm;
   options.board.zone = parts.zone;
   options.board.region = RegionName(parts.settings.GetText("vm.region"));
   options.retry_share = parts.settings.GetNumber("retry.share");
@@ -69,6 +70,7 @@
   m_server->SetLimits(MakeLimits(CallerLimits()));
   mirror.AddFleetListener([this](const std::shared_ptr<const FleetView>& fleet) { OnFleet(fleet); });
   relay.AddBeaconListener([this](const BeaconInfo& beacon) { OnBeacon(beacon); });
+  relay.AddBeaconFiller([this](BeaconInfo& beacon) { FillBeacon(beacon); });
 }
 
 ForwardService::~ForwardService() = default;
@@ -100,13 +102,23 @@
   if (beacon.load.has_value()) m_loads.push_back(*beacon.load);
 }
 
+void ForwardService::FillBeacon(BeaconInfo& beacon) {
+  const std::lock_guard lock(m_demand_mutex);
+  beacon.demand = m_demand;
+}
+
 void ForwardService::PassLoads() {
-  const auto entries = static_cast<uint32_t>(m_relay.GetBook().GetEntries().size() + 1);
   if (m_loads.empty()) return;
-  m_loop.Post([this, entries, loads = std::exchange(m_loads, {})] {
+  std::vector<EntryDemand> others;
+  for (const BeaconInfo* beacon : m_relay.GetBook().GetHeard()) {
+    if (beacon->is_entry) others.push_back({beacon->vm, beacon->demand});
+  }
+  m_loop.Post([this, others = std::move(others), loads = std::exchange(m_loads, {})]() mutable {
     if (m_traffic == nullptr) return;
-    m_traffic->SetEntryCount(entries);
+    m_traffic->SetOtherEntries(std::move(others));
     m_traffic->OnLoad(loads);
+    const std::lock_guard lock(m_demand_mutex);
+    m_demand = m_traffic->GetDemand();
   });
 }
 
--- a/src/forward_service.h
+++ b/src/forward_service.h
@@ -5,7 +5,9 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <vector>
 
 #include "admin_http.h"
@@ -35,6 +37,7 @@
 
   void OnFleet(const std::shared_ptr<const FleetView>& fleet);
   void OnBeacon(const BeaconInfo& beacon);
+  void FillBeacon(BeaconInfo& beacon);
   void PassLoads();
   void Tick();
   void CheckDrained();
@@ -51,6 +54,9 @@
   std::unique_ptr<HttpServer> m_server;
   std::unique_ptr<Timer> m_tick_timer;
   std::atomic<size_t> m_in_flight = 0;
+  // Written on the traffic loop, read on the control thread.
+  std::mutex m_demand_mutex;
+  std::map<PoolName, double> m_demand;
   // Control thread.
   std::vector<EndpointLoad> m_loads;
   std::unique_ptr<Timer> m_load_timer;
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -57,7 +57,16 @@
   for (const auto& [pool, state] : m_pools) PumpPool(pool);
 }
 
-void ForwardTraffic::SetEntryCount(uint32_t count) { m_board.SetEntryCount(count); }
+void ForwardTraffic::SetOtherEntries(std::vector<EntryDemand> entries) {
+  entries.push_back({m_options.board.self, GetDemand()});
+  m_board.SetEntries(std::move(entries));
+}
+
+std::map<PoolName, double> ForwardTraffic::GetDemand() const {
+  std::map<PoolName, double> demand;
+  for (const auto& [pool, state] : m_pools) demand[pool] = state.demand.Get(m_clock.GetNow()).value_or(0);
+  return demand;
+}
 
 void ForwardTraffic::OnLoad(const std::vector<EndpointLoad>& loads) {
   for (const EndpointLoad& load : loads) m_board.OnLoad(load);
@@ -131,6 +140,7 @@
   m_runs.emplace(ticket, run);
   m_metrics.SetInFlight(m_runs.size());
   GetPool(pool).budget->OnFirstAttempt();
+  GetPool(pool).demand.Count(m_clock.GetNow());
   run->WatchCaller();
   Enqueue(*run);
 }
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -10,6 +10,7 @@
 
 #include "clock.h"
 #include "endpoint_board.h"
+#include "event_rate.h"
 #include "forward_metrics.h"
 #include "forward_run.h"
 #include "forward_type.h"
@@ -43,7 +44,8 @@
   ForwardTraffic& operator=(const ForwardTraffic&) = delete;
 
   void SetFleet(const std::shared_ptr<const FleetView>& fleet);
-  void SetEntryCount(uint32_t count);
+  // The other entries and their demand.
+  void SetOtherEntries(std::vector<EntryDemand> entries);
   void OnLoad(const std::vector<EndpointLoad>& loads);
 
   void HandleHttp(HttpRequest http, const std::shared_ptr<HttpResponder>& responder);
@@ -60,10 +62,17 @@
 
   size_t GetInFlight() const { return m_runs.size(); }
 
+  // Requests/s that callers offered lately, for each pool.
+  std::map<PoolName, double> GetDemand() const;
+
  private:
+  // Time over which offered requests are counted: longer than the gaps in a small entry's traffic.
+  static constexpr Duration kDemandMemory = std::chrono::seconds(2);
+
   struct PoolState {
     WaitRoom room;
     std::unique_ptr<RetryBudget> budget;
+    EventRate demand{kDemandMemory};
   };
 
   void Refuse(const ForwardRequest& request, const std::shared_ptr<HttpResponder>& responder, ForwardFailure failure,
--- /dev/null
+++ b/src/slot_share.cpp
@@ -0,0 +1,53 @@
+#include "slot_share.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+#include "rendezvous.h"
+
+namespace plantain {
+namespace {
+
+// What an entry without demand gets, as a share of an even part.
+constexpr double kLeastShare = 0.1;
+
+double GetDemand(const EntryDemand& entry, const PoolName& pool) {
+  const auto found = entry.per_s.find(pool);
+  return found == entry.per_s.end() ? 0 : std::max(0.0, found->second);
+}
+
+}  // namespace
+
+ShareRange GetShareRange(const std::vector<EntryDemand>& entries, const VmId& self, const PoolName& pool) {
+  double sum = 0;
+  bool is_listed = false;
+  for (const EntryDemand& entry : entries) {
+    sum += GetDemand(entry, pool);
+    is_listed = is_listed || entry.entry == self;
+  }
+  if (!is_listed || entries.size() < 2) return {};
+  const double least = sum > 0 ? kLeastShare * sum / static_cast<double>(entries.size()) : 1;
+  double total = 0;
+  double before = 0;
+  double own = 0;
+  for (const EntryDemand& entry : entries) {
+    const double width = std::max(least, GetDemand(entry, pool));
+    total += width;
+    if (entry.entry < self) before += width;
+    if (entry.entry == self) own = width;
+  }
+  return {before / total, (before + own) / total};
+}
+
+uint32_t GetOwnSlots(const ShareRange& range, const EndpointId& endpoint, uint32_t slots) {
+  const double shift =
+      static_cast<double>(HashName(endpoint.Get())) / static_cast<double>(std::numeric_limits<uint64_t>::max());
+  // Sums of widths may miss 1 by a rounding error.
+  constexpr double kRounding = 1e-9;
+  const double first = std::floor(range.from * slots + shift + kRounding);
+  const double last = std::floor(range.to * slots + shift + kRounding);
+  return static_cast<uint32_t>(std::max(0.0, last - first));
+}
+
+}  // namespace plantain
--- a/src/wait_room.h
+++ b/src/wait_room.h
@@ -28,10 +28,10 @@
 };
 
 // Orders waiting requests: those that can still be in time first, then by priority, then by arrival. One pick in a few
-// goes to the longest waiting one of those in time regardless of priority, so that no priority starves while more urgent
-// ones fill all places. Late ones get what is left over: a place spent on one of them makes a newcomer late too. Under
-// overload each request is refused as soon as it is clear that its turn comes too late, which leaves places to those whose
-// answers are still in time.
+// goes to the longest waiting one of those in time regardless of priority, so that no priority starves while more
+// urgent ones fill all places. Late ones get what is left over: a place spent on one of them makes a newcomer late too.
+// Under overload each request is refused as soon as it is clear that its turn comes too late, which leaves places to
+// those whose answers are still in time.
 class WaitRoom {
  public:
   // Returns whether a request that arrives now can expect its turn before `wait_until`.
--- a/tests/endpoint_board_test.cpp
+++ b/tests/endpoint_board_test.cpp
@@ -1,6 +1,9 @@
 #include "endpoint_board.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <deque>
+#include <numeric>
 
 #include "forward_fake.h"
 
@@ -9,7 +12,7 @@
 
 struct Board {
   explicit Board(std::vector<EndpointInfo> endpoints)
-      : random(20261204), board(clock, random, {ZoneName("praha"), RegionName("praha")}) {
+      : random(20261204), board(clock, random, {VmId("self"), ZoneName("praha"), RegionName("praha")}) {
     fleet = MakeFleet(std::move(endpoints));
     board.SetFleet(fleet);
   }
@@ -142,6 +145,113 @@
   }
 }
 
+BoardOptions MakeOptions(size_t entry) {
+  return {VmId("entry-" + std::to_string(entry)), ZoneName("praha"), RegionName("praha")};
+}
+
+std::vector<EntryDemand> MakeEntries(const std::vector<double>& demands) {
+  std::vector<EntryDemand> entries;
+  for (const double demand : demands) entries.push_back({MakeOptions(entries.size()).self, {{kEnginePool, demand}}});
+  return entries;
+}
+
+// The load in which every entry has requests waiting all the time, at one endpoint whose reports come now and then.
+struct Saturation {
+  static constexpr Duration kStep = Milliseconds(5);
+  static constexpr Duration kAnswer = Milliseconds(900);
+  static constexpr Duration kReportPeriod = Milliseconds(200);
+  static constexpr uint32_t kSlots = 16;
+
+  explicit Saturation(const std::vector<double>& demands) : random(20261204) {
+    const auto fleet = MakeFleet({MakeEndpoint("e1", kEnginePool, "praha", kSlots)});
+    for (size_t i = 0; i < demands.size(); ++i) {
+      boards.push_back(std::make_unique<EndpointBoard>(clock, random, MakeOptions(i)));
+      boards.back()->SetFleet(fleet);
+      boards.back()->SetEntries(MakeEntries(demands));
+    }
+    sent.resize(demands.size());
+    m_query.pool = kEnginePool;
+    m_query.rule = &m_rule;
+    m_query.model = kVeilModel;
+  }
+
+  void Run(Duration length) {
+    for (const TimePoint end = clock.GetNow() + length; clock.GetNow() < end; clock.Advance(kStep)) {
+      FinishDue();
+      Report();
+      for (size_t i = 0; i < boards.size(); ++i) Send(i);
+      most = std::max(most, m_running.size());
+    }
+  }
+
+  VirtualClock clock;
+  SeededRandom random;
+  std::vector<std::unique_ptr<EndpointBoard>> boards;
+  std::vector<int> sent;
+  // Most requests at the endpoint at one time.
+  size_t most = 0;
+
+ private:
+  struct Running {
+    size_t entry;
+    TimePoint ends_at;
+  };
+
+  void FinishDue() {
+    while (!m_running.empty() && m_running.front().ends_at <= clock.GetNow()) {
+      boards[m_running.front().entry]->OnEnded(EndpointId("e1"), AttemptEnd::kSuccess);
+      m_running.pop_front();
+    }
+  }
+
+  void Report() {
+    if (clock.GetNow() < m_report_at) return;
+    m_report_at = clock.GetNow() + kReportPeriod;
+    const auto total = static_cast<uint32_t>(m_running.size());
+    const uint32_t in_slots = std::min(total, kSlots);
+    for (const auto& board : boards) board->OnLoad({EndpointId("e1"), in_slots, total - in_slots, false, 1, {}});
+  }
+
+  void Send(size_t entry) {
+    while (boards[entry]->Choose(m_query).endpoint != nullptr) {
+      boards[entry]->OnSent(EndpointId("e1"), 0);
+      // Prompts differ, so that answers do not end together.
+      m_running.push_back({entry, clock.GetNow() + kAnswer + Milliseconds(m_running.size() % 5)});
+      ++sent[entry];
+    }
+  }
+
+  RouteRule m_rule;
+  EndpointQuery m_query;
+  std::deque<Running> m_running;
+  TimePoint m_report_at;
+};
+
+// Guards against entries that see the same free slot and fill an endpoint beyond its slots, so that all of their
+// requests wait there and are late.
+TEST_CASE("Entries that all have requests waiting fill an endpoint and no more") {
+  SECTION("with equal demand") {
+    Saturation load({50, 50, 50, 50});
+    load.Run(std::chrono::seconds(20));
+    CHECK(load.most <= Saturation::kSlots + 1);
+    // 16 slots, 900 ms an answer.
+    const int total = std::accumulate(load.sent.begin(), load.sent.end(), 0);
+    CHECK(total > 320);
+  }
+  SECTION("in proportion to their demand") {
+    Saturation load({150, 50, 50, 50});
+    load.Run(std::chrono::seconds(20));
+    CHECK(load.most <= Saturation::kSlots + 1);
+    CHECK(load.sent[0] > 2 * load.sent[1]);
+    CHECK(load.sent[3] > 40);
+  }
+  SECTION("and one takes what the others do not use") {
+    Saturation load({50, 0});
+    load.Run(std::chrono::seconds(5));
+    CHECK(load.most >= 12);
+  }
+}
+
 // Guards against a cold endpoint that all entries together send more than it bears.
 TEST_CASE("Entries together stay below the rate of a cold endpoint") {
   const uint32_t entries = GENERATE(1U, 4U, 7U);
@@ -156,9 +266,8 @@
   fleet->endpoints[0].cold_until = clock.GetNow() + std::chrono::seconds(30);
   std::vector<std::unique_ptr<EndpointBoard>> boards;
   for (uint32_t i = 0; i < entries; ++i) {
-    boards.push_back(
-        std::make_unique<EndpointBoard>(clock, random, BoardOptions{ZoneName("praha"), RegionName("praha")}));
-    boards.back()->SetEntryCount(entries);
+    boards.push_back(std::make_unique<EndpointBoard>(clock, random, MakeOptions(i)));
+    boards.back()->SetEntries(MakeEntries(std::vector<double>(entries, 1)));
     boards.back()->SetFleet(fleet);
   }
   RouteRule rule;
--- a/tests/wait_room_test.cpp
+++ b/tests/wait_room_test.cpp
@@ -67,8 +67,8 @@
   }
 }
 
-// The load of an hour in which endpoints can begin two thirds of what is offered, and each caller that was refused comes
-// back once, too late for its goal.
+// The load of an hour in which endpoints can begin two thirds of what is offered, and each caller that was refused
+// comes back once, too late for its goal.
 struct Overload {
   static constexpr Duration kStep = Milliseconds(10);
   static constexpr Duration kOnTimeWait = Milliseconds(180);
