Let the owner of a relay register as its source of beacons

Cause: the split of slots added a second way to fill beacons beside BeaconSource, because the entry is built after its relay. Each round also computed the demand twice.

Change: the relay is built first and gets its source by SetBeaconSource, as it gets listeners and content. The demand is computed once.

--- a/src/fleet_relay.cpp
+++ b/src/fleet_relay.cpp
@@ -26,11 +26,10 @@
 
 }  // namespace
 
-FleetRelay::FleetRelay(Loop& loop, const Clock& clock, FleetMirror& mirror, BeaconSource& source, RelayOptions options)
+FleetRelay::FleetRelay(Loop& loop, const Clock& clock, FleetMirror& mirror, RelayOptions options)
     : m_loop(loop),
       m_clock(clock),
       m_mirror(mirror),
-      m_source(source),
       m_options(std::move(options)),
       m_book(clock, BeaconOptions{m_options.vm, m_options.zone, Milliseconds(2500), m_options.seeds}) {
   mirror.AddFleetListener([this](const std::shared_ptr<const FleetView>&) { OnFleet(); });
@@ -70,8 +69,6 @@
   m_listeners.push_back(std::move(listener));
 }
 
-void FleetRelay::AddBeaconFiller(std::function<void(BeaconInfo&)> filler) { m_fillers.push_back(std::move(filler)); }
-
 void FleetRelay::OnDatagram(std::string_view data) {
   std::optional<BeaconInfo> beacon = DecodeBeacon(data);
   if (!beacon.has_value()) return;
@@ -95,8 +92,7 @@
   beacon.directory_revision = m_mirror.GetRecords(FleetTopic::kDirectory).GetRevision();
   beacon.entries = m_book.GetEntries();
   if (m_options.is_entry) beacon.entries.push_back(m_options.vm);
-  m_source.FillBeacon(beacon);
-  for (const auto& filler : m_fillers) filler(beacon);
+  if (m_source != nullptr) m_source->FillBeacon(beacon);
   const std::string data = EncodeBeacon(beacon);
   const bool is_far_turn = m_sequence % kFarDivisor == 1;
   for (const VmId& target : m_book.GetTargets(kMaxTargets)) {
@@ -104,7 +100,8 @@
     m_socket->Send({IpAddress(target.Get()), m_options.port}, data);
   }
   if (!is_far_turn && m_options.is_entry) return;
-  for (const VmId& target : m_source.GetBeaconTargets()) {
+  if (m_source == nullptr) return;
+  for (const VmId& target : m_source->GetBeaconTargets()) {
     m_socket->Send({IpAddress(target.Get()), m_options.port}, data);
   }
 }
--- a/src/fleet_relay.h
+++ b/src/fleet_relay.h
@@ -17,7 +17,8 @@
 
 namespace plantain {
 
-// Asked before each beacon for what only this kind of process knows.
+// Asked before each beacon for what only this kind of process knows. Registers itself with the relay that it is built
+// from.
 class BeaconSource {
  public:
   virtual ~BeaconSource() = default;
@@ -40,7 +41,7 @@
 // Runs on the control thread.
 class FleetRelay : public Service {
  public:
-  FleetRelay(Loop& loop, const Clock& clock, FleetMirror& mirror, BeaconSource& source, RelayOptions options);
+  FleetRelay(Loop& loop, const Clock& clock, FleetMirror& mirror, RelayOptions options);
 
   absl::Status Start() override;
   void Stop() override;
@@ -59,8 +60,8 @@
   // Calls `listener` for each beacon taken.
   void AddBeaconListener(std::function<void(const BeaconInfo&)> listener);
 
-  // Adds what is asked, besides the source, for its part of each beacon.
-  void AddBeaconFiller(std::function<void(BeaconInfo&)> filler);
+  // Sets what is asked before each beacon. Call before Start.
+  void SetBeaconSource(BeaconSource& source) { m_source = &source; }
 
  private:
   void OnDatagram(std::string_view data);
@@ -74,11 +75,10 @@
   Loop& m_loop;
   const Clock& m_clock;
   FleetMirror& m_mirror;
-  BeaconSource& m_source;
+  BeaconSource* m_source = nullptr;
   const RelayOptions m_options;
   BeaconBook m_book;
   std::vector<std::function<void(const BeaconInfo&)>> m_listeners;
-  std::vector<std::function<void(BeaconInfo&)>> m_fillers;
   std::function<std::optional<HttpResponse>(const HttpRequest&)> m_content;
   std::unique_ptr<UdpSocket> m_socket;
   std::unique_ptr<HttpServer> m_server;
--- a/src/forward_service.cpp
+++ b/src/forward_service.cpp
@@ -70,7 +70,7 @@
   m_server->SetLimits(MakeLimits(CallerLimits()));
   mirror.AddFleetListener([this](const std::shared_ptr<const FleetView>& fleet) { OnFleet(fleet); });
   relay.AddBeaconListener([this](const BeaconInfo& beacon) { OnBeacon(beacon); });
-  relay.AddBeaconFiller([this](BeaconInfo& beacon) { FillBeacon(beacon); });
+  relay.SetBeaconSource(*this);
 }
 
 ForwardService::~ForwardService() = default;
@@ -107,18 +107,29 @@
   beacon.demand = m_demand;
 }
 
+std::vector<VmId> ForwardService::GetBeaconTargets() const {
+  std::vector<VmId> targets;
+  for (const BeaconInfo* beacon : m_relay.GetBook().GetHeard()) {
+    if (!beacon->is_entry) targets.push_back(beacon->vm);
+  }
+  return targets;
+}
+
 void ForwardService::PassLoads() {
   if (m_loads.empty()) return;
-  std::vector<EntryDemand> others;
+  std::vector<EntryDemand> entries;
   for (const BeaconInfo* beacon : m_relay.GetBook().GetHeard()) {
-    if (beacon->is_entry) others.push_back({beacon->vm, beacon->demand});
+    if (beacon->is_entry) entries.push_back({beacon->vm, beacon->demand});
   }
-  m_loop.Post([this, others = std::move(others), loads = std::exchange(m_loads, {})]() mutable {
+  m_loop.Post([this, entries = std::move(entries), loads = std::exchange(m_loads, {})]() mutable {
     if (m_traffic == nullptr) return;
-    m_traffic->SetOtherEntries(std::move(others));
+    entries.push_back({m_parts.vm, m_traffic->GetDemand()});
+    {
+      const std::lock_guard lock(m_demand_mutex);
+      m_demand = entries.back().per_s;
+    }
+    m_traffic->SetEntries(std::move(entries));
     m_traffic->OnLoad(loads);
-    const std::lock_guard lock(m_demand_mutex);
-    m_demand = m_traffic->GetDemand();
   });
 }
 
--- a/src/forward_service.h
+++ b/src/forward_service.h
@@ -20,7 +20,7 @@
 namespace plantain {
 
 // Serves callers on the traffic loop, fed with the fleet's state and load from the control thread.
-class ForwardService : public Service, public Drainable, public AdminSource {
+class ForwardService : public Service, public Drainable, public AdminSource, public BeaconSource {
  public:
   ForwardService(ProcessParts& parts, FleetMirror& mirror, FleetRelay& relay, const CallerProtocol& protocol);
   ~ForwardService() override;
@@ -32,12 +32,16 @@
   Readiness GetReadiness() const override;
   std::string GetStatusJson() const override;
 
+  // Tells the demand of this entry's callers.
+  void FillBeacon(BeaconInfo& beacon) override;
+  // All agents heard, so that they find this entry.
+  std::vector<VmId> GetBeaconTargets() const override;
+
  private:
   class Sender;
 
   void OnFleet(const std::shared_ptr<const FleetView>& fleet);
   void OnBeacon(const BeaconInfo& beacon);
-  void FillBeacon(BeaconInfo& beacon);
   void PassLoads();
   void Tick();
   void CheckDrained();
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -57,11 +57,6 @@
   for (const auto& [pool, state] : m_pools) PumpPool(pool);
 }
 
-void ForwardTraffic::SetOtherEntries(std::vector<EntryDemand> entries) {
-  entries.push_back({m_options.board.self, GetDemand()});
-  m_board.SetEntries(std::move(entries));
-}
-
 std::map<PoolName, double> ForwardTraffic::GetDemand() const {
   std::map<PoolName, double> demand;
   for (const auto& [pool, state] : m_pools) demand[pool] = state.demand.Get(m_clock.GetNow()).value_or(0);
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "clock.h"
@@ -44,8 +45,8 @@
   ForwardTraffic& operator=(const ForwardTraffic&) = delete;
 
   void SetFleet(const std::shared_ptr<const FleetView>& fleet);
-  // The other entries and their demand.
-  void SetOtherEntries(std::vector<EntryDemand> entries);
+  // All entries and their demand, this one included.
+  void SetEntries(std::vector<EntryDemand> entries) { m_board.SetEntries(std::move(entries)); }
   void OnLoad(const std::vector<EndpointLoad>& loads);
 
   void HandleHttp(HttpRequest http, const std::shared_ptr<HttpResponder>& responder);
