Compare header names and read failure names in one place

Cause: HttpHeaders::Find compared names by itself beside IsSameFieldName, and the story of a request spelled the names of failures and attempt ends that forward_type and forward_metrics already define, so a renamed one would have been missed.

Change: IsSameFieldName moves to http_type and serves both; ParseForwardFailure inverts GetForwardFailureName, and the story switches over the enumeration.

--- a/src/forward_type.cpp
+++ b/src/forward_type.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 #include <cstdio>
 
 namespace plantain {
@@ -28,12 +27,6 @@
 
 }  // namespace
 
-bool IsSameFieldName(std::string_view a, std::string_view b) {
-  return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](unsigned char x, unsigned char y) {
-           return std::tolower(x) == std::tolower(y);
-         });
-}
-
 bool IsHopField(std::string_view name) {
   return std::any_of(kHopFields.begin(), kHopFields.end(),
                      [&](std::string_view field) { return IsSameFieldName(field, name); });
@@ -78,6 +71,15 @@
   return "unknown";
 }
 
+std::optional<ForwardFailure> ParseForwardFailure(std::string_view name) {
+  for (auto number = static_cast<int>(ForwardFailure::kNone); number <= static_cast<int>(ForwardFailure::kCallerGone);
+       ++number) {
+    const auto failure = static_cast<ForwardFailure>(number);
+    if (GetForwardFailureName(failure) == name) return failure;
+  }
+  return std::nullopt;
+}
+
 int GetForwardFailureStatus(ForwardFailure failure) {
   switch (failure) {
     case ForwardFailure::kMalformed:
--- a/src/forward_type.h
+++ b/src/forward_type.h
@@ -76,9 +76,6 @@
   virtual AnswerHead ReadAnswer(const RequestId& id, int status, const HttpHeaders& headers) const = 0;
 };
 
-// Returns whether two names of header fields are the same, which compare without regard to case.
-bool IsSameFieldName(std::string_view a, std::string_view b);
-
 // Returns whether a header field concerns one connection only and must not be passed on.
 bool IsHopField(std::string_view name);
 
@@ -109,6 +106,9 @@
 // Returns the failure's name as logs and metrics show it.
 std::string_view GetForwardFailureName(ForwardFailure failure);
 
+// Returns the failure of this name, or nothing.
+std::optional<ForwardFailure> ParseForwardFailure(std::string_view name);
+
 // Returns the status that the caller gets. Statuses 503 and 429 promise that the request has not run.
 int GetForwardFailureStatus(ForwardFailure failure);
 
--- a/src/http_type.cpp
+++ b/src/http_type.cpp
@@ -24,9 +24,13 @@
 
 }  // namespace
 
+bool IsSameFieldName(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
 std::string_view HttpHeaders::Find(std::string_view name) const {
   for (const auto& [key, value] : m_fields) {
-    if (key.size() == name.size() && strncasecmp(key.data(), name.data(), name.size()) == 0) return value;
+    if (IsSameFieldName(key, name)) return value;
   }
   return {};
 }
--- a/src/http_type.h
+++ b/src/http_type.h
@@ -12,7 +12,10 @@
 
 namespace plantain {
 
-// Header fields in the order given. Names compare without regard to case.
+// Returns whether two names of header fields are the same, which compare without regard to case.
+bool IsSameFieldName(std::string_view a, std::string_view b);
+
+// Header fields in the order given.
 class HttpHeaders {
  public:
   void Add(std::string name, std::string value) { m_fields.emplace_back(std::move(name), std::move(value)); }
--- a/src/request_story.cpp
+++ b/src/request_story.cpp
@@ -5,6 +5,9 @@
 #include <charconv>
 #include <utility>
 
+#include "forward_metrics.h"
+#include "forward_type.h"
+
 namespace plantain {
 namespace {
 
@@ -196,28 +199,49 @@
 bool RequestStory::IsEndpointFailing() const {
   return std::any_of(m_context.begin(), m_context.end(), [this](const LogLine& line) {
     const bool is_gone = line.event == "endpoint_gone" || line.event == "endpoint_lapsed";
-    const bool is_refusing = line.event == "attempt_failed" && line.Get("end") == "unreachable";
+    const bool is_refusing =
+        line.event == "attempt_failed" && line.Get("end") == GetAttemptEndName(AttemptEnd::kUnreachable);
     return (is_gone || is_refusing) && m_endpoints.contains(line.Get("endpoint"));
   });
 }
 
 StoryCause RequestStory::GetFailureCause(const LogLine& end) const {
-  const std::string_view failure = end.Get("failure");
-  if (failure == "malformed") return StoryCause::kMalformed;
-  if (failure == "no_route") return StoryCause::kNoRoute;
-  if (failure == "unknown_key") return StoryCause::kUnknownKey;
-  if (failure == "no_config") return StoryCause::kNoConfig;
-  if (failure == "draining") return StoryCause::kEntryStopping;
-  if (failure == "caller_gone") return StoryCause::kCallerGone;
-  if (failure == "overloaded") return HasCapacityLoss() ? StoryCause::kCapacityLost : StoryCause::kOverload;
-  if (failure == "no_endpoint") return HasCapacityLoss() ? StoryCause::kCapacityLost : StoryCause::kNoEndpoint;
-  if (failure == "none" || failure.empty()) return StoryCause::kUnknown;
-  // The request was sent and has no good answer.
+  const std::optional<ForwardFailure> failure = ParseForwardFailure(end.Get("failure"));
+  if (!failure.has_value()) return StoryCause::kUnknown;
+  switch (*failure) {
+    case ForwardFailure::kNone:
+      return StoryCause::kUnknown;
+    case ForwardFailure::kMalformed:
+      return StoryCause::kMalformed;
+    case ForwardFailure::kNoRoute:
+      return StoryCause::kNoRoute;
+    case ForwardFailure::kUnknownKey:
+      return StoryCause::kUnknownKey;
+    case ForwardFailure::kNoConfig:
+      return StoryCause::kNoConfig;
+    case ForwardFailure::kDraining:
+      return StoryCause::kEntryStopping;
+    case ForwardFailure::kCallerGone:
+      return StoryCause::kCallerGone;
+    case ForwardFailure::kOverloaded:
+      return HasCapacityLoss() ? StoryCause::kCapacityLost : StoryCause::kOverload;
+    case ForwardFailure::kNoEndpoint:
+      return HasCapacityLoss() ? StoryCause::kCapacityLost : StoryCause::kNoEndpoint;
+    case ForwardFailure::kTimeout:
+      return GetSentCause(true);
+    case ForwardFailure::kUnknownOutcome:
+    case ForwardFailure::kBrokenAnswer:
+      return GetSentCause(false);
+  }
+  return StoryCause::kUnknown;
+}
+
+StoryCause RequestStory::GetSentCause(bool is_timeout) const {
   if (IsEndpointFailing()) return StoryCause::kEndpointCrashed;
   const LogLine* attempt = FindOwn("attempt_failed");
   const std::string_view how = attempt == nullptr ? std::string_view() : attempt->Get("end");
-  if (how == "error") return StoryCause::kEndpointError;
-  if (failure == "timeout" || how == "silent") return StoryCause::kAnswerLost;
+  if (how == GetAttemptEndName(AttemptEnd::kError)) return StoryCause::kEndpointError;
+  if (is_timeout || how == GetAttemptEndName(AttemptEnd::kSilent)) return StoryCause::kAnswerLost;
   return StoryCause::kBrokenAnswer;
 }
 
@@ -225,7 +249,7 @@
   const LogLine* end = FindOwn("request_end");
   if (end == nullptr) end = FindOwn("request_refused");
   if (end == nullptr) return StoryCause::kUnknown;
-  if (end->Get("failure") != "none") return GetFailureCause(*end);
+  if (ParseForwardFailure(end->Get("failure")) != ForwardFailure::kNone) return GetFailureCause(*end);
   if (end->Get("reason") != "complete") return StoryCause::kEndpointError;
   const int64_t first_ms = GetNumber(end->Get("first_ms"), 0);
   const int64_t expected_ms = GetNumber(end->Get("expected_ms"), 0);
--- a/src/request_story.h
+++ b/src/request_story.h
@@ -93,6 +93,8 @@
   bool HasCapacityLoss() const;
   bool IsEndpointFailing() const;
   StoryCause GetFailureCause(const LogLine& end) const;
+  // The cause for a request that was sent and has no good answer.
+  StoryCause GetSentCause(bool is_timeout) const;
 
   const RequestId m_request;
   std::vector<LogLine> m_own;
