--- a/src/core_type.h
+++ b/src/core_type.h
@@ -53,6 +53,9 @@
 // Wall-clock time.
 using WallTime = std::chrono::time_point<std::chrono::system_clock, std::chrono::microseconds>;
 
+// Returns a duration in seconds, as metrics and rates want it.
+inline double ToSeconds(Duration time) { return std::chrono::duration<double>(time).count(); }
+
 }  // namespace plantain
 
 #endif  // PLANTAIN_CORE_TYPE_H_
--- a/src/endpoint_board.cpp
+++ b/src/endpoint_board.cpp
@@ -100,7 +100,7 @@
     const ShareRange range = GetShareRange(m_entries, m_options.self, pool);
     for (State* state : states) {
       state->share = range.to - range.from;
-      state->own_slots = GetOwnSlots(range, state->info.id, std::max(1U, state->info.slots));
+      state->own_slots = GetOwnSlots(range, state->info.id, GetSlots(*state));
     }
   }
 }
@@ -133,8 +133,10 @@
   return state.own + (HasFreshReport(state, now) ? state.others : 0);
 }
 
+uint32_t EndpointBoard::GetSlots(const State& state) { return std::max(1U, state.info.slots); }
+
 bool EndpointBoard::IsFull(const State& state, TimePoint now) const {
-  const uint32_t slots = std::max(1U, state.info.slots);
+  const uint32_t slots = GetSlots(state);
   const uint32_t load = GetLoad(state, now);
   if (m_entries.size() < 2) return load >= slots + kQueueAhead;
   if (!HasFreshReport(state, now)) {
@@ -147,7 +149,7 @@
 // If each entry takes at most its part of what a report shows as free, all together take no more than is free. Above
 // the slots, those that use more than their own give way.
 uint32_t EndpointBoard::ComputeQuota(const State& state, uint32_t total) {
-  const uint32_t slots = std::max(1U, state.info.slots);
+  const uint32_t slots = GetSlots(state);
   if (total > slots) return std::max(state.own_slots, state.own - std::min(state.own, total - slots));
   // Rounded at random, so that small parts get a whole slot now and then.
   const double part = state.share * (slots - total) + m_random.GetUnit();
@@ -216,7 +218,7 @@
   if (!state.engine.has_value()) return 0;
   const EngineSpec& engine = *state.engine;
   const uint32_t load = GetLoad(state, now);
-  const uint32_t slots = std::max(1U, state.info.slots);
+  const uint32_t slots = GetSlots(state);
   const double step_ms = ToMs(engine.step) + std::min(load, slots) * ToMs(engine.step_per_request);
   const double pass_ms = kStepsInPass * step_ms;
   const double read_ms = (GetUnread(state, now) + prompt_tokens) * 1000 / std::max(1.0, engine.read_per_s);
@@ -230,7 +232,7 @@
 
 double EndpointBoard::GetScoreMs(const State& state, const EndpointQuery& query, TimePoint now) const {
   double score = GetExpectedMs(state, query.prompt_tokens, now);
-  score += kRequestPenaltyMs * GetLoad(state, now) * kUsualSlots / std::max(1U, state.info.slots);
+  score += kRequestPenaltyMs * GetLoad(state, now) * kUsualSlots / GetSlots(state);
   if (state.info.zone != m_options.zone) {
     score += state.info.region == m_options.region ? kZonePenaltyMs : kRegionPenaltyMs;
   }
@@ -335,7 +337,7 @@
   for (const State* state : states->second) {
     if (state->info.is_leaving || m_fleet->zones_out.contains(state->info.zone)) continue;
     occupancy.load += GetLoad(*state, now);
-    occupancy.places += std::max(1U, state->info.slots);
+    occupancy.places += GetSlots(*state);
   }
   return occupancy;
 }
--- a/src/endpoint_board.h
+++ b/src/endpoint_board.h
@@ -165,6 +165,8 @@
   double GetExpectedMs(const State& state, uint32_t prompt_tokens, TimePoint now) const;
   double GetScoreMs(const State& state, const EndpointQuery& query, TimePoint now) const;
   uint32_t GetLoad(const State& state, TimePoint now) const;
+  // Slots of an endpoint; one that names none has one.
+  static uint32_t GetSlots(const State& state);
   bool IsFull(const State& state, TimePoint now) const;
   void SplitSlots();
   uint32_t ComputeQuota(const State& state, uint32_t total);
--- a/src/entry_traffic.cpp
+++ b/src/entry_traffic.cpp
@@ -19,8 +19,6 @@
 constexpr double kEndpointQueue = 2;
 constexpr Duration kDrainRetryAfter = Milliseconds(100);
 
-double ToSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
 // Outcomes that come from what the caller sent or did, and say nothing about the service.
 bool IsCallersOwn(EntryFailure outcome) {
   switch (outcome) {
--- a/src/forward_metrics.cpp
+++ b/src/forward_metrics.cpp
@@ -12,8 +12,6 @@
   return buckets;
 }
 
-double ToSeconds(Duration time) { return std::chrono::duration<double>(time).count(); }
-
 }  // namespace
 
 std::string_view GetRequestKindName(RequestKind kind) {
--- a/src/slo_counter.cpp
+++ b/src/slo_counter.cpp
@@ -8,8 +8,6 @@
 // Bounds memory against callers that make up workspace names.
 constexpr size_t kMaxCounters = 4096;
 
-double ToSeconds(Duration time) { return std::chrono::duration<double>(time).count(); }
-
 }  // namespace
 
 SloCounter::SloCounter(Metrics& metrics, const ConfigSource& config) : m_metrics(metrics), m_config(config) {}
--- a/standin/exchange_sim.cpp
+++ b/standin/exchange_sim.cpp
@@ -14,8 +14,6 @@
 constexpr size_t kMaxQueuedPerPeer = 8;
 constexpr size_t kMaxQueued = 24;
 
-double ToSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
 Duration FromSeconds(double seconds) {
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
