--- a/bench/once.py
+++ b/bench/once.py
@@ -154,27 +154,35 @@
     judge(report, results, read_ledgers(fleet))
 
 
-def judge(report, results, ledger):
-    answered = unknown = not_run = false_not_run = different = 0
+def classify(results, ledger):
+    """Returns lists of keys by what became of them; the last three must be empty."""
+    classes = {name: [] for name in ("answered", "not_run", "unknown", "duplicate", "false_not_run", "different")}
+    classes["duplicate"] = [key for key, count in ledger.items() if count > 1]
     for key, answers in results:
         kinds = [kind for kind, _ in answers]
         bodies = {body for kind, body in answers if kind == "answered"}
-        different += len(bodies) > 1
+        if len(bodies) > 1:
+            classes["different"].append(key)
         if "answered" in kinds:
-            answered += 1
+            classes["answered"].append(key)
         elif all(kind == "not_run" for kind in kinds):
-            not_run += 1
-            false_not_run += ledger.get(key, 0) > 0
+            classes["not_run"].append(key)
+            if ledger.get(key, 0) > 0:
+                classes["false_not_run"].append(key)
         else:
-            unknown += 1
+            classes["unknown"].append(key)
+    return classes
+
+
+def judge(report, results, ledger):
+    classes = classify(results, ledger)
     total = len(results)
     report.note("calls", total, total, "keys")
-    report.note("answered_share", total, round(answered / total, 4), "1")
-    report.note("not_run_share", total, round(not_run / total, 4), "1")
-    report.note("unknown_share", total, round(unknown / total, 4), "1")
-    report.bound("duplicate", total, sum(1 for n in ledger.values() if n > 1), "keys", 0)
-    report.bound("false_not_run", total, false_not_run, "keys", 0)
-    report.bound("different_answers", total, different, "keys", 0)
+    for kind in ("answered", "not_run", "unknown"):
+        report.note(f"{kind}_share", total, round(len(classes[kind]) / total, 4), "1")
+    report.bound("duplicate", total, len(classes["duplicate"]), "keys", 0)
+    report.bound("false_not_run", total, len(classes["false_not_run"]), "keys", 0)
+    report.bound("different_answers", total, len(classes["different"]), "keys", 0)
 
 
 def run_rate(fleet, report, seconds):
--- a/scripts/soak_faults.py
+++ b/scripts/soak_faults.py
@@ -1,6 +1,6 @@
 """Faults that the soak injects from outside the product's processes.
 
-A fault is begun and ended by functions of the fleet. `Plan` draws a series of overlapping faults from a seed; two faults
+A fault is begun and ended by functions of the fleet. `draw_plan` draws a series of overlapping faults from a seed; two faults
 that overlap never act on the same thing.
 """
 
