Register weight control once for both platforms

Cause: the hosted agent registered gate, holdings, transfer and weights in the same words as the agent on the stand-ins.

Change: RegisterWeightControl takes the ports, the options and the name of the admission.

--- a/src/weight_services.cpp
+++ b/src/weight_services.cpp
@@ -3,8 +3,6 @@
 #include "chunk_memory.h"
 #include "engine_client.h"
 #include "plain_service.h"
-#include "transfer_service.h"
-#include "weight_control.h"
 #include "weight_http.h"
 
 namespace plantain {
@@ -81,29 +79,37 @@
     options.order_timeout = kOrderTimeout;
     return std::make_unique<EngineClient>(parts.control_loop, options, parts.metrics);
   });
+  RegisterWeightControl(
+      kernel, parts, MakeTransferOptions(parts), [&parts] { return MakePorts(parts); }, MakeControlOptions(parts),
+      "admission");
+}
+
+}  // namespace
+
+void RegisterWeightControl(Kernel& kernel, ProcessParts& parts, const TransferOptions& transfer,
+                           std::function<TransferPorts()> make_ports, const WeightControlOptions& control,
+                           const std::string& admission) {
   kernel.Register("gate", [](Kernel&) { return std::make_unique<EngineGate>(); });
   kernel.Register("holdings", [](Kernel&) { return std::make_unique<HoldingRegistry>(); });
-  kernel.Register("transfer", [&parts](Kernel&) {
-    return std::make_unique<TransferService>(MakeTransferOptions(parts), MakePorts(parts), parts.clock,
-                                             parts.control_loop, parts.transfer_loop, parts.channels, parts.metrics,
+  kernel.Register("transfer", [&parts, transfer, make_ports = std::move(make_ports)](Kernel&) {
+    return std::make_unique<TransferService>(transfer, make_ports(), parts.clock, parts.control_loop,
+                                             parts.transfer_loop, parts.channels, parts.metrics,
                                              parts.random.GetBits());
   });
-  kernel.Register("weights", [&parts](Kernel& k) {
-    const WeightControlParts control{parts.clock,
-                                     parts.control_loop,
-                                     k.Get<ConfigSource>("config"),
-                                     k.Get<MemberSource>("members"),
-                                     k.Get<AdmissionSource>("admission"),
-                                     k.Get<EngineClient>("engine"),
-                                     k.Get<EngineGate>("gate"),
-                                     k.Get<TransferService>("transfer"),
-                                     k.Get<HoldingRegistry>("holdings")};
-    return std::make_unique<WeightControl>(MakeControlOptions(parts), control);
+  kernel.Register("weights", [&parts, control, admission](Kernel& k) {
+    const WeightControlParts control_parts{parts.clock,
+                                           parts.control_loop,
+                                           k.Get<ConfigSource>("config"),
+                                           k.Get<MemberSource>("members"),
+                                           k.Get<AdmissionSource>(admission),
+                                           k.Get<EngineControl>("engine"),
+                                           k.Get<EngineGate>("gate"),
+                                           k.Get<TransferService>("transfer"),
+                                           k.Get<HoldingRegistry>("holdings")};
+    return std::make_unique<WeightControl>(control, control_parts);
   });
 }
 
-}  // namespace
-
 void RegisterWeightServices(Kernel& kernel, ProcessParts& parts) {
   if (parts.settings.GetText("engine.kind") == "service") {
     RegisterPlainService(kernel, parts);
--- a/src/weight_services.h
+++ b/src/weight_services.h
@@ -3,8 +3,13 @@
 #ifndef PLANTAIN_WEIGHT_SERVICES_H_
 #define PLANTAIN_WEIGHT_SERVICES_H_
 
+#include <functional>
+#include <string>
+
 #include "kernel.h"
 #include "process.h"
+#include "transfer_service.h"
+#include "weight_control.h"
 
 namespace plantain {
 
@@ -14,6 +19,13 @@
 // With `engine.kind: service` the gate is open while the service answers and there are no holdings.
 void RegisterWeightServices(Kernel& kernel, ProcessParts& parts);
 
+// Registers "gate" and "holdings" of an engine, "transfer" over the ports that `make_ports` makes, and "weights"
+// (WeightControl). They ask the kernel for "config", "members", `admission` (AdmissionSource) and "engine"
+// (EngineControl).
+void RegisterWeightControl(Kernel& kernel, ProcessParts& parts, const TransferOptions& transfer,
+                           std::function<TransferPorts()> make_ports, const WeightControlOptions& control,
+                           const std::string& admission);
+
 }  // namespace plantain
 
 #endif  // PLANTAIN_WEIGHT_SERVICES_H_
