Log the weight versions and their limits that decide on a request

Change: request_end and attempt_failed show version and min_version, request_end also the time until the limit of the version when the last attempt was sent; weights_wanted shows the age of the news, its source and its offset. The limits move to src/weight_limit.

--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -71,7 +71,7 @@
   return options;
 }
 
-void ActiveRequest::StartAttempt(const EndpointChoice& choice, std::optional<WeightVersion> version) {
+void ActiveRequest::StartAttempt(const EndpointChoice& choice, const AttemptWeights& weights) {
   const TimePoint now = m_deps.clock.GetNow();
   if (m_outcome.attempts == 0) m_outcome.wait_time = now - m_started_at;
   ++m_outcome.attempts;
@@ -79,6 +79,10 @@
   m_outcome.load = choice.load;
   m_outcome.load_age = choice.load_age;
   m_outcome.expected = choice.expected;
+  m_outcome.version = weights.loaded;
+  m_outcome.min_version = weights.min_version;
+  m_outcome.until_limit.reset();
+  if (weights.start_limit.has_value()) m_outcome.until_limit = *weights.start_limit - now;
   m_endpoint = choice.endpoint->id;
   m_tried_endpoints.push_back(m_endpoint);
   m_response_head.reset();
@@ -90,7 +94,7 @@
   header.time_left = m_deadline - now;
   header.endpoint = m_endpoint;
   if (m_match.workspace != nullptr) header.workspace = m_match.workspace->name;
-  header.version = version;
+  if (weights.is_exact) header.version = weights.loaded;
   header.last_event_id = m_last_event_id;
   HttpCallbacks callbacks;
   // A cancelled call reports nothing, but callbacks that are already queued still run. The attempt number identifies
--- a/src/active_request.h
+++ b/src/active_request.h
@@ -56,6 +56,18 @@
   ActiveRequestHost& host;
 };
 
+// Weight versions that apply to an attempt at an engine.
+struct AttemptWeights {
+  // Version that the endpoint serves according to its last report; unset for endpoints without weights.
+  std::optional<WeightVersion> loaded;
+  // Oldest version that may start a request; unset if every version may.
+  std::optional<WeightVersion> min_version;
+  // Time from which no request may start on `loaded`; unset if it is not superseded.
+  std::optional<TimePoint> start_limit;
+  // Whether the endpoint must refuse the attempt if it serves another version than `loaded`.
+  bool is_exact = false;
+};
+
 // Result of a forwarded request, for logs and metrics.
 struct ActiveRequestOutcome {
   int status = 0;
@@ -71,6 +83,10 @@
   // Expected time to the first event, as estimated when the attempt was sent.
   Duration expected{};
   Duration wait_time{};
+  // Weight versions of the last attempt, and the time that was left until the limit of its version when it was sent.
+  std::optional<WeightVersion> version;
+  std::optional<WeightVersion> min_version;
+  std::optional<Duration> until_limit;
   std::optional<Duration> first_event;
   Duration total{};
   uint64_t events = 0;
@@ -87,8 +103,8 @@
   // Registers for the event that the caller closes its connection.
   void WatchForDisconnect();
 
-  // Sends the request to an endpoint. If `version` is set, an endpoint that serves another weight version refuses it.
-  void StartAttempt(const EndpointChoice& choice, std::optional<WeightVersion> version);
+  // Sends the request to an endpoint.
+  void StartAttempt(const EndpointChoice& choice, const AttemptWeights& weights);
 
   // Ends the request with a failure. Never reports a request that may have run as not run.
   void Fail(ForwardFailure failure, std::string reason);
--- a/src/core_type.h
+++ b/src/core_type.h
@@ -56,6 +56,9 @@
 // Returns a duration in seconds, as metrics and rates want it.
 inline double ToSeconds(Duration time) { return std::chrono::duration<double>(time).count(); }
 
+// Returns a duration in whole milliseconds, as logs want it.
+inline int64_t ToMilliseconds(Duration time) { return std::chrono::duration_cast<Milliseconds>(time).count(); }
+
 }  // namespace plantain
 
 #endif  // PLANTAIN_CORE_TYPE_H_
--- a/src/fleet_mirror.cpp
+++ b/src/fleet_mirror.cpp
@@ -1,6 +1,7 @@
 #include "fleet_mirror.h"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 #include "event_log.h"
@@ -14,6 +15,9 @@
 // Exceeds the number of versions that can be pending at the same time.
 constexpr size_t kMaxWanted = 64;
 
+// Returns the name that logs use.
+std::string_view GetOriginName(RecordOrigin origin) { return origin == RecordOrigin::kStore ? "store" : "peer"; }
+
 // Removes old instances of restarted endpoints; their records stay listed for a few seconds next to the new ones.
 void RemoveReplaced(std::vector<EndpointInfo>& endpoints) {
   std::map<HttpTarget, Incarnation> newest;
@@ -79,14 +83,14 @@
 
 void FleetMirror::OnChanged(FleetTopic topic, RecordOrigin origin) {
   if (topic == FleetTopic::kOperator) {
-    UpdateOperator();
+    UpdateOperator(origin);
   } else {
     UpdateDirectory(origin);
   }
   Publish();
 }
 
-void FleetMirror::UpdateOperator() {
+void FleetMirror::UpdateOperator(RecordOrigin origin) {
   OperatorState state = m_decoder.DecodeOperator(m_operator, m_operator_state);
   if (state.routing != m_operator_state.routing && state.routing != nullptr) {
     LogEvent(LogLevel::kInfo, "config_in_force",
@@ -101,12 +105,12 @@
   for (const ZoneName& zone : m_operator_state.zones_out) {
     if (!state.zones_out.contains(zone)) LogEvent(LogLevel::kInfo, "zone_in", {{"zone", zone}});
   }
-  RecordWantedVersions(state);
+  RecordWantedVersions(state, origin);
   m_operator_state = std::move(state);
   m_has_operator_state = true;
 }
 
-void FleetMirror::RecordWantedVersions(const OperatorState& state) {
+void FleetMirror::RecordWantedVersions(const OperatorState& state, RecordOrigin origin) {
   const TimePoint now = m_clock.GetNow();
   for (const auto& wanted : state.wanted) {
     const ModelName& model = wanted.first;
@@ -119,7 +123,12 @@
     const TimePoint since = m_has_operator_state ? now : now - m_version_change_limit;
     m_wanted.push_back(WantedWeights{model, version, since});
     if (m_wanted.size() > kMaxWanted) m_wanted.erase(m_wanted.begin());
-    LogEvent(LogLevel::kInfo, "weights_wanted", {{"model", model}, {"version", version}});
+    LogEvent(LogLevel::kInfo, "weights_wanted",
+             {{"model", model},
+              {"version", version},
+              {"age_ms", ToMilliseconds(now - since)},
+              {"source", m_has_operator_state ? GetOriginName(origin) : "start"},
+              {"offset", m_operator.GetRevision()}});
   }
 }
 
--- a/src/fleet_mirror.h
+++ b/src/fleet_mirror.h
@@ -88,8 +88,8 @@
   RecordMirror& GetMutableRecords(FleetTopic topic);
   void OnChanged(FleetTopic topic, RecordOrigin origin);
   void UpdateDirectory(RecordOrigin origin);
-  void UpdateOperator();
-  void RecordWantedVersions(const OperatorState& state);
+  void UpdateOperator(RecordOrigin origin);
+  void RecordWantedVersions(const OperatorState& state, RecordOrigin origin);
   void Publish();
   void Tick();
   // Removes lapsed endpoints that were not listed again in time. Returns their number.
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -5,6 +5,7 @@
 
 #include "event_log.h"
 #include "failure_type.h"
+#include "weight_limit.h"
 #include "weight_time.h"
 
 namespace plantain {
@@ -34,7 +35,10 @@
 // About the duration of a weight switch or a restart, during which few endpoints serve.
 constexpr Duration kNoEndpointRetryAfter = Milliseconds(1800);
 
-int64_t ToMilliseconds(Duration time) { return std::chrono::duration_cast<Milliseconds>(time).count(); }
+// Returns the number that logs show for a weight version, 0 if there is none.
+uint64_t GetVersionNumber(const std::optional<WeightVersion>& version) {
+  return version.value_or(WeightVersion()).Get();
+}
 
 }  // namespace
 
@@ -160,14 +164,16 @@
   return std::chrono::duration_cast<Duration>(rule.latency_target * kMaxWaitGoalShare);
 }
 
-std::optional<WeightVersion> ForwardTraffic::GetMinVersion(const ModelName& model) const {
-  std::optional<WeightVersion> version;
-  const TimePoint now = m_clock.GetNow();
-  for (const WantedWeights& wanted : m_fleet->wanted) {
-    const bool is_due = now - wanted.since > m_options.version_change_limit - kVersionMargin;
-    if (wanted.model == model && is_due) version = std::max(version.value_or(WeightVersion()), wanted.version);
+AttemptWeights ForwardTraffic::MakeAttemptWeights(const EndpointQuery& query, const EndpointChoice& choice) const {
+  AttemptWeights weights;
+  weights.loaded = choice.version;
+  weights.min_version = query.min_version;
+  weights.is_exact = query.min_version.has_value() || query.exact_version.has_value();
+  if (choice.version.has_value()) {
+    weights.start_limit =
+        GetStartLimit(m_fleet->wanted, query.model, *choice.version, m_options.version_change_limit);
   }
-  return version;
+  return weights;
 }
 
 EndpointQuery ForwardTraffic::MakeQuery(const ActiveRequest& active) const {
@@ -180,7 +186,8 @@
   if (pool != nullptr && pool->engine.has_value()) {
     query.model = active.GetRequest().model;
     query.prompt_tokens = active.GetRequest().prompt_tokens;
-    query.min_version = GetMinVersion(query.model);
+    query.min_version = GetMinStartVersion(m_fleet->wanted, query.model,
+                                           m_options.version_change_limit - kVersionMargin, m_clock.GetNow());
     query.exact_version = active.GetWeightVersion();
   }
   return query;
@@ -191,10 +198,9 @@
   const EndpointChoice choice = m_balancer.Choose(query);
   why = choice.failure;
   if (choice.endpoint == nullptr) return false;
-  const bool needs_version = query.min_version.has_value() || query.exact_version.has_value();
   m_balancer.OnSent(choice.endpoint->id, active.GetRequest().prompt_tokens);
   GetPool(active.GetPool()).wait_queue.RecordServed(HasMissedGoal(active), m_clock.GetNow());
-  active.StartAttempt(choice, needs_version ? choice.version : std::nullopt);
+  active.StartAttempt(choice, MakeAttemptWeights(query, choice));
   return true;
 }
 
@@ -294,7 +300,9 @@
               {"pool", active.GetPool()},
               {"end", GetAttemptEndName(end)},
               {"after_ms", ToMilliseconds(m_clock.GetNow() - active.GetStart())},
-              {"attempt", active.GetOutcome().attempts}});
+              {"attempt", active.GetOutcome().attempts},
+              {"version", GetVersionNumber(active.GetOutcome().version)},
+              {"min_version", GetVersionNumber(active.GetOutcome().min_version)}});
   }
 }
 
@@ -321,6 +329,9 @@
             {"wait_ms", ToMilliseconds(outcome.wait_time)},
             {"expected_ms", ToMilliseconds(outcome.expected)},
             {"first_ms", outcome.first_event.has_value() ? ToMilliseconds(*outcome.first_event) : -1},
+            {"version", GetVersionNumber(outcome.version)},
+            {"min_version", GetVersionNumber(outcome.min_version)},
+            {"limit_ms", outcome.until_limit.has_value() ? std::to_string(ToMilliseconds(*outcome.until_limit)) : "none"},
             {"total_ms", ToMilliseconds(outcome.total)},
             {"config", active.GetMatcher().GetDocument().version}});
   const auto found = m_active_requests.find(active.GetTicket());
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -90,7 +90,7 @@
   void RefuseQueued(ActiveRequest& active, ForwardFailure failure);
   void DispatchQueued(const PoolName& pool);
   PoolState& GetPool(const PoolName& pool);
-  std::optional<WeightVersion> GetMinVersion(const ModelName& model) const;
+  AttemptWeights MakeAttemptWeights(const EndpointQuery& query, const EndpointChoice& choice) const;
   Duration GetRetryAfter(const ActiveRequest& active);
 
   void OnPrefillDone(ActiveRequest& active, const EndpointId& endpoint) override;
