Do not resume a stream on a weight version past its limit

Callers got answers that were continued on weights which the operators had replaced more than the allowed time before. Cause: EndpointBalancer::HasVersion returned on the exact version of a resumed stream before it compared it with the oldest version that may start, so a stream that broke after the limit was sent to an endpoint with the old version. Change: both conditions hold. A stream whose version is past its limit is ended at once, since no endpoint may continue it; the caller resumes it as a new request on the new version.

--- a/src/endpoint_balancer.cpp
+++ b/src/endpoint_balancer.cpp
@@ -174,6 +174,10 @@
   return std::find(query.excluded.begin(), query.excluded.end(), state.info.id) == query.excluded.end();
 }
 
+bool EndpointBalancer::IsSuperseded(const EndpointQuery& query) {
+  return query.exact_version.has_value() && query.min_version.has_value() && *query.exact_version < *query.min_version;
+}
+
 bool EndpointBalancer::HasVersion(const State& state, const EndpointQuery& query) const {
   if (query.model.IsEmpty()) return true;
   const auto loaded = state.loaded.find(query.model);
@@ -254,7 +258,7 @@
   EndpointChoice choice;
   const auto pool = m_pools.find(query.pool);
   choice.failure = NoEndpointReason::kNoneEligible;
-  if (pool == m_pools.end()) return choice;
+  if (pool == m_pools.end() || IsSuperseded(query)) return choice;
   State* best = nullptr;
   double best_score = 0;
   for (State* state : pool->second) {
--- a/src/endpoint_balancer.h
+++ b/src/endpoint_balancer.h
@@ -62,8 +62,9 @@
   const WorkspaceKeys* workspace = nullptr;
   ModelName model;
   uint32_t prompt_tokens = 0;
-  // Lowest weight version that may start a request, or the only one that may.
+  // Oldest weight version that may start a request; unset if every version may.
   std::optional<WeightVersion> min_version;
+  // The only version that the request may use, since the caller has received events of it; unset if there is none.
   std::optional<WeightVersion> exact_version;
   // Endpoints that this request has already tried.
   std::span<const EndpointId> excluded;
@@ -160,6 +161,8 @@
 
   Availability GetAvailability(State& state, const EndpointQuery& query, TimePoint now);
   bool IsEligible(const State& state, const EndpointQuery& query) const;
+  // Whether the only version that the request may use must not start requests any more.
+  static bool IsSuperseded(const EndpointQuery& query);
   bool HasVersion(const State& state, const EndpointQuery& query) const;
   bool IsOutlier(const State& state) const;
   double GetPendingPromptTokens(const State& state, TimePoint now) const;
--- a/tests/forward_fake.h
+++ b/tests/forward_fake.h
@@ -207,6 +207,13 @@
     return caller;
   }
 
+  // Sets the weight versions that operators want.
+  void SetWanted(std::vector<WantedWeights> wanted) {
+    fleet = std::make_shared<FleetView>(*fleet);
+    fleet->wanted = std::move(wanted);
+    traffic->SetFleet(fleet);
+  }
+
   void AdvanceTime(Duration time) {
     constexpr Duration kStep = Milliseconds(10);
     for (Duration passed{}; passed < time; passed += kStep) {
--- a/tests/forward_traffic_test.cpp
+++ b/tests/forward_traffic_test.cpp
@@ -234,6 +234,37 @@
   }
 }
 
+// Guards against a stream that breaks after the limit of its weight version and is started again on that version.
+TEST_CASE("A broken stream does not resume on a weight version whose time limit has passed") {
+  ForwardFixture fixture(MakeEngines());
+  fixture.SetWanted({{kVeilModel, WeightVersion(2), fixture.clock.GetNow()}});
+  fixture.AdvanceTime(Milliseconds(6000));
+  const auto caller = fixture.SendRequest("/draft/1", "6000");
+  FakeAttemptSender::Sent& first = fixture.sender.At(0);
+  first.BeginStream();
+  first.SendData("id: 1\ndata: a\n\n");
+
+  SECTION("before the limit it resumes") {
+    fixture.AdvanceTime(Milliseconds(500));
+    first.FinishResponse(MakeFailure(FailureCode::kProtocol, "reset"));
+    REQUIRE(fixture.sender.GetCount() == 2);
+    CHECK(fixture.sender.At(1).GetField("Plantainmast-Expect-Version") == "1");
+  }
+
+  SECTION("after the limit the caller is told at once and resumes on the new version") {
+    fixture.AdvanceTime(Milliseconds(900));
+    first.FinishResponse(MakeFailure(FailureCode::kProtocol, "reset"));
+    CHECK(fixture.sender.GetCount() == 1);
+    CHECK(caller->is_aborted);
+    fixture.fleet->endpoints[1].loaded[kVeilModel] = WeightVersion(2);
+    fixture.traffic->SetFleet(fixture.fleet);
+    fixture.SendRequest("/draft/1", "5000", {{"Last-Event-Id", "1"}});
+    REQUIRE(fixture.sender.GetCount() == 2);
+    CHECK(fixture.sender.At(1).GetEndpoint() == "e2");
+    CHECK(fixture.sender.At(1).GetField("Plantainmast-Expect-Version") == "2");
+  }
+}
+
 // Guards against serving callers that are not in the configuration, and against forwarding API keys to endpoints.
 TEST_CASE("API keys select the workspace and are not forwarded to endpoints") {
   ForwardFixture fixture(MakeRegisters());
