Withdraw requests that have not begun when their weight version reaches its limit

Callers could get an answer that began on superseded weights after the limit. Cause: the version was compared with the limit only when the endpoint was chosen. 1.3 s were meant to cover the time until the request begins, but the last attempt of a request waited at a slow or hung endpoint until the deadline. Change: an attempt that has received no part of a body 0.5 s before the limit of the version that its endpoint reports is cancelled and counted as withdrawn (attempt_failed end=withdrawn). It is sent again within the route's attempts and the retry budget, as after a failure of which it is unknown whether the request ran. Evidence: the new test failed before in its two sections that expect the cancellation, and passes now.

--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "failure_type.h"
+#include "weight_time.h"
 
 namespace plantain {
 namespace {
@@ -34,6 +35,12 @@
 // Returns whether callers interpret the status as a guarantee that the request has not run.
 bool GuaranteesNotRun(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
+// Returns the model that the endpoints of the pool run the request on, or an empty name if they are no engines.
+ModelName FindModel(const RouteMatcher& matcher, const PoolName& name, const ForwardRequest& request) {
+  const PoolSpec* pool = matcher.FindPool(name);
+  return pool != nullptr && pool->engine.has_value() ? request.model : ModelName();
+}
+
 TimePoint ComputeDeadline(const ForwardRequest& request, const RouteRule& rule, TimePoint now) {
   const Duration caller_timeout = request.caller_timeout.value_or(rule.timeout);
   return now + std::min(caller_timeout, rule.timeout);
@@ -49,6 +56,7 @@
       m_match(match),
       m_matcher(std::move(matcher)),
       m_pool(std::move(pool)),
+      m_model(FindModel(*m_matcher, m_pool, m_request)),
       m_ticket(ticket),
       m_responder(std::move(responder)),
       m_started_at(deps.clock.GetNow()),
@@ -90,6 +98,7 @@
   m_events = EventSplitter(m_last_event_id);
   m_last_received_at = now;
   m_is_prefill_done = false;
+  m_has_body = false;
   AttemptHeader header;
   header.time_left = m_deadline - now;
   header.endpoint = m_endpoint;
@@ -123,6 +132,7 @@
 
 void ActiveRequest::OnData(std::string_view data) {
   m_last_received_at = m_deps.clock.GetNow();
+  m_has_body = true;
   const bool is_valid_success =
       m_response_head->has_matching_id && m_response_head->has_receipt && IsSuccess(m_response_head->status);
   if (IsStream() && is_valid_success && m_response_head->is_stream) {
@@ -337,11 +347,25 @@
     Fail(m_may_have_run ? ForwardFailure::kTimeout : ForwardFailure::kNoEndpoint, "deadline");
     return;
   }
-  if (m_call == nullptr || !m_match.rule->IsRepeatable()) return;
-  if (now - m_last_received_at < GetInactivityTimeout() || m_outcome.executions + 1 >= m_match.rule->attempts) return;
-  if (!m_call->IsSent()) return;
-  m_call->Cancel();
-  FailAttempt(AttemptEnd::kSilent, "endpoint sent nothing within the inactivity timeout");
+  if (IsPastStartLimit(now)) {
+    m_call->Cancel();
+    FailAttempt(AttemptEnd::kWithdrawn, "not started before the limit of the endpoint's weight version");
+  } else if (IsSilent(now)) {
+    m_call->Cancel();
+    FailAttempt(AttemptEnd::kSilent, "endpoint sent nothing within the inactivity timeout");
+  }
+}
+
+bool ActiveRequest::IsSilent(TimePoint now) const {
+  if (m_call == nullptr || !m_match.rule->IsRepeatable() || !m_call->IsSent()) return false;
+  return now - m_last_received_at >= GetInactivityTimeout() && m_outcome.executions + 1 < m_match.rule->attempts;
+}
+
+bool ActiveRequest::IsPastStartLimit(TimePoint now) const {
+  // Cancelling a request that must run once would not undo its effects.
+  if (m_call == nullptr || m_has_body || m_match.rule->kind == RequestKind::kOnce) return false;
+  const std::optional<TimePoint> limit = m_deps.host.GetStartLimit(*this, m_endpoint);
+  return limit.has_value() && now >= *limit - kWithdrawalMargin;
 }
 
 }  // namespace plantain
--- a/src/active_request.h
+++ b/src/active_request.h
@@ -45,6 +45,8 @@
   virtual bool TryAcquireRetry(ActiveRequest& active) = 0;
   // Returns the Retry-After time for a caller whose request has not run.
   virtual Duration SuggestRetryAfter(ActiveRequest& active) = 0;
+  // Returns the time from which an attempt at the endpoint must not start any more, or nothing if it always may.
+  virtual std::optional<TimePoint> GetStartLimit(const ActiveRequest& active, const EndpointId& endpoint) const = 0;
   // Called after the final response was sent. The host must not destroy the request within this call.
   virtual void OnRequestEnded(ActiveRequest& active) = 0;
 };
@@ -127,6 +129,8 @@
   std::optional<WeightVersion> GetWeightVersion() const { return m_has_events ? m_weight_version : std::nullopt; }
   bool HasEvents() const { return m_has_events; }
   const ActiveRequestOutcome& GetOutcome() const { return m_outcome; }
+  // Returns the model that the request runs on; empty if it needs no engine.
+  const ModelName& GetModel() const { return m_model; }
 
  private:
   void OnHead(int status, const HttpHeaders& headers);
@@ -145,6 +149,8 @@
   void OnCallerDisconnected();
   HttpCallOptions MakeOptions(TimePoint now) const;
   Duration GetInactivityTimeout() const;
+  bool IsSilent(TimePoint now) const;
+  bool IsPastStartLimit(TimePoint now) const;
   bool IsStream() const { return m_match.rule->kind == RequestKind::kStream; }
 
   ActiveRequestDeps& m_deps;
@@ -152,6 +158,7 @@
   const RouteMatch m_match;
   const std::shared_ptr<const RouteMatcher> m_matcher;
   const PoolName m_pool;
+  const ModelName m_model;
   const WaitTicket m_ticket;
   const std::shared_ptr<HttpResponder> m_responder;
   const TimePoint m_started_at;
@@ -166,6 +173,8 @@
   EventSplitter m_events;
   TimePoint m_last_received_at;
   bool m_is_prefill_done = false;
+  // Whether the endpoint has sent a part of the response's body, so that the request has started there.
+  bool m_has_body = false;
 
   std::vector<EndpointId> m_tried_endpoints;
   // Whether an attempt that has ended may have been executed.
--- a/src/endpoint_balancer.cpp
+++ b/src/endpoint_balancer.cpp
@@ -284,6 +284,13 @@
   return choice;
 }
 
+std::optional<WeightVersion> EndpointBalancer::GetVersion(const EndpointId& id, const ModelName& model) const {
+  const auto found = m_states.find(id);
+  if (found == m_states.end()) return std::nullopt;
+  const auto loaded = found->second.loaded.find(model);
+  return loaded == found->second.loaded.end() ? std::nullopt : std::optional(loaded->second);
+}
+
 void EndpointBalancer::OnPrefillDone(const EndpointId& id, uint32_t prompt_tokens) {
   const auto found = m_states.find(id);
   if (found == m_states.end()) return;
@@ -337,6 +344,7 @@
       RecordOutcome(state, true);
       BackOff(state, kSilentBackoff, kMaxSilentBackoff);
       break;
+    case AttemptEnd::kWithdrawn:
     case AttemptEnd::kCancelled:
       break;
   }
--- a/src/endpoint_balancer.h
+++ b/src/endpoint_balancer.h
@@ -44,6 +44,8 @@
   kSilent,
   // The answer was truncated or malformed.
   kBroken,
+  // Withdrawn because it had not started when the endpoint's weight version reached its limit.
+  kWithdrawn,
   // Cancelled for a reason unrelated to the endpoint.
   kCancelled,
 };
@@ -106,6 +108,9 @@
 
   EndpointChoice Choose(const EndpointQuery& query);
 
+  // Returns the version of a model that an endpoint last reported, or nothing.
+  std::optional<WeightVersion> GetVersion(const EndpointId& id, const ModelName& model) const;
+
   void OnSent(const EndpointId& id, uint32_t prompt_tokens);
   // Called when the endpoint has finished prompt processing (prefill) for an attempt: on its first event, or on its end
   // if no event came.
--- a/src/forward_metrics.cpp
+++ b/src/forward_metrics.cpp
@@ -42,6 +42,8 @@
       return "silent";
     case AttemptEnd::kBroken:
       return "broken";
+    case AttemptEnd::kWithdrawn:
+      return "withdrawn";
     case AttemptEnd::kCancelled:
       return "cancelled";
   }
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -171,7 +171,7 @@
   weights.is_exact = query.min_version.has_value() || query.exact_version.has_value();
   if (choice.version.has_value()) {
     weights.start_limit =
-        GetStartLimit(m_fleet->wanted, query.model, *choice.version, m_options.version_change_limit);
+        plantain::GetStartLimit(m_fleet->wanted, query.model, *choice.version, m_options.version_change_limit);
   }
   return weights;
 }
@@ -182,9 +182,8 @@
   query.rule = active.GetMatch().rule;
   query.workspace = active.GetMatch().workspace;
   query.excluded = active.GetTriedEndpoints();
-  const PoolSpec* pool = active.GetMatcher().FindPool(active.GetPool());
-  if (pool != nullptr && pool->engine.has_value()) {
-    query.model = active.GetRequest().model;
+  if (!active.GetModel().IsEmpty()) {
+    query.model = active.GetModel();
     query.prompt_tokens = active.GetRequest().prompt_tokens;
     query.min_version = GetMinStartVersion(m_fleet->wanted, query.model,
                                            m_options.version_change_limit - kVersionMargin, m_clock.GetNow());
@@ -310,30 +309,38 @@
 
 bool ForwardTraffic::TryAcquireRetry(ActiveRequest& active) { return GetPool(active.GetPool()).budget->TryConsume(); }
 
+std::optional<TimePoint> ForwardTraffic::GetStartLimit(const ActiveRequest& active, const EndpointId& endpoint) const {
+  if (active.GetModel().IsEmpty()) return std::nullopt;
+  const std::optional<WeightVersion> version = m_balancer.GetVersion(endpoint, active.GetModel());
+  if (!version.has_value()) return std::nullopt;
+  return plantain::GetStartLimit(m_fleet->wanted, active.GetModel(), *version, m_options.version_change_limit);
+}
+
 void ForwardTraffic::OnRequestEnded(ActiveRequest& active) {
   const ActiveRequestOutcome& outcome = active.GetOutcome();
   const RouteMatch& match = active.GetMatch();
   m_metrics.CountFinishedRequest(match.rule->kind, outcome);
-  LogEvent(LogLevel::kInfo, "request_end",
-           {{"request", active.GetRequest().id},
-            {"route", match.rule->name},
-            {"workspace", match.workspace == nullptr ? WorkspaceName() : match.workspace->name},
-            {"status", outcome.status},
-            {"failure", GetForwardFailureName(outcome.failure)},
-            {"reason", outcome.reason},
-            {"waiting", GetPool(active.GetPool()).wait_queue.GetSize()},
-            {"attempts", outcome.attempts},
-            {"endpoint", outcome.endpoint},
-            {"load", outcome.load},
-            {"load_age_ms", outcome.load_age == Duration::max() ? -1 : ToMilliseconds(outcome.load_age)},
-            {"wait_ms", ToMilliseconds(outcome.wait_time)},
-            {"expected_ms", ToMilliseconds(outcome.expected)},
-            {"first_ms", outcome.first_event.has_value() ? ToMilliseconds(*outcome.first_event) : -1},
-            {"version", GetVersionNumber(outcome.version)},
-            {"min_version", GetVersionNumber(outcome.min_version)},
-            {"limit_ms", outcome.until_limit.has_value() ? std::to_string(ToMilliseconds(*outcome.until_limit)) : "none"},
-            {"total_ms", ToMilliseconds(outcome.total)},
-            {"config", active.GetMatcher().GetDocument().version}});
+  LogEvent(
+      LogLevel::kInfo, "request_end",
+      {{"request", active.GetRequest().id},
+       {"route", match.rule->name},
+       {"workspace", match.workspace == nullptr ? WorkspaceName() : match.workspace->name},
+       {"status", outcome.status},
+       {"failure", GetForwardFailureName(outcome.failure)},
+       {"reason", outcome.reason},
+       {"waiting", GetPool(active.GetPool()).wait_queue.GetSize()},
+       {"attempts", outcome.attempts},
+       {"endpoint", outcome.endpoint},
+       {"load", outcome.load},
+       {"load_age_ms", outcome.load_age == Duration::max() ? -1 : ToMilliseconds(outcome.load_age)},
+       {"wait_ms", ToMilliseconds(outcome.wait_time)},
+       {"expected_ms", ToMilliseconds(outcome.expected)},
+       {"first_ms", outcome.first_event.has_value() ? ToMilliseconds(*outcome.first_event) : -1},
+       {"version", GetVersionNumber(outcome.version)},
+       {"min_version", GetVersionNumber(outcome.min_version)},
+       {"limit_ms", outcome.until_limit.has_value() ? std::to_string(ToMilliseconds(*outcome.until_limit)) : "none"},
+       {"total_ms", ToMilliseconds(outcome.total)},
+       {"config", active.GetMatcher().GetDocument().version}});
   const auto found = m_active_requests.find(active.GetTicket());
   if (found == m_active_requests.end()) return;
   GetPool(active.GetPool()).wait_queue.Remove(active.GetTicket());
--- a/src/weight_time.h
+++ b/src/weight_time.h
@@ -11,6 +11,10 @@
 // needed because a request may wait in the endpoint's queue before it starts.
 inline constexpr Duration kVersionMargin = Milliseconds(1300);
 
+// Time before a version's limit at which requests that have not started on it are withdrawn. Covers the delay of the
+// news about the newer version and of the cancellation.
+inline constexpr Duration kWithdrawalMargin = Milliseconds(500);
+
 }  // namespace plantain
 
 #endif  // PLANTAIN_WEIGHT_TIME_H_
--- a/tests/forward_traffic_test.cpp
+++ b/tests/forward_traffic_test.cpp
@@ -265,6 +265,48 @@
   }
 }
 
+// Guards against a request that waits at a slow endpoint until the limit of the endpoint's weight version has passed,
+// and begins on that version then.
+TEST_CASE("A request that has not begun when its weight version reaches its time limit is withdrawn") {
+  ForwardFixture fixture(MakeEngines());
+  fixture.SetWanted({{kVeilModel, WeightVersion(2), fixture.clock.GetNow()}});
+  fixture.AdvanceTime(Milliseconds(6600));
+  const auto caller = fixture.SendRequest("/draft/1", "6000");
+  FakeAttemptSender::Sent& first = fixture.sender.At(0);
+  fixture.fleet = std::make_shared<FleetView>(*fixture.fleet);
+
+  SECTION("it goes to an endpoint with the new version") {
+    const size_t other = first.GetEndpoint() == "e1" ? 1 : 0;
+    fixture.fleet->endpoints[other].loaded[kVeilModel] = WeightVersion(2);
+    fixture.traffic->SetFleet(fixture.fleet);
+    fixture.AdvanceTime(Milliseconds(1000));
+    CHECK(first.is_cancelled);
+    REQUIRE(fixture.sender.GetCount() == 2);
+    CHECK(fixture.sender.At(1).GetEndpoint() != first.GetEndpoint());
+    CHECK(fixture.sender.At(1).GetField("Plantainmast-Expect-Version") == "2");
+  }
+
+  SECTION("an answer that has only sent its header has not begun") {
+    first.BeginStream();
+    fixture.AdvanceTime(Milliseconds(1000));
+    CHECK(first.is_cancelled);
+  }
+
+  SECTION("a stream that has begun goes on") {
+    first.BeginStream();
+    first.SendData("id: 1\nda");
+    fixture.AdvanceTime(Milliseconds(1000));
+    CHECK_FALSE(first.is_cancelled);
+  }
+
+  SECTION("a request at an endpoint that has loaded the new version meanwhile goes on") {
+    for (EndpointInfo& endpoint : fixture.fleet->endpoints) endpoint.loaded[kVeilModel] = WeightVersion(2);
+    fixture.traffic->SetFleet(fixture.fleet);
+    fixture.AdvanceTime(Milliseconds(1000));
+    CHECK_FALSE(first.is_cancelled);
+  }
+}
+
 // Guards against serving callers that are not in the configuration, and against forwarding API keys to endpoints.
 TEST_CASE("API keys select the workspace and are not forwarded to endpoints") {
   ForwardFixture fixture(MakeRegisters());
