Count a weight version's limit from when the first process of the fleet heard of it

Callers got answers that began on superseded weights up to five seconds after the limit, from entries that were up and in touch with the store and with each other. Cause: FleetMirror counted the limit from when this process received the operators' request. An entry that stood still, was slow or was restarted when the version was named counted from later, and one that found only the successor in the store never knew the older version's limit. kVersionMargin cannot cover that: it is 1.3 s, a pause may last as long as it likes. Class of fault: a deadline that is measured from the receipt of a message in place of the event. Change: beacons carry the age of each pending version, as durations, so that no common clock is needed. A process takes the largest age that it hears, and learns of versions that it has missed. A restarted process, which treats a version as due because it cannot know its age, now takes the age from its peers and goes on using the old version until the limit. The new test fails in three sections if ages are not applied, and passes now.

--- a/src/beacon_table.cpp
+++ b/src/beacon_table.cpp
@@ -16,6 +16,8 @@
 constexpr size_t kMaxBeacons = 4096;
 constexpr int kMaxFetches = 8;
 constexpr int kMaxPools = 64;
+// Ages above this, one hour, are no ages of pending versions.
+constexpr uint64_t kMaxWantedAgeMs = 3'600'000;
 
 void EncodeLoad(const EndpointLoad& load, proto::LoadReport& out) {
   out.set_endpoint(load.endpoint.Get());
@@ -66,6 +68,12 @@
     demand->set_pool(pool.Get());
     demand->set_per_s(per_s);
   }
+  for (const WantedAge& wanted : beacon.wanted) {
+    proto::WantedVersion* out = message.add_wanted();
+    out->set_model(wanted.model.Get());
+    out->set_version(wanted.version.Get());
+    out->set_age_ms(static_cast<uint64_t>(std::max<int64_t>(0, ToMilliseconds(wanted.age))));
+  }
   return message.SerializeAsString();
 }
 
@@ -73,7 +81,8 @@
   proto::Beacon message;
   if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) return std::nullopt;
   const bool is_bounded = message.entries_size() <= kMaxNamedEntries && message.fetches_size() <= kMaxFetches &&
-                          message.demand_size() <= kMaxPools;
+                          message.demand_size() <= kMaxPools &&
+                          message.wanted_size() <= static_cast<int>(kMaxWantedAges);
   if (message.vm().empty() || !is_bounded) return std::nullopt;
   BeaconInfo beacon;
   beacon.vm = VmId(message.vm());
@@ -94,6 +103,11 @@
   for (const proto::PoolDemand& demand : message.demand()) {
     if (std::isfinite(demand.per_s())) beacon.demand[PoolName(demand.pool())] = demand.per_s();
   }
+  for (const proto::WantedVersion& wanted : message.wanted()) {
+    if (wanted.model().empty() || wanted.version() == 0 || wanted.age_ms() > kMaxWantedAgeMs) continue;
+    beacon.wanted.push_back({ModelName(wanted.model()), WeightVersion(wanted.version()),
+                             Milliseconds(static_cast<int64_t>(wanted.age_ms()))});
+  }
   return beacon;
 }
 
--- a/src/beacon_table.h
+++ b/src/beacon_table.h
@@ -31,6 +31,8 @@
   std::vector<HoldingInfo> fetches;
   // Rate of incoming requests per pool at an entry, in requests/s.
   std::map<PoolName, double> demand;
+  // Ages of the weight versions that it knows to be wanted.
+  std::vector<WantedAge> wanted;
 };
 
 // Encode and decode beacons. Decoding returns nothing if the bytes are not a valid beacon.
--- a/src/fleet_mirror.cpp
+++ b/src/fleet_mirror.cpp
@@ -15,6 +15,11 @@
 // Exceeds the number of versions that can be pending at the same time.
 constexpr size_t kMaxWanted = 64;
 
+// Smaller differences between the ages that processes know are not applied; they come from the delay of beacons.
+constexpr Duration kMinAgeCorrection = Milliseconds(50);
+// Ages are sent until this multiple of the version limit, so that a restarted process learns them while they matter.
+constexpr int kAgeSendFactor = 2;
+
 // Returns the name that logs use.
 std::string_view GetOriginName(RecordOrigin origin) { return origin == RecordOrigin::kStore ? "store" : "peer"; }
 
@@ -119,17 +124,65 @@
       return known.model == model && known.version >= version;
     });
     if (is_known) continue;
-    // For a version requested before this process started, the time of the request is unknown; it counts as due.
+    // For a version requested before this process started, the time of the request is unknown; it counts as due until a
+    // peer tells its age.
     const TimePoint since = m_has_operator_state ? now : now - m_version_change_limit;
-    m_wanted.push_back(WantedWeights{model, version, since});
-    if (m_wanted.size() > kMaxWanted) m_wanted.erase(m_wanted.begin());
-    LogEvent(LogLevel::kInfo, "weights_wanted",
-             {{"model", model},
-              {"version", version},
-              {"age_ms", ToMilliseconds(now - since)},
-              {"source", m_has_operator_state ? GetOriginName(origin) : "start"},
-              {"offset", m_operator.GetRevision()}});
+    AddWanted(WantedWeights{model, version, since, m_has_operator_state},
+              m_has_operator_state ? GetOriginName(origin) : "start");
+  }
+}
+
+void FleetMirror::AddWanted(const WantedWeights& wanted, std::string_view source) {
+  const auto is_newer = [&](const WantedWeights& known) {
+    return known.model == wanted.model && known.version > wanted.version;
+  };
+  m_wanted.insert(std::find_if(m_wanted.begin(), m_wanted.end(), is_newer), wanted);
+  if (m_wanted.size() > kMaxWanted) m_wanted.erase(m_wanted.begin());
+  LogEvent(LogLevel::kInfo, "weights_wanted",
+           {{"model", wanted.model},
+            {"version", wanted.version},
+            {"age_ms", ToMilliseconds(m_clock.GetNow() - wanted.since)},
+            {"source", source},
+            {"offset", m_operator.GetRevision()}});
+}
+
+void FleetMirror::ApplyWantedAges(const std::vector<WantedAge>& ages) {
+  bool is_changed = false;
+  for (const WantedAge& age : ages) is_changed |= ApplyWantedAge(age);
+  if (is_changed) Publish();
+}
+
+// Returns whether the age changed anything.
+bool FleetMirror::ApplyWantedAge(const WantedAge& age) {
+  const TimePoint since = m_clock.GetNow() - age.age;
+  const auto known = std::find_if(m_wanted.begin(), m_wanted.end(), [&](const WantedWeights& wanted) {
+    return wanted.model == age.model && wanted.version == age.version;
+  });
+  if (known == m_wanted.end()) {
+    AddWanted(WantedWeights{age.model, age.version, since}, "beacon");
+    return true;
+  }
+  if (known->is_since_known && known->since - since < kMinAgeCorrection) return false;
+  LogEvent(LogLevel::kInfo, "weights_age_corrected",
+           {{"model", age.model},
+            {"version", age.version},
+            {"age_ms", ToMilliseconds(age.age)},
+            {"earlier_by_ms", ToMilliseconds(known->since - since)},
+            {"was_known", known->is_since_known}});
+  known->since = since;
+  known->is_since_known = true;
+  return true;
+}
+
+std::vector<WantedAge> FleetMirror::GetWantedAges() const {
+  std::vector<WantedAge> ages;
+  const TimePoint now = m_clock.GetNow();
+  for (auto wanted = m_wanted.rbegin(); wanted != m_wanted.rend() && ages.size() < kMaxWantedAges; ++wanted) {
+    const Duration age = now - wanted->since;
+    if (wanted->is_since_known && age < kAgeSendFactor * m_version_change_limit)
+      ages.push_back({wanted->model, wanted->version, age});
   }
+  return ages;
 }
 
 // Whether a removed record may return because its endpoint could not renew it during an outage. A removal received from
--- a/src/fleet_mirror.h
+++ b/src/fleet_mirror.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 #include "clock.h"
@@ -76,6 +77,12 @@
   void ApplyListing(FleetTopic topic, std::vector<KeyedRecord> records, LogOffset end);
   void SetStoreReachable(bool is_reachable);
 
+  // Applies the ages that a peer has sent. A peer may have received a request for a version earlier than this process,
+  // or one that this process never receives because a newer request has replaced it in the store.
+  void ApplyWantedAges(const std::vector<WantedAge>& ages);
+  // Returns the ages of the versions whose limit has not passed long ago, to be sent to peers.
+  std::vector<WantedAge> GetWantedAges() const;
+
   const RecordMirror& GetRecords(FleetTopic topic) const;
 
  private:
@@ -90,6 +97,8 @@
   void UpdateDirectory(RecordOrigin origin);
   void UpdateOperator(RecordOrigin origin);
   void RecordWantedVersions(const OperatorState& state, RecordOrigin origin);
+  void AddWanted(const WantedWeights& wanted, std::string_view source);
+  bool ApplyWantedAge(const WantedAge& age);
   void Publish();
   void Tick();
   // Removes lapsed endpoints that were not listed again in time. Returns their number.
@@ -108,7 +117,7 @@
   // Raw values that m_endpoints was decoded from; unchanged values are not decoded again.
   std::map<EndpointId, std::string> m_raw_values;
   std::map<EndpointId, LapsedEndpoint> m_lapsed;
-  // All requested versions, oldest first; each one has its own deadline.
+  // All requested versions, each model's oldest first; each one has its own deadline.
   std::vector<WantedWeights> m_wanted;
   bool m_is_store_reachable = false;
   bool m_had_store_outage = false;
--- a/src/fleet_relay.cpp
+++ b/src/fleet_relay.cpp
@@ -76,6 +76,7 @@
   if (!m_beacons.Update(*std::move(beacon))) return;
   // Operator changes must take effect within a time limit, so each hop pulls at once instead of on the next timer tick.
   if (copy.operator_revision > m_mirror.GetRecords(FleetTopic::kOperator).GetRevision()) PullIfBehind();
+  m_mirror.ApplyWantedAges(copy.wanted);
   for (const auto& listener : m_listeners) listener(copy);
 }
 
@@ -92,6 +93,7 @@
   beacon.directory_revision = m_mirror.GetRecords(FleetTopic::kDirectory).GetRevision();
   beacon.entries = m_beacons.GetEntries();
   if (m_options.is_entry) beacon.entries.push_back(m_options.vm);
+  beacon.wanted = m_mirror.GetWantedAges();
   if (m_beacon_source != nullptr) m_beacon_source->FillBeacon(beacon);
   const std::string data = EncodeBeacon(beacon);
   const bool sends_to_remote_zones = m_sequence % kRemoteZoneDivisor == 1;
--- a/src/fleet_type.h
+++ b/src/fleet_type.h
@@ -153,10 +153,26 @@
 struct WantedWeights {
   ModelName model;
   WeightVersion version;
-  // Time at which this process first received the request.
+  // Latest time at which operators may have requested it: when the first process of those that are known received the
+  // request.
   TimePoint since;
+  // False if it was requested before this process started and no peer has told when. `since` then lies so far back that
+  // the version's limit has passed.
+  bool is_since_known = true;
 };
 
+// Time since a process of the fleet received the request for a weight version. An age needs no common clock.
+struct WantedAge {
+  ModelName model;
+  WeightVersion version;
+  Duration age{};
+
+  bool operator==(const WantedAge&) const = default;
+};
+
+// Maximum number of ages that a process sends.
+inline constexpr size_t kMaxWantedAges = 8;
+
 // Snapshot of the fleet state. Immutable.
 struct FleetView {
   // Null until a configuration has been received.
--- a/tests/fleet_mirror_test.cpp
+++ b/tests/fleet_mirror_test.cpp
@@ -7,6 +7,7 @@
 #include "fleet_decoder.h"
 #include "store_client.h"
 #include "weight_clients.h"
+#include "weight_limit.h"
 
 namespace plantain {
 namespace {
@@ -160,6 +161,79 @@
   }
 }
 
+// Guards against requests on superseded weights after their limit, from a process that learned late that a newer
+// version is wanted: it stood still, was restarted, or missed the version because a newer one had replaced it in the
+// store.
+TEST_CASE("A process that learns late of a wanted weight version takes its age from peers") {
+  constexpr Duration kLimit = std::chrono::seconds(8);
+  FleetFixture peer;
+  FleetFixture late;
+  peer.ApplyOperator(1, "config", MakeConfig(7));
+  peer.ApplyOperator(2, "version/m", R"({"model":"m","version":2})");
+  const auto advance = [&](Duration step) {
+    peer.clock.Advance(step);
+    late.clock.Advance(step);
+  };
+  // Delivers what the peer announces in its beacons.
+  const auto deliver = [&] {
+    BeaconInfo beacon;
+    beacon.vm = VmId("10.0.0.9");
+    beacon.wanted = peer.mirror.GetWantedAges();
+    late.mirror.ApplyWantedAges(DecodeBeacon(EncodeBeacon(beacon))->wanted);
+  };
+  const auto min_version = [&] {
+    return GetMinStartVersion(late.mirror.GetFleet()->wanted, ModelName("m"), kLimit, late.clock.GetNow());
+  };
+
+  SECTION("one that stood still when the version was named keeps the limit") {
+    late.ApplyOperator(1, "config", MakeConfig(7));
+    advance(std::chrono::seconds(5));
+    late.ApplyOperator(2, "version/m", R"({"model":"m","version":2})");
+    deliver();
+    advance(Milliseconds(3100));
+    CHECK(min_version() == WeightVersion(2));
+  }
+
+  SECTION("one that receives only the successor keeps the limit of the version before") {
+    late.ApplyOperator(1, "config", MakeConfig(7));
+    advance(std::chrono::seconds(5));
+    peer.ApplyOperator(3, "version/m", R"({"model":"m","version":3})");
+    late.ApplyOperator(3, "version/m", R"({"model":"m","version":3})");
+    deliver();
+    REQUIRE(late.mirror.GetFleet()->wanted.size() == 2);
+    CHECK(late.mirror.GetFleet()->wanted[0].version == WeightVersion(2));
+    advance(Milliseconds(3100));
+    CHECK(min_version() == WeightVersion(2));
+    advance(std::chrono::seconds(5));
+    CHECK(min_version() == WeightVersion(3));
+  }
+
+  SECTION("one that has restarted counts from the request instead of treating the version as due") {
+    advance(std::chrono::seconds(2));
+    late.ApplyOperator(1, "version/m", R"({"model":"m","version":2})");
+    advance(Milliseconds(1));
+    CHECK(min_version() == WeightVersion(2));
+    deliver();
+    CHECK_FALSE(min_version().has_value());
+    advance(Milliseconds(6100));
+    CHECK(min_version() == WeightVersion(2));
+  }
+
+  SECTION("a peer that learned later changes nothing") {
+    late.ApplyOperator(1, "config", MakeConfig(7));
+    late.ApplyOperator(2, "version/m", R"({"model":"m","version":2})");
+    const TimePoint since = late.mirror.GetFleet()->wanted[0].since;
+    advance(std::chrono::seconds(1));
+    late.mirror.ApplyWantedAges({{ModelName("m"), WeightVersion(2), Milliseconds(200)}});
+    CHECK(late.mirror.GetFleet()->wanted[0].since == since);
+  }
+
+  SECTION("a process whose age is unknown sends none") {
+    late.ApplyOperator(1, "version/m", R"({"model":"m","version":2})");
+    CHECK(late.mirror.GetWantedAges().empty());
+  }
+}
+
 // Guards against a configuration that is received seconds late after a store outage, because a long poll sent during
 // the outage is still pending.
 TEST_CASE("No long poll is sent to a store whose last read failed") {
@@ -253,8 +327,10 @@
   SECTION("a beacon is unchanged by encoding and decoding") {
     BeaconInfo beacon = MakeBeacon("10.0.0.3", 1, 8);
     beacon.load = EndpointLoad{EndpointId("e"), 3, 2, true, 1.5, {{ModelName("m"), WeightVersion(4)}}};
+    beacon.wanted = {{ModelName("m"), WeightVersion(5), Milliseconds(1200)}};
     const auto decoded = DecodeBeacon(EncodeBeacon(beacon));
     REQUIRE(decoded.has_value());
+    CHECK(decoded->wanted == beacon.wanted);
     CHECK(decoded->operator_revision == LogOffset(8));
     CHECK(decoded->load->running == 3);
     CHECK(decoded->load->loaded.at(ModelName("m")) == WeightVersion(4));
