Count suspensions in the monotonic time

Callers could get answers on superseded weights after the limit from an entry that had been suspended for seconds. Cause: SystemClock read std::chrono::steady_clock, which does not count the time for which a machine is suspended, so each deadline moved by the length of the suspension. The HTTP client and server read the same clock for idle times. Change: GetMonotonicTime reads CLOCK_BOOTTIME; SystemClock and the HTTP code use it.

--- a/src/clock.h
+++ b/src/clock.h
@@ -3,6 +3,8 @@
 #ifndef PLANTAIN_CLOCK_H_
 #define PLANTAIN_CLOCK_H_
 
+#include <ctime>
+
 #include "core_type.h"
 
 namespace plantain {
@@ -19,10 +21,18 @@
   virtual WallTime GetWallTime() const = 0;
 };
 
+// Returns the monotonic time, including the time for which the machine was suspended. std::chrono::steady_clock leaves
+// that out on Linux, so that deadlines would move by the length of a suspension.
+inline TimePoint GetMonotonicTime() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+}
+
 // Reads the operating system's clocks.
 class SystemClock : public Clock {
  public:
-  TimePoint GetNow() const override { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
+  TimePoint GetNow() const override { return GetMonotonicTime(); }
   WallTime GetWallTime() const override {
     return std::chrono::time_point_cast<std::chrono::microseconds>(std::chrono::system_clock::now());
   }
--- a/src/core_type.h
+++ b/src/core_type.h
@@ -48,7 +48,7 @@
 
 using Duration = std::chrono::nanoseconds;
 using Milliseconds = std::chrono::milliseconds;
-// Monotonic time.
+// Monotonic time; see GetMonotonicTime.
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 // Wall-clock time.
 using WallTime = std::chrono::time_point<std::chrono::system_clock, std::chrono::microseconds>;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -19,6 +19,7 @@
 #include <map>
 #include <optional>
 
+#include "clock.h"
 #include "failure_type.h"
 #include "socket_option.h"
 
@@ -36,8 +37,6 @@
 // the request arrives.
 constexpr Duration kIdleMargin = Milliseconds(500);
 
-TimePoint GetNow() { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
-
 // Returns the idle time that a `Keep-Alive: timeout=N` header grants, or nothing.
 std::optional<Duration> ParseKeepAlive(std::string_view value) {
   constexpr std::string_view kName = "timeout=";
@@ -78,7 +77,7 @@
   explicit Impl(asio::io_context& context_in) : context(context_in) {}
 
   std::unique_ptr<Connection> TakeIdle(const HttpTarget& target, Duration max_idle) {
-    const TimePoint now = GetNow();
+    const TimePoint now = GetMonotonicTime();
     auto& idle = pool[target];
     while (!idle.empty()) {
       // The most recently used one comes first; if it has been idle for too long, so have the others.
@@ -93,7 +92,7 @@
   void Keep(const HttpTarget& target, std::unique_ptr<Connection> connection, std::optional<Duration> idle_time) {
     // Bytes after a whole answer belong to no request.
     if (connection->buffer.size() > 0) return;
-    connection->idle_since = GetNow();
+    connection->idle_since = GetMonotonicTime();
     connection->usable_until = TimePoint::max();
     if (idle_time.has_value()) connection->usable_until = connection->idle_since + *idle_time - kIdleMargin;
     auto& idle = pool[target];
@@ -128,7 +127,7 @@
   }
 
   void Begin() {
-    m_began_at = GetNow();
+    m_began_at = GetMonotonicTime();
     m_connection = m_client->TakeIdle(m_target, m_options.max_idle);
     if (m_connection != nullptr) {
       ArmTimer(m_options.timeout);
@@ -186,7 +185,7 @@
     m_connection->socket.set_option(tcp::no_delay(true), ignored);
     SetDeadPeerTimeout(m_connection->socket.native_handle());
     if (m_options.connect_timeout > Duration::zero()) {
-      ArmTimer(std::max(Duration::zero(), m_options.timeout - (GetNow() - m_began_at)));
+      ArmTimer(std::max(Duration::zero(), m_options.timeout - (GetMonotonicTime() - m_began_at)));
     }
     Write();
   }
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -21,6 +21,7 @@
 #include <set>
 #include <vector>
 
+#include "clock.h"
 #include "failure_type.h"
 #include "socket_option.h"
 
@@ -41,8 +42,6 @@
 constexpr Duration kLingerTime = std::chrono::seconds(1);
 constexpr size_t kLingerReadBytes = 4096;
 
-TimePoint GetNow() { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
-
 // Returns the status for a request that cannot be read, or 0 if the connection has just ended.
 int GetFaultStatus(const ErrorCode& error) {
   if (error == http::error::header_limit) return 431;
@@ -116,7 +115,7 @@
     m_parser.emplace();
     m_parser->header_limit(static_cast<uint32_t>(m_server->limits.max_header_bytes));
     m_parser->body_limit(m_server->limits.max_body_bytes);
-    m_read_since = GetNow();
+    m_read_since = GetMonotonicTime();
     m_has_begun = false;
     http::async_read(m_socket, m_buffer, *m_parser,
                      [self = shared_from_this()](const ErrorCode& error, size_t) { self->OnRead(error); });
@@ -228,7 +227,7 @@
   // Ends the sending side and drops what still arrives.
   void Linger() {
     m_is_lingering = true;
-    m_read_since = GetNow();
+    m_read_since = GetMonotonicTime();
     ErrorCode ignored;
     m_socket.shutdown(tcp::socket::shutdown_send, ignored);
     m_linger_bytes.resize(kLingerReadBytes);
@@ -376,7 +375,7 @@
 }
 
 void HttpServer::Impl::Sweep() {
-  const TimePoint now = GetNow();
+  const TimePoint now = GetMonotonicTime();
   // A session that closes may leave the set.
   const std::vector<HttpSession*> all(sessions.begin(), sessions.end());
   for (HttpSession* session : all) {
