Treat a version that was received after an interruption as wanted since the last read

Callers could get answers on superseded weights after the limit when every process heard late of a version. Change: the operator topic counts as followed while reads succeed in time and the process keeps running. A version that is received otherwise counts from the last read that shows that it was not wanted yet, and its age is not told to peers; an age from a peer that followed the topic replaces it. Ages are told without a time limit, since a process may stand still for longer than two limits. Evidence: read from the code, not shown by a run. The new test and the new section fail if the receipt counts, and pass now.

--- a/src/beacon_table.cpp
+++ b/src/beacon_table.cpp
@@ -16,8 +16,8 @@
 constexpr size_t kMaxBeacons = 4096;
 constexpr int kMaxFetches = 8;
 constexpr int kMaxPools = 64;
-// Ages above this, one hour, are no ages of pending versions.
-constexpr uint64_t kMaxWantedAgeMs = 3'600'000;
+// Larger ages, above one hour, are sent and taken as this one; their limits passed long ago.
+constexpr int64_t kMaxWantedAgeMs = 3'600'000;
 
 void EncodeLoad(const EndpointLoad& load, proto::LoadReport& out) {
   out.set_endpoint(load.endpoint.Get());
@@ -72,7 +72,7 @@
     proto::WantedVersion* out = message.add_wanted();
     out->set_model(wanted.model.Get());
     out->set_version(wanted.version.Get());
-    out->set_age_ms(static_cast<uint64_t>(std::max<int64_t>(0, ToMilliseconds(wanted.age))));
+    out->set_age_ms(static_cast<uint64_t>(std::clamp<int64_t>(ToMilliseconds(wanted.age), 0, kMaxWantedAgeMs)));
   }
   return message.SerializeAsString();
 }
@@ -104,9 +104,9 @@
     if (std::isfinite(demand.per_s())) beacon.demand[PoolName(demand.pool())] = demand.per_s();
   }
   for (const proto::WantedVersion& wanted : message.wanted()) {
-    if (wanted.model().empty() || wanted.version() == 0 || wanted.age_ms() > kMaxWantedAgeMs) continue;
+    if (wanted.model().empty() || wanted.version() == 0) continue;
     beacon.wanted.push_back({ModelName(wanted.model()), WeightVersion(wanted.version()),
-                             Milliseconds(static_cast<int64_t>(wanted.age_ms()))});
+                             Milliseconds(std::min<uint64_t>(wanted.age_ms(), kMaxWantedAgeMs))});
   }
   return beacon;
 }
--- a/src/fleet_mirror.cpp
+++ b/src/fleet_mirror.cpp
@@ -17,8 +17,10 @@
 
 // Smaller differences between the ages that processes know are not applied; they come from the delay of beacons.
 constexpr Duration kMinAgeCorrection = Milliseconds(50);
-// Ages are sent until this multiple of the version limit, so that a restarted process learns them while they matter.
-constexpr int kAgeSendFactor = 2;
+// Longer gaps between two ticks mean that the process stood still and may have received a request late.
+constexpr Duration kMaxTickGap = Milliseconds(700);
+// A read whose result is older than this does not show that the process follows the topic.
+constexpr Duration kMaxReadDelay = Milliseconds(500);
 
 // Returns the name that logs use.
 std::string_view GetOriginName(RecordOrigin origin) { return origin == RecordOrigin::kStore ? "store" : "peer"; }
@@ -124,11 +126,11 @@
       return known.model == model && known.version >= version;
     });
     if (is_known) continue;
-    // For a version requested before this process started, the time of the request is unknown; it counts as due until a
-    // peer tells its age.
-    const TimePoint since = m_has_operator_state ? now : now - m_version_change_limit;
-    AddWanted(WantedWeights{model, version, since, m_has_operator_state},
-              m_has_operator_state ? GetOriginName(origin) : "start");
+    // Without an uninterrupted read the request may have been made at any time since the last one, and before this
+    // process started. The earliest possible time holds until a peer tells the age.
+    const bool is_fresh = origin == RecordOrigin::kStore && IsFollowingOperator();
+    const TimePoint since = is_fresh ? now : std::max(m_operator_as_of, now - m_version_change_limit);
+    AddWanted(WantedWeights{model, version, since, is_fresh}, m_has_operator_state ? GetOriginName(origin) : "start");
   }
 }
 
@@ -146,6 +148,18 @@
             {"offset", m_operator.GetRevision()}});
 }
 
+void FleetMirror::ConfirmOperatorRead(TimePoint as_of) {
+  m_last_run_at = m_clock.GetNow();
+  m_operator_as_of = std::max(m_operator_as_of, as_of);
+  m_is_operator_followed = m_last_run_at - m_operator_as_of <= kMaxReadDelay;
+}
+
+void FleetMirror::InterruptOperatorRead() { m_is_operator_followed = false; }
+
+bool FleetMirror::IsFollowingOperator() const {
+  return m_is_operator_followed && m_clock.GetNow() - m_last_run_at <= kMaxTickGap;
+}
+
 void FleetMirror::ApplyWantedAges(const std::vector<WantedAge>& ages) {
   bool is_changed = false;
   for (const WantedAge& age : ages) is_changed |= ApplyWantedAge(age);
@@ -178,9 +192,7 @@
   std::vector<WantedAge> ages;
   const TimePoint now = m_clock.GetNow();
   for (auto wanted = m_wanted.rbegin(); wanted != m_wanted.rend() && ages.size() < kMaxWantedAges; ++wanted) {
-    const Duration age = now - wanted->since;
-    if (wanted->is_since_known && age < kAgeSendFactor * m_version_change_limit)
-      ages.push_back({wanted->model, wanted->version, age});
+    if (wanted->is_since_known) ages.push_back({wanted->model, wanted->version, now - wanted->since});
   }
   return ages;
 }
@@ -241,6 +253,8 @@
 }
 
 void FleetMirror::Tick() {
+  if (!IsFollowingOperator()) m_is_operator_followed = false;
+  m_last_run_at = m_clock.GetNow();
   if (EvictLapsed() > 0) Publish();
 }
 
--- a/src/fleet_mirror.h
+++ b/src/fleet_mirror.h
@@ -77,6 +77,12 @@
   void ApplyListing(FleetTopic topic, std::vector<KeyedRecord> records, LogOffset end);
   void SetStoreReachable(bool is_reachable);
 
+  // Records that all operator requests made before `as_of` have been applied. Requests that arrive from then on, while
+  // the topic is read without interruption, count as made when they arrive.
+  void ConfirmOperatorRead(TimePoint as_of);
+  // Records that requests may be made from now on without being received at once.
+  void InterruptOperatorRead();
+
   // Applies the ages that a peer has sent. A peer may have received a request for a version earlier than this process,
   // or one that this process never receives because a newer request has replaced it in the store.
   void ApplyWantedAges(const std::vector<WantedAge>& ages);
@@ -99,6 +105,7 @@
   void RecordWantedVersions(const OperatorState& state, RecordOrigin origin);
   void AddWanted(const WantedWeights& wanted, std::string_view source);
   bool ApplyWantedAge(const WantedAge& age);
+  bool IsFollowingOperator() const;
   void Publish();
   void Tick();
   // Removes lapsed endpoints that were not listed again in time. Returns their number.
@@ -117,6 +124,12 @@
   // Raw values that m_endpoints was decoded from; unchanged values are not decoded again.
   std::map<EndpointId, std::string> m_raw_values;
   std::map<EndpointId, LapsedEndpoint> m_lapsed;
+  // Time until which all operator requests are known to have been received, and whether the topic has been read without
+  // interruption since.
+  TimePoint m_operator_as_of;
+  bool m_is_operator_followed = false;
+  // Last time at which the process is known to have run.
+  TimePoint m_last_run_at;
   // All requested versions, each model's oldest first; each one has its own deadline.
   std::vector<WantedWeights> m_wanted;
   bool m_is_store_reachable = false;
--- a/src/fleet_type.h
+++ b/src/fleet_type.h
@@ -156,8 +156,8 @@
   // Latest time at which operators may have requested it: when the first process of those that are known received the
   // request.
   TimePoint since;
-  // False if it was requested before this process started and no peer has told when. `since` then lies so far back that
-  // the version's limit has passed.
+  // False if this process may have received the request late and no peer has told its age. `since` is then the earliest
+  // possible time.
   bool is_since_known = true;
 };
 
--- a/tests/fleet_mirror_test.cpp
+++ b/tests/fleet_mirror_test.cpp
@@ -37,6 +37,7 @@
   void ApplyOperator(uint64_t offset, const std::string& key, std::optional<std::string> value) {
     mirror.ApplyRecords(FleetTopic::kOperator, {{key, LogOffset(offset), std::move(value)}}, LogOffset(offset + 1),
                         RecordOrigin::kStore);
+    mirror.ConfirmOperatorRead(clock.GetNow());
   }
   size_t GetEndpointCount() const { return mirror.GetFleet()->endpoints.size(); }
 
@@ -197,6 +198,7 @@
   SECTION("one that receives only the successor keeps the limit of the version before") {
     late.ApplyOperator(1, "config", MakeConfig(7));
     advance(std::chrono::seconds(5));
+    peer.mirror.ConfirmOperatorRead(peer.clock.GetNow());
     peer.ApplyOperator(3, "version/m", R"({"model":"m","version":3})");
     late.ApplyOperator(3, "version/m", R"({"model":"m","version":3})");
     deliver();
@@ -228,12 +230,60 @@
     CHECK(late.mirror.GetFleet()->wanted[0].since == since);
   }
 
+  SECTION("the age of a version whose limit passed long ago is still told") {
+    late.ApplyOperator(1, "config", MakeConfig(7));
+    advance(std::chrono::seconds(20));
+    late.ApplyOperator(2, "version/m", R"({"model":"m","version":2})");
+    deliver();
+    CHECK(min_version() == WeightVersion(2));
+  }
+
   SECTION("a process whose age is unknown sends none") {
     late.ApplyOperator(1, "version/m", R"({"model":"m","version":2})");
     CHECK(late.mirror.GetWantedAges().empty());
   }
 }
 
+// Guards against requests on superseded weights after their limit when no process receives the operators' request at
+// once, because the store's connections or all processes stood still.
+TEST_CASE("A weight version received after an interruption counts from the last read before it") {
+  FleetFixture fixture;
+  fixture.ApplyOperator(1, "config", MakeConfig(7));
+  const TimePoint last_read = fixture.clock.GetNow();
+  const std::string version = R"({"model":"m","version":2})";
+  const auto get_wanted = [&] { return fixture.mirror.GetFleet()->wanted.at(0); };
+
+  SECTION("a read that failed") {
+    fixture.clock.Advance(Milliseconds(300));
+    fixture.mirror.InterruptOperatorRead();
+    fixture.clock.Advance(Milliseconds(300));
+    fixture.ApplyOperator(2, "version/m", version);
+    CHECK(get_wanted().since == last_read);
+  }
+
+  SECTION("a process that stood still") {
+    fixture.clock.Advance(std::chrono::seconds(4));
+    fixture.ApplyOperator(2, "version/m", version);
+    CHECK(get_wanted().since == last_read);
+    CHECK(fixture.mirror.GetWantedAges().empty());
+  }
+
+  SECTION("a result that shows an earlier state does not end the interruption") {
+    fixture.clock.Advance(std::chrono::seconds(4));
+    const TimePoint as_of = last_read + std::chrono::seconds(1);
+    fixture.mirror.ConfirmOperatorRead(as_of);
+    fixture.ApplyOperator(2, "version/m", version);
+    CHECK(get_wanted().since == as_of);
+  }
+
+  SECTION("without an interruption it counts from its receipt") {
+    fixture.clock.Advance(Milliseconds(300));
+    fixture.ApplyOperator(2, "version/m", version);
+    CHECK(get_wanted().since == fixture.clock.GetNow());
+    CHECK(fixture.mirror.GetWantedAges().size() == 1);
+  }
+}
+
 // Guards against a configuration that is received seconds late after a store outage, because a long poll sent during
 // the outage is still pending.
 TEST_CASE("No long poll is sent to a store whose last read failed") {
