Withdraw only streams, and only from the version that they would start on

A stream whose response header names a version that may start was cancelled if the last load report was older. An attempt that was not sent yet counted as run, so that the caller got a 502 in place of a true 503. A response that is no stream sends its body only at its end and would be cancelled while it runs. A request without a model name skipped the limit. Change: the version in the response header goes before the reported one; unsent attempts are repeated or refused as not run; only streams are withdrawn; a request without a model name runs on the model of its pool. Evidence: the test of the request without a model and the section of the new version in the header failed before. The section of the unsent attempt failed before too, but with a shorter wait in the test; it was not run again on the old code.

--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -38,7 +38,8 @@
 // Returns the model that the endpoints of the pool run the request on, or an empty name if they are no engines.
 ModelName FindModel(const RouteMatcher& matcher, const PoolName& name, const ForwardRequest& request) {
   const PoolSpec* pool = matcher.FindPool(name);
-  return pool != nullptr && pool->engine.has_value() ? request.model : ModelName();
+  if (pool == nullptr || !pool->engine.has_value()) return ModelName();
+  return request.model.IsEmpty() ? pool->engine->model : request.model;
 }
 
 TimePoint ComputeDeadline(const ForwardRequest& request, const RouteRule& rule, TimePoint now) {
@@ -348,23 +349,36 @@
     return;
   }
   if (IsPastStartLimit(now)) {
-    m_call->Cancel();
-    FailAttempt(AttemptEnd::kWithdrawn, "not started before the limit of the endpoint's weight version");
+    WithdrawAttempt();
   } else if (IsSilent(now)) {
     m_call->Cancel();
     FailAttempt(AttemptEnd::kSilent, "endpoint sent nothing within the inactivity timeout");
   }
 }
 
+void ActiveRequest::WithdrawAttempt() {
+  const std::string reason = "not started before the limit of the endpoint's weight version";
+  const bool was_sent = m_call->IsSent();
+  m_call->Cancel();
+  if (was_sent) {
+    FailAttempt(AttemptEnd::kWithdrawn, reason);
+    return;
+  }
+  EndAttempt(AttemptEnd::kWithdrawn);
+  RetryOrFail(false, reason);
+}
+
 bool ActiveRequest::IsSilent(TimePoint now) const {
   if (m_call == nullptr || !m_match.rule->IsRepeatable() || !m_call->IsSent()) return false;
   return now - m_last_received_at >= GetInactivityTimeout() && m_outcome.executions + 1 < m_match.rule->attempts;
 }
 
 bool ActiveRequest::IsPastStartLimit(TimePoint now) const {
-  // Cancelling a request that must run once would not undo its effects.
-  if (m_call == nullptr || m_has_body || m_match.rule->kind == RequestKind::kOnce) return false;
-  const std::optional<TimePoint> limit = m_deps.host.GetStartLimit(*this, m_endpoint);
+  // The body of a stream shows that it has started; the body of another response comes only at its end. Cancelling a
+  // request that must run once would not undo its effects.
+  if (m_call == nullptr || m_has_body || !IsStream()) return false;
+  const std::optional<WeightVersion> answered = m_response_head.has_value() ? m_response_head->version : std::nullopt;
+  const std::optional<TimePoint> limit = m_deps.host.GetStartLimit(*this, m_endpoint, answered);
   return limit.has_value() && now >= *limit - kWithdrawalMargin;
 }
 
--- a/src/active_request.h
+++ b/src/active_request.h
@@ -46,7 +46,9 @@
   // Returns the Retry-After time for a caller whose request has not run.
   virtual Duration SuggestRetryAfter(ActiveRequest& active) = 0;
   // Returns the time from which an attempt at the endpoint must not start any more, or nothing if it always may.
-  virtual std::optional<TimePoint> GetStartLimit(const ActiveRequest& active, const EndpointId& endpoint) const = 0;
+  // `answered` is the weight version in the endpoint's response; if it is unset, the last reported version counts.
+  virtual std::optional<TimePoint> GetStartLimit(const ActiveRequest& active, const EndpointId& endpoint,
+                                                 std::optional<WeightVersion> answered) const = 0;
   // Called after the final response was sent. The host must not destroy the request within this call.
   virtual void OnRequestEnded(ActiveRequest& active) = 0;
 };
@@ -149,6 +151,7 @@
   void OnCallerDisconnected();
   HttpCallOptions MakeOptions(TimePoint now) const;
   Duration GetInactivityTimeout() const;
+  void WithdrawAttempt();
   bool IsSilent(TimePoint now) const;
   bool IsPastStartLimit(TimePoint now) const;
   bool IsStream() const { return m_match.rule->kind == RequestKind::kStream; }
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -309,9 +309,11 @@
 
 bool ForwardTraffic::TryAcquireRetry(ActiveRequest& active) { return GetPool(active.GetPool()).budget->TryConsume(); }
 
-std::optional<TimePoint> ForwardTraffic::GetStartLimit(const ActiveRequest& active, const EndpointId& endpoint) const {
+std::optional<TimePoint> ForwardTraffic::GetStartLimit(const ActiveRequest& active, const EndpointId& endpoint,
+                                                       std::optional<WeightVersion> answered) const {
   if (active.GetModel().IsEmpty()) return std::nullopt;
-  const std::optional<WeightVersion> version = m_balancer.GetVersion(endpoint, active.GetModel());
+  const std::optional<WeightVersion> version =
+      answered.has_value() ? answered : m_balancer.GetVersion(endpoint, active.GetModel());
   if (!version.has_value()) return std::nullopt;
   return plantain::GetStartLimit(m_fleet->wanted, active.GetModel(), *version, m_options.version_change_limit);
 }
--- a/tests/forward_fake.h
+++ b/tests/forward_fake.h
@@ -190,7 +190,8 @@
 
   // Sends a caller's request to the entry. Returns the caller's side of the exchange.
   std::shared_ptr<FakeForwardCaller> SendRequest(const std::string& path, const std::string& deadline_ms,
-                                                 std::vector<std::pair<std::string, std::string>> fields = {}) {
+                                                 std::vector<std::pair<std::string, std::string>> fields = {},
+                                                 bool names_model = true) {
     HttpRequest request;
     request.method = "POST";
     request.target = path;
@@ -198,7 +199,7 @@
     request.headers.Add("Plantainmast-Attempt-Id", "r" + std::to_string(++request_count));
     if (!deadline_ms.empty()) request.headers.Add("Plantainmast-Deadline-Ms", deadline_ms);
     if (path.starts_with("/draft/")) {
-      request.headers.Add("Plantainmast-Model", kVeilModel.Get());
+      if (names_model) request.headers.Add("Plantainmast-Model", kVeilModel.Get());
       request.headers.Add("Plantainmast-Token-Usage", "900,100");
     }
     for (auto& [name, value] : fields) request.headers.Add(name, value);
--- a/tests/forward_traffic_test.cpp
+++ b/tests/forward_traffic_test.cpp
@@ -234,6 +234,15 @@
   }
 }
 
+// Guards against a request without a model name that starts on a superseded weight version.
+TEST_CASE("A request that names no model runs on the model of its pool") {
+  ForwardFixture fixture(MakeEngines());
+  fixture.SetWanted({{kVeilModel, WeightVersion(2), fixture.clock.GetNow()}});
+  fixture.AdvanceTime(Milliseconds(6900));
+  const auto caller = fixture.SendRequest("/draft/1", "6000", {}, false);
+  CHECK(fixture.sender.GetCount() == 0);
+}
+
 // Guards against a stream that breaks after the limit of its weight version and is started again on that version.
 TEST_CASE("A broken stream does not resume on a weight version whose time limit has passed") {
   ForwardFixture fixture(MakeEngines());
@@ -292,6 +301,19 @@
     CHECK(first.is_cancelled);
   }
 
+  SECTION("one that was not sent yet has not run, so that the caller may repeat it") {
+    first.is_sent = false;
+    fixture.AdvanceTime(Milliseconds(2000));
+    CHECK(first.is_cancelled);
+    CHECK(caller->status == 503);
+  }
+
+  SECTION("an answer of the new version goes on") {
+    first.BeginStream("2");
+    fixture.AdvanceTime(Milliseconds(1000));
+    CHECK_FALSE(first.is_cancelled);
+  }
+
   SECTION("a stream that has begun goes on") {
     first.BeginStream();
     first.SendData("id: 1\nda");
