--- a/tests/fleet_mirror_test.cpp
+++ b/tests/fleet_mirror_test.cpp
@@ -374,6 +374,17 @@
   clock.Advance(std::chrono::seconds(3));
   CHECK(beacons.GetEntries().empty());
 
+  SECTION("a process that restarts after its clock was set back is heard again") {
+    BeaconInfo restarted = MakeBeacon("10.0.0.2", 1, 3);
+    restarted.incarnation = Incarnation(0);
+    CHECK(beacons.Update(restarted));
+    CHECK(beacons.GetEntries() == std::vector<VmId>{VmId("10.0.0.2")});
+    BeaconInfo earlier = MakeBeacon("10.0.0.2", 9, 3);
+    earlier.incarnation = Incarnation(5);
+    REQUIRE(beacons.Update(earlier));
+    restarted.sequence = 99;
+    CHECK_FALSE(beacons.Update(restarted));
+  }
   SECTION("a beacon is unchanged by encoding and decoding") {
     BeaconInfo beacon = MakeBeacon("10.0.0.3", 1, 8);
     beacon.load = EndpointLoad{EndpointId("e"), 3, 2, true, 1.5, {{ModelName("m"), WeightVersion(4)}}};
