--- a/src/admin_http.h
+++ b/src/admin_http.h
@@ -1,4 +1,4 @@
-// The admin side of each process: health, readiness, metrics, status and recent events over HTTP.
+// HTTP server for administration of a process: health, readiness, metrics, status and recent events.
 
 #ifndef PLANTAIN_ADMIN_HTTP_H_
 #define PLANTAIN_ADMIN_HTTP_H_
@@ -14,13 +14,13 @@
 
 namespace plantain {
 
-// Whether a process takes work, and the reason if not.
+// Whether a process accepts work, and the reason if not.
 struct Readiness {
   bool is_ready = false;
   std::string reason;
 };
 
-// Asked on the control thread for each request.
+// Called on the control thread for each request.
 class AdminSource {
  public:
   virtual ~AdminSource() = default;
--- a/src/agent_self.h
+++ b/src/agent_self.h
@@ -1,4 +1,4 @@
-// What an agent tells its peers and its operators about itself.
+// State that an agent reports to its peers and operators.
 
 #ifndef PLANTAIN_AGENT_SELF_H_
 #define PLANTAIN_AGENT_SELF_H_
@@ -14,7 +14,7 @@
 
 namespace plantain {
 
-// Used on the control thread.
+// Must only be used on the control thread.
 class AgentSelf : public Service, public SelfSource, public AdminSource {
  public:
   AgentSelf(const ProcessParts& parts, const ConfigSource& config, const MemberSource& members,
--- a/src/channel.cpp
+++ b/src/channel.cpp
@@ -18,7 +18,7 @@
 constexpr int kReconnectMaxMs = 1000;
 // A connection without traffic or heartbeat for this time counts as lost, which detects stalled links.
 constexpr int kHeartbeatTimeoutMs = 3000;
-// Messages handled in one go before other callbacks of the loop get their turn.
+// Messages handled in one callback, so that other callbacks of the loop are not delayed.
 constexpr int kMaxBurst = 64;
 
 void SetOption(void* socket, int option, int value) { zmq_setsockopt(socket, option, &value, sizeof(value)); }
@@ -54,8 +54,8 @@
   zmq_msg_t m_message;
 };
 
-// Receives from a ZeroMQ socket on an Asio loop. ZeroMQ's descriptor signals edges only, so after each event and
-// after each send the socket is read until it has nothing left.
+// Receives from a ZeroMQ socket on an Asio loop. ZeroMQ's descriptor is edge-triggered, so after each event and after
+// each send the socket is read until no input is left.
 class SocketPump : public std::enable_shared_from_this<SocketPump> {
  public:
   using OnReadable = std::function<bool(void* socket)>;
@@ -65,7 +65,7 @@
   SocketPump(const SocketPump&) = delete;
   SocketPump& operator=(const SocketPump&) = delete;
 
-  // `on_readable` takes one message and returns false if there was none.
+  // `on_readable` reads one message and returns false if there was none.
   void Start(OnReadable on_readable) {
     m_on_readable = std::move(on_readable);
     int fd = -1;
@@ -130,7 +130,7 @@
   bool m_is_scheduled = false;
 };
 
-// Reads and drops the remaining frames of a message that has more than expected.
+// Discards the remaining frames of a message that has more than expected.
 void DropRest(void* socket, bool has_more) {
   while (has_more) {
     Frame frame;
@@ -142,7 +142,7 @@
 }  // namespace
 
 ChannelContext::ChannelContext() : m_handle(zmq_ctx_new()) {
-  // The default of 1023 sockets is below one for each endpoint of a large zone.
+  // The default of 1023 is too low for a large zone, which needs one socket for each endpoint.
   zmq_ctx_set(m_handle, ZMQ_MAX_SOCKETS, 8192);
 }
 
--- a/src/channel.h
+++ b/src/channel.h
@@ -1,4 +1,4 @@
-// ZeroMQ sockets on a Loop: a server side (ROUTER) and a client side (DEALER). Messages are whole byte strings.
+// ZeroMQ sockets on a Loop: a server side (ROUTER) and a client side (DEALER). Messages are byte strings.
 
 #ifndef PLANTAIN_CHANNEL_H_
 #define PLANTAIN_CHANNEL_H_
@@ -31,18 +31,18 @@
 
 // Limits of a channel.
 struct ChannelOptions {
-  // Largest message accepted; a larger one closes the connection it came on.
+  // Largest message accepted. A larger one closes its connection.
   size_t max_message_bytes = 4 * 1024 * 1024;
   // Messages queued in each direction for one connection before Send fails.
   int queue_messages = 10'000;
-  // Time between two probes of each connection, which detect stalled links; 0 for none. One end's probes are enough.
+  // Interval of the heartbeats that detect stalled links; 0 disables them. Heartbeats from one end are enough.
   Duration probe_period = std::chrono::seconds(1);
 };
 
-// Names one connection of a server channel. Valid until the connection is lost; a new connection gets a new one.
+// Identifies one connection of a server channel. Valid until the connection is lost; a reconnection gets a new ID.
 using ConnectionId = StrongString<struct ConnectionIdTag>;
 
-// Accepts connections and answers on them. Used on one loop's thread only.
+// Accepts connections and replies on them. Must only be used on the loop's thread.
 class ServerChannel {
  public:
   using OnMessage = std::function<void(const ConnectionId& from, std::string_view message)>;
@@ -50,13 +50,13 @@
   ServerChannel(Loop& loop, ChannelContext& context, ChannelOptions options, OnMessage on_message);
   ~ServerChannel();
 
-  // Binds and begins to receive.
+  // Binds and starts to receive.
   absl::Status Start(const IpAddress& address, Port port);
 
   // Queues a message. Returns false if the connection is gone or its queue is full.
   bool Send(const ConnectionId& to, std::string_view message);
 
-  // As Send, for large messages: takes the bytes over instead of copying them.
+  // As Send, for large messages: takes ownership of the bytes instead of copying them.
   bool SendOwned(const ConnectionId& to, std::string message);
 
  private:
@@ -64,7 +64,7 @@
   std::shared_ptr<Impl> m_impl;
 };
 
-// Connects to one server channel, and again whenever the connection is lost. Used on one loop's thread only.
+// Connects to one server channel and reconnects when the connection is lost. Must only be used on the loop's thread.
 class ClientChannel {
  public:
   using OnMessage = std::function<void(std::string_view message)>;
@@ -73,8 +73,8 @@
                 OnMessage on_message);
   ~ClientChannel();
 
-  // Queues a message. Returns false if there is no connection at present or its queue is full; then the message was
-  // certainly not sent.
+  // Queues a message. Returns false if there is no connection or its queue is full. The message is then guaranteed not
+  // to have been sent.
   bool Send(std::string_view message);
 
  private:
--- a/src/config_carry.h
+++ b/src/config_carry.h
@@ -1,4 +1,5 @@
-// Decides which entry writes a checkpoint record ("carry") to log stream `config`, and when. No leader is elected.
+// Decides which entry writes a checkpoint to log stream `config`, and when. No leader is elected. The record type of a
+// checkpoint is `Carry`.
 
 #ifndef PLANTAIN_CONFIG_CARRY_H_
 #define PLANTAIN_CONFIG_CARRY_H_
@@ -11,15 +12,15 @@
 
 namespace plantain {
 
-// Schedule of one entry. A carry is due when the newest record from which a fold can start is older than half the
+// Schedule of one entry. A checkpoint is due when the newest record from which a fold can start is older than half the
 // retention time. Each entry waits according to its rendezvous rank. Usually the first one writes, and the others read
-// its carry before their own wait ends. Two carries of the same state are harmless.
+// its checkpoint before their own wait ends. Two checkpoints of the same state are harmless.
 class CarrySchedule {
  public:
   CarrySchedule(const Clock& clock, VmId self, Duration retention);
 
-  // Returns whether to write a carry now. `entries` are the entries believed to be alive. Must be called after each
-  // read of the log and periodically.
+  // Returns whether to write a checkpoint now. `entries` are the entries believed to be alive. Must be called
+  // periodically and after each read of the log.
   bool IsDue(const std::optional<FoldStart>& newest_start, const std::vector<VmId>& entries);
 
   // Records an attempt to write, so that a failed append is retried only after a delay.
--- a/src/config_fold.cpp
+++ b/src/config_fold.cpp
@@ -96,7 +96,7 @@
       break;
     }
     steps.push_back(ApplyRecord(record));
-    // The fold continues after the last record covered by the carry, which the reader must request again.
+    // The fold continues after the last record covered by the checkpoint, which the reader must request again.
     if (steps.back().verdict == FoldVerdict::kCarryAdopted) break;
   }
   return steps;
--- a/src/config_fold.h
+++ b/src/config_fold.h
@@ -29,15 +29,15 @@
   kRefused,
   // The record is not a valid ConfigRecord, or not of a kind that this build supports.
   kMalformed,
-  // A carry was not needed.
+  // A checkpoint was not needed.
   kCarryIgnored,
-  // The fold restarted from this carry.
+  // The fold restarted from this checkpoint.
   kCarryAdopted,
   // The record was processed before; the log returned it again.
   kDuplicate,
   // A record is missing. The fold does not advance until it arrives.
   kGap,
-  // The log no longer retains the next record. The fold searches for a carry to start from.
+  // The log no longer retains the next record. The fold searches for a checkpoint to start from.
   kExpired,
   // The record cannot be folded because the state before it is unknown.
   kNoStart,
@@ -75,8 +75,9 @@
   // Processes the records that a read returned. Records may be repeated, out of order or missing; none is folded twice.
   std::vector<FoldStep> ApplyBatch(LogBatch batch);
 
-  // Starts from a document that was verified by the proof of another process, as if from a carry that ends with its
-  // publish record. The recent publish ids are then unknown, so only readers without a carry and rare readers use this.
+  // Starts from a document that was verified by the proof of another process, as if from a checkpoint that ends with
+  // its publish record. The recent publish ids are then unknown, so only readers without a checkpoint and rare readers
+  // use this.
   void StartFrom(std::shared_ptr<const ConfigView> view);
 
   // Returns the document in force after the last folded record, or null at version 0.
@@ -87,10 +88,10 @@
   bool IsStarted() const { return !m_is_searching; }
 
   // Returns the newest record from which a fold can start, or nullopt if neither the first record of the stream nor a
-  // carry has been read.
+  // checkpoint has been read.
   std::optional<FoldStart> GetNewestStart() const { return m_newest_start; }
 
-  // Returns a serialized ConfigRecord that contains a carry of the current state, or nullopt if there is no state.
+  // Returns a serialized ConfigRecord that contains a checkpoint of the current state, or nullopt if there is no state.
   std::optional<std::string> MakeCarry(const std::string& writer) const;
 
  private:
@@ -99,13 +100,13 @@
   void AddRecentPublishId(const std::string& id);
 
   LogOffset m_next;
-  // True while the fold searches for a carry that covers all records before m_search_offset.
+  // True while the fold searches for a checkpoint that covers all records before m_search_offset.
   bool m_is_searching = false;
   LogOffset m_search_offset;
   std::shared_ptr<const ConfigView> m_view;
   std::string m_publish_id;
-  // Ids of recent publishes, accepted or not, oldest first. They are part of the state and are stored in carries, so
-  // that readers that started at different offsets make the same decisions.
+  // Ids of recent publishes, accepted or not, oldest first. They are part of the state and are stored in checkpoints,
+  // so that readers that started at different offsets make the same decisions.
   std::deque<std::string> m_recent_ids;
   std::set<std::string> m_known_ids;
   std::optional<FoldStart> m_newest_start;
--- a/src/config_service.h
+++ b/src/config_service.h
@@ -1,4 +1,4 @@
-// Provides the configuration in force: follows the log, adopts documents offered by peers and writes carries.
+// Provides the configuration in force: follows the log, adopts documents offered by peers and writes checkpoints.
 
 #ifndef PLANTAIN_CONFIG_SERVICE_H_
 #define PLANTAIN_CONFIG_SERVICE_H_
@@ -27,7 +27,8 @@
 
 struct ConfigServiceOptions {
   VmId vm;
-  // Entries follow the log by long polling and write carries. Agents get documents from peers and rarely read the log.
+  // Entries follow the log by long polling and write checkpoints. Agents get documents from peers and rarely read the
+  // log.
   bool is_entry = false;
   std::string key;
   // Maximum duration of one long poll in a small fleet.
--- a/src/document_check.cpp
+++ b/src/document_check.cpp
@@ -11,7 +11,7 @@
   return field.empty() ? path : path + "." + field;
 }
 
-// Checks one document. Names that are empty were reported when they were read and are skipped here.
+// Checks one document. Skips empty names, which the parser has already reported.
 class DocumentChecker {
  public:
   DocumentChecker(const Document& document, const DocumentLines& lines, DocumentFaults& faults)
@@ -31,7 +31,7 @@
     m_faults.Add(FailureCode::kDocumentImpossible, found == m_lines.end() ? 0 : found->second, field, expected);
   }
 
-  // Reports each entry of a list whose name an earlier entry has.
+  // Reports entries of a list whose name is a duplicate of an earlier one.
   template <typename Item, typename GetName>
   void CheckUnique(const std::string& list, const std::string& field, const std::vector<Item>& items,
                    const GetName& get_name) {
--- a/src/document_edit.cpp
+++ b/src/document_edit.cpp
@@ -8,7 +8,7 @@
 namespace plantain {
 namespace {
 
-// Lines with their line ends, so that joining them gives the text back.
+// Splits a text into lines that keep their line ends, so that joining them restores the text.
 std::vector<std::string> SplitLines(std::string_view text) {
   std::vector<std::string> lines;
   while (!text.empty()) {
@@ -89,7 +89,7 @@
     is_changed = InsertServiceLine(lines, static_cast<size_t>(name->line) - 1, new_value);
   }
 
-  // A line of an unusual form could have been changed in the wrong place, so the result is read back.
+  // A line of an unusual form could have been changed in the wrong place, so the result is parsed again.
   const std::string changed = JoinLines(lines);
   const absl::StatusOr<Document> after = ParseDocument(file, changed);
   if (is_changed && !after.ok()) return after.status();
--- a/src/document_fault.cpp
+++ b/src/document_fault.cpp
@@ -3,7 +3,7 @@
 namespace plantain {
 namespace {
 
-// Bounds the text that a wrong document can cause in logs and in the refusal of a publish.
+// Limits the size of log lines and publish errors caused by an invalid document.
 constexpr size_t kMaxFaults = 50;
 constexpr size_t kMaxFieldLength = 200;
 
--- a/src/document_fault.h
+++ b/src/document_fault.h
@@ -1,4 +1,4 @@
-// Faults of a document, gathered so that they are reported together.
+// Validation errors of a document, collected so that they are reported together.
 
 #ifndef PLANTAIN_DOCUMENT_FAULT_H_
 #define PLANTAIN_DOCUMENT_FAULT_H_
@@ -18,12 +18,12 @@
  public:
   explicit DocumentFaults(std::string_view file) : m_file(file) {}
 
-  // Adds one fault. Line 0 means that the line is not known. The first fault gives the status its type.
+  // Adds one fault. Line 0 means that the line is not known. The first fault determines the code of the status.
   void Add(FailureCode code, int line, std::string_view field, std::string_view expected);
 
   bool IsEmpty() const { return !m_code.has_value(); }
 
-  // Returns OK if there is no fault, else all of them, a line each.
+  // Returns OK if there is no fault, otherwise an error that lists them, one per line.
   absl::Status GetStatus() const;
 
  private:
--- a/src/document_func.h
+++ b/src/document_func.h
@@ -1,4 +1,4 @@
-// Reading and checking of the operators' document, and look-ups in it.
+// Parsing, validation and lookup functions for the operators' document.
 
 #ifndef PLANTAIN_DOCUMENT_FUNC_H_
 #define PLANTAIN_DOCUMENT_FUNC_H_
@@ -13,19 +13,19 @@
 
 namespace plantain {
 
-// Reads a document. Syntax faults, unknown fields, wrong types and values out of range are reported together, a line
-// each in the form `file:line: field: expected ...`. The result depends on the text alone, so that every process
-// that folds the log decides alike.
+// Parses a document. Syntax errors, unknown fields, wrong types and values out of range are reported together, one per
+// line in the form `file:line: field: expected ...`. The result depends only on the text, so that every process that
+// folds the log accepts the same documents.
 absl::StatusOr<Document> ParseDocument(std::string_view file, std::string_view text);
 
-// Checks what a single field cannot show: references to unknown models, versions, pools or zones, the last zone out
+// Checks constraints between fields: references to unknown models, versions, pools or zones, the last zone out
 // of service, and so on. ParseDocument calls it.
 absl::Status CheckDocument(std::string_view file, const Document& document);
 
-// Writes a document as YAML that ParseDocument reads back to an equal document.
+// Formats a document as YAML that ParseDocument parses to an equal document.
 std::string FormatDocument(const Document& document);
 
-// Returns the text with the `service` field of one zone changed. Comments and layout stay as they are. Fails if the
+// Returns the text with the `service` field of one zone changed. Comments and layout are preserved. Fails if the
 // text has no such zone in block form or if the changed text is not a valid document.
 absl::StatusOr<std::string> SetZoneServiceInText(std::string_view file, std::string_view text, const ZoneName& zone,
                                                  bool is_in_service);
@@ -48,7 +48,7 @@
 // Returns the zone's entry, or null.
 const ZoneSpec* FindZone(const Document& document, const ZoneName& zone);
 
-// Returns whether a zone takes new work. Zones that the document does not name do not.
+// Returns whether a zone accepts new work. False for a zone that the document does not list.
 bool IsZoneInService(const Document& document, const ZoneName& zone);
 
 const WorkspaceSpec* FindWorkspace(const Document& document, const WorkspaceName& workspace);
--- a/src/document_line.h
+++ b/src/document_line.h
@@ -1,4 +1,4 @@
-// Lines of the fields of a document, so that checks of the whole document can name them.
+// Line numbers of the fields of a document, used to report faults that are found after parsing.
 
 #ifndef PLANTAIN_DOCUMENT_LINE_H_
 #define PLANTAIN_DOCUMENT_LINE_H_
--- a/src/document_parse.cpp
+++ b/src/document_parse.cpp
@@ -19,8 +19,8 @@
 constexpr double kMaxWeight = 1e6;
 constexpr uint64_t kMaxWeightsBytes = 1ull << 50;
 
-// Largest lists. Ten times the fleet that the project is designed for, and small enough that their product stays
-// below the bound on nodes.
+// Maximum list lengths: ten times the fleet that the project is designed for, and small enough that their product stays
+// below the limit on nodes.
 constexpr size_t kMaxZones = 300;
 constexpr size_t kMaxModels = 1'000;
 constexpr size_t kMaxVersions = 100;
@@ -53,13 +53,13 @@
   return std::string(text, error == std::errc() ? end : text);
 }
 
-// Where faults and lines of one document go.
+// Output of the parser besides the document.
 struct Sink {
   DocumentFaults& faults;
   DocumentLines& lines;
 };
 
-// Takes the fields of one map and reports those that are missing, wrong or left over.
+// Reads the fields of one map and reports missing, invalid and unknown ones.
 class MapReader {
  public:
   MapReader(const YamlNode& node, std::string path, Sink sink) : m_node(node), m_path(std::move(path)), m_sink(sink) {
@@ -76,7 +76,7 @@
     }
   }
 
-  // Returns the field's node, or null. A missing field that is required is a fault.
+  // Returns the field's node, or null. Reports a fault if a required field is missing.
   const YamlNode* Take(const std::string& name, bool is_required) {
     m_known.insert(name);
     if (m_node.kind != YamlNode::Kind::kMap) return nullptr;
@@ -176,7 +176,7 @@
     entry.Finish();
   }
 
-  // Reports fields that were never taken.
+  // Reports fields that were not read.
   void Finish() {
     for (size_t i = 0; i < m_node.keys.size(); ++i) {
       if (m_known.count(m_node.keys[i]) != 0) continue;
--- a/src/document_type.h
+++ b/src/document_type.h
@@ -84,13 +84,13 @@
   RolloutPriority priority = RolloutPriority::kRoutine;
 };
 
-// Service-level objectives and how much each measure counts for this user.
+// Service-level objectives and the relative weights of the measures.
 struct ObjectiveSpec {
-  // Share of requests that get a whole answer, from 0 to 1.
+  // Share of requests that get a complete response, from 0 to 1.
   double availability = 0.999;
   double first_token_ms = 420;
   double token_gap_ms = 77;
-  // Share of answers within the two times above.
+  // Share of responses within the two times above.
   double latency_share = 0.95;
   double replicas_s = 300;
   double zone_change_s = 3;
@@ -102,9 +102,9 @@
 struct Document {
   int schema = 1;
   std::string deployment;
-  // Whether operators may take the last zone out of service, which ends all service.
+  // Whether operators may take the last zone out of service, which stops all service.
   bool allow_all_zones_out = false;
-  // Zone in which the platform's weight store and log stand.
+  // Zone in which the platform's weight store and log run.
   ZoneName origin_zone;
   std::vector<ZoneSpec> zones;
   std::vector<ModelSpec> models;
--- a/src/document_write.cpp
+++ b/src/document_write.cpp
@@ -17,14 +17,14 @@
   return hex;
 }
 
-// Shortest form that reads back to the same number.
+// Returns the shortest form that parses to the same number.
 std::string FormatNumber(double value) {
   char text[32];
   const auto [end, error] = std::to_chars(text, text + sizeof(text), value);
   return std::string(text, error == std::errc() ? end : text);
 }
 
-// Names are quoted because a plain `null`, `1` or `true` would read back as another kind.
+// Names are quoted because a plain `null`, `1` or `true` would be parsed as another type.
 std::string Quote(const std::string& name) { return "\"" + name + "\""; }
 
 void WriteVersions(std::ostream& out, const std::string& indent, const std::vector<WeightsVersion>& versions) {
--- a/src/event_log.cpp
+++ b/src/event_log.cpp
@@ -31,12 +31,12 @@
   return log4cplus::INFO_LOG_LEVEL;
 }
 
-// A few seconds of lines at the highest rate of requests.
+// Holds a few seconds of lines at the highest request rate.
 constexpr size_t kLogBufferBytes = 512 * 1024;
 
 std::string MakeDropNote(uint64_t dropped) { return FormatEvent("log_dropped", {{"lines", dropped}}) + "\n"; }
 
-// Hands formatted lines to the writer's thread.
+// Passes formatted lines to the writer's thread.
 class BufferedAppender : public log4cplus::Appender {
  public:
   BufferedAppender() : m_writer(STDOUT_FILENO, kLogBufferBytes, MakeDropNote) {}
@@ -88,7 +88,7 @@
   out += '"';
 }
 
-// Never destroyed, since events may be logged until the very end.
+// Never destroyed, since events may be logged until the process exits.
 log4cplus::Initializer*& GetInitializer() {
   static log4cplus::Initializer* initializer = nullptr;
   return initializer;
@@ -126,7 +126,7 @@
 void SetEventLogLevel(LogLevel level) { log4cplus::Logger::getRoot().setLogLevel(ToLog4cplus(level)); }
 
 void StopEventLog() {
-  // The appender stays: a reader that still stalls holds its thread until the process ends.
+  // The appender is not destroyed: its thread may be blocked on a stalled reader until the process ends.
   if (GetAppender() != nullptr) GetAppender()->Stop();
 }
 
--- a/src/hex_text.h
+++ b/src/hex_text.h
@@ -1,4 +1,4 @@
-// Bytes as lower-case hex digits, the text form of digests.
+// Conversion between bytes and hex digits. Digests are formatted in lower case.
 
 #ifndef PLANTAIN_HEX_TEXT_H_
 #define PLANTAIN_HEX_TEXT_H_
@@ -11,7 +11,7 @@
 
 std::string FormatHex(std::string_view bytes);
 
-// Returns nothing unless the text is an even number of hex digits.
+// Returns nullopt unless the text is an even number of hex digits.
 std::optional<std::string> ParseHex(std::string_view text);
 
 }  // namespace plantain
--- a/src/plain_service.cpp
+++ b/src/plain_service.cpp
@@ -43,7 +43,7 @@
   m_is_polling = true;
   HttpCallOptions options;
   options.timeout = kStatusTimeout;
-  // The protocol has no health path; HEAD of any path shows that the service answers without moving its ledger.
+  // The protocol has no health path. HEAD of any path shows that the service responds, and does not change its ledger.
   m_call = m_client->Fetch(m_target, HttpRequest{"HEAD", "/ledger", {}, ""}, options,
                            [this](const absl::StatusOr<HttpResponse>& response) { OnAnswer(response.ok()); });
 }
--- a/src/plain_service.h
+++ b/src/plain_service.h
@@ -1,4 +1,4 @@
-// Gate and status of a plain service, which has no weights.
+// Serving gate and status of a plain service, which has no weights.
 
 #ifndef PLANTAIN_PLAIN_SERVICE_H_
 #define PLANTAIN_PLAIN_SERVICE_H_
@@ -15,7 +15,7 @@
 
 namespace plantain {
 
-// Reads in short periods whether the plain service answers. Any HTTP answer counts.
+// Polls whether the plain service responds. Any HTTP response counts.
 class PlainServiceSource : public Service, public EngineSource {
  public:
   PlainServiceSource(Loop& loop, HttpTarget target, Duration poll_period);
@@ -26,7 +26,7 @@
   std::shared_ptr<const EngineStatus> GetEngineStatus() const override;
   void AddEngineListener(std::function<void(const std::shared_ptr<const EngineStatus>&)> listener) override;
 
-  // Safe from any thread.
+  // Thread-safe.
   bool IsAnswering() const { return m_is_answering; }
 
  private:
@@ -46,7 +46,7 @@
   std::shared_ptr<const EngineStatus> m_status;
 };
 
-// Open while the service answers. The digest of its weights is empty.
+// Open while the service responds. The digest of its weights is empty.
 class PlainServiceGate : public Service, public ServingGate {
  public:
   explicit PlainServiceGate(const PlainServiceSource& source) : m_source(source) {}
--- a/src/self_json.h
+++ b/src/self_json.h
@@ -16,7 +16,6 @@
 std::string FormatSelfJson(const ProcessParts& parts, const SelfState& self, const ConfigSource& config,
                            const MemberSource& members);
 
-// Returns the state's name in lower case.
 std::string_view GetMemberStateName(MemberState state);
 
 }  // namespace plantain
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -124,7 +124,7 @@
   return out.str();
 }
 
-// Fills in one row's value and returns a fault text, or an empty text.
+// Sets the value of one row. Returns a fault text, or an empty string if the value is valid.
 std::string TakeValue(const SettingRow& row, std::string_view file, const std::map<std::string, Scanned>& scanned,
                       Values& values) {
   const std::string name(row.name);
--- a/src/settings_func.h
+++ b/src/settings_func.h
@@ -1,4 +1,4 @@
-// Reading, checking and printing of settings.
+// Parsing, validation and formatting of settings.
 
 #ifndef PLANTAIN_SETTINGS_FUNC_H_
 #define PLANTAIN_SETTINGS_FUNC_H_
@@ -11,7 +11,7 @@
 
 namespace plantain {
 
-// Reads settings from YAML text. All faults are reported in one status, a line each in the form
+// Parses settings from YAML text. All faults are reported in one status, one per line in the form
 // `file:line: field: what was expected`. Unknown names are faults.
 absl::StatusOr<Settings> ParseSettings(SettingsTable table, std::string_view file, std::string_view text);
 
--- a/src/settings_type.h
+++ b/src/settings_type.h
@@ -22,7 +22,7 @@
   // Dotted path in the YAML file, for example `peer.port`.
   std::string_view name;
   SettingKind kind;
-  // Default in YAML form; empty means that the setting must be given.
+  // Default in YAML form; empty means that the setting is required.
   std::string_view default_text;
   // Allowed range for numeric kinds, in the setting's unit. Unused for text.
   double min;
@@ -34,8 +34,8 @@
 
 using SettingsTable = std::span<const SettingRow>;
 
-// Checked values of one process. A getter on a name that the table lacks, or of another kind, is a programming
-// error and ends the process.
+// Validated settings of one process. Calling a getter with a name that is not in the table, or that is of another kind,
+// is a programming error and aborts the process.
 class Settings {
  public:
   Settings(SettingsTable table, std::map<std::string, std::vector<std::string>, std::less<>> values);
--- a/src/slo_counter.cpp
+++ b/src/slo_counter.cpp
@@ -5,7 +5,7 @@
 
 constexpr char kName[] = "plantain_slo_events_total";
 constexpr char kHelp[] = "Events that met (good) or missed (bad) a service-level objective of the document.";
-// Bounds memory against callers that make up workspace names.
+// Limits memory use if callers send many made-up workspace names.
 constexpr size_t kMaxCounters = 4096;
 
 }  // namespace
@@ -43,7 +43,7 @@
   key.is_bad = !is_good;
   key.zone = context.zone.Get();
   key.workspace = context.workspace.Get();
-  // Good events do not need the endpoint, which keeps the number of series low.
+  // The endpoint and reason are recorded only for bad events, which keeps the number of series low.
   if (!is_good) key.vm = context.endpoint.Get();
   if (!is_good) key.reason = reason;
   const std::lock_guard lock(m_mutex);
--- a/src/slo_counter.h
+++ b/src/slo_counter.h
@@ -14,19 +14,19 @@
 
 namespace plantain {
 
-// Where an event happened and on whose behalf.
+// Workspace, zone and endpoint of an event.
 struct SloContext {
   WorkspaceName workspace;
   ZoneName zone;
   VmId endpoint;
 };
 
-// One counter for each measure, outcome, workspace, zone, endpoint of bad events, and reason. Safe from any thread.
+// One counter for each measure, outcome, workspace and zone, and for bad events also endpoint and reason. Thread-safe.
 class SloCounter {
  public:
   SloCounter(Metrics& metrics, const ConfigSource& config);
 
-  // Counts one request: good if its caller got the whole answer.
+  // Counts one request. It is good if its caller received the complete response.
   void CountRequest(const SloContext& context, bool is_good, const std::string& reason);
 
   // Counts the time to the first token against the objective.
@@ -35,10 +35,10 @@
   // Counts the time between two tokens against the objective.
   void CountTokenGap(const SloContext& context, Duration gap);
 
-  // Counts a rollout at one VM: the time from the document's adoption until its weights serve.
+  // Counts a rollout at one VM: the time from adoption of the document until its weights are served.
   void CountReplica(const SloContext& context, Duration time);
 
-  // Counts a zone change at one process: the time from acceptance until it is obeyed.
+  // Counts a zone change at one process: the time from acceptance until it takes effect.
   void CountZoneChange(const SloContext& context, Duration time);
 
  private:
--- a/src/slo_meter.cpp
+++ b/src/slo_meter.cpp
@@ -31,7 +31,7 @@
 
 void SloMeter::OnConfig(const std::shared_ptr<const ConfigView>& view) {
   const std::shared_ptr<const ConfigView> before = std::exchange(m_view, view);
-  // The first document that a process adopts may be old, so it tells nothing of how quickly changes spread.
+  // The first document that a process adopts may be old, so it does not show how quickly changes propagate.
   if (before == nullptr) return;
   const SloContext context{WorkspaceName(), m_options.zone, m_options.vm};
   if (view->accepted_at.has_value() && HasZoneChange(before->document, view->document)) {
--- a/src/slo_meter.h
+++ b/src/slo_meter.h
@@ -15,7 +15,7 @@
 
 namespace plantain {
 
-// Who measures.
+// Identity of the measuring process.
 struct SloMeterOptions {
   VmId vm;
   ZoneName zone;
@@ -23,8 +23,8 @@
 };
 
 // Counts, on the control thread, the time until this VM serves the weights of a new document, and the time from the
-// log's acceptance of a zone change until this process obeys it. The latter is known only to processes that read the
-// change from the log themselves.
+// log's acceptance of a zone change until it takes effect in this process. The latter is known only to processes that
+// read the change from the log.
 class SloMeter : public Service {
  public:
   // `holdings` is null for entries, which hold no weights.
@@ -44,7 +44,7 @@
   SloCounter m_counter;
   const HoldingSource* m_holdings;
   std::shared_ptr<const ConfigView> m_view;
-  // When the document that this VM has yet to fulfil was adopted.
+  // When the document was adopted whose weights this VM does not serve yet.
   std::optional<TimePoint> m_rollout_since;
   std::unique_ptr<Timer> m_tick;
 };
--- a/src/socket_option.h
+++ b/src/socket_option.h
@@ -1,4 +1,4 @@
-// Options of TCP sockets that several modules set.
+// TCP socket options that are shared by several modules.
 
 #ifndef PLANTAIN_SOCKET_OPTION_H_
 #define PLANTAIN_SOCKET_OPTION_H_
@@ -9,12 +9,12 @@
 
 namespace plantain {
 
-// Time after which a connection is given up whose peer acknowledges nothing. Longer than a lost packet takes to be sent
-// again, shorter than a caller waits.
+// Time without an acknowledgement after which a connection is closed. Longer than the retransmission of a lost packet
+// takes, and shorter than callers wait.
 inline constexpr unsigned kDeadPeerTimeoutMs = 3000;
 
-// Makes the kernel close the connection when the peer is gone without a word. A failure leaves the kernel's default,
-// which only notices later.
+// Makes the kernel close the connection if the peer vanished without closing it. If this fails the kernel's default
+// remains, which only detects it later.
 inline void SetDeadPeerTimeout(int socket) {
   setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &kDeadPeerTimeoutMs, sizeof(kDeadPeerTimeoutMs));
 }
--- a/src/sse_parser.cpp
+++ b/src/sse_parser.cpp
@@ -26,7 +26,7 @@
     TakeLine(m_line);
     m_line.clear();
   }
-  if (m_is_failed) return MakeFailure(FailureCode::kProtocol, "an event is larger than allowed");
+  if (m_is_failed) return MakeFailure(FailureCode::kProtocol, "server-sent event exceeds the size limit");
   return absl::OkStatus();
 }
 
--- a/src/sse_parser.h
+++ b/src/sse_parser.h
@@ -1,4 +1,4 @@
-// Parser of server-sent events, bounded in memory.
+// Parser of server-sent events with bounded memory use.
 
 #ifndef PLANTAIN_SSE_PARSER_H_
 #define PLANTAIN_SSE_PARSER_H_
@@ -11,7 +11,7 @@
 
 namespace plantain {
 
-// Splits a byte stream into events and reports the data of each. Fields other than `data` are ignored.
+// Splits a byte stream into events and passes the data of each to a callback. Fields other than `data` are ignored.
 class SseParser {
  public:
   using OnEvent = std::function<void(std::string_view data)>;
@@ -19,7 +19,7 @@
   // Fails once a single event is larger than `max_event_bytes`.
   SseParser(size_t max_event_bytes, OnEvent on_event);
 
-  // Takes the next bytes, cut anywhere. After a failure all further bytes are refused.
+  // Parses the next bytes; an event may span several calls. After a failure all further calls fail.
   absl::Status Feed(std::string_view bytes);
 
  private:
@@ -30,7 +30,7 @@
   std::string m_line;
   std::string m_data;
   bool m_has_data = false;
-  // The last line ended in CR, so an LF that follows belongs to the same line end.
+  // The last line ended in CR, so a following LF is part of the same line end.
   bool m_skip_lf = false;
   bool m_is_failed = false;
 };
--- a/src/text_delta.h
+++ b/src/text_delta.h
@@ -1,4 +1,4 @@
-// The difference of two texts that differ in one place, as consecutive versions of a document mostly do.
+// Delta between two texts that differ in one place, as most consecutive versions of a document do.
 
 #ifndef PLANTAIN_TEXT_DELTA_H_
 #define PLANTAIN_TEXT_DELTA_H_
@@ -19,7 +19,7 @@
 
 TextDelta MakeTextDelta(std::string_view base, std::string_view text);
 
-// Returns the text, or nothing if the delta does not fit the base text.
+// Returns the text, or nullopt if the delta does not match the length of the base text.
 std::optional<std::string> ApplyTextDelta(std::string_view base, const TextDelta& delta);
 
 }  // namespace plantain
--- a/src/transfer_service.h
+++ b/src/transfer_service.h
@@ -38,7 +38,7 @@
 // Connects download, upload, chunk store and staging. The control thread sets the goals.
 class TransferService : public Service, public WeightExchange, private DownloadListener {
  public:
-  // `deps` provides the chunk origin and the engine's staging area, the non-peer source and destination of chunks.
+  // `deps` provides the chunk origin and the engine's staging area.
   TransferService(TransferOptions options, TransferDeps deps, const Clock& clock, Loop& control_loop,
                   Loop& transfer_loop, ChannelContext& channels, Metrics& metrics, uint64_t seed);
   ~TransferService() override;
--- a/src/udp_socket.cpp
+++ b/src/udp_socket.cpp
@@ -25,7 +25,7 @@
   void Receive() {
     socket.async_receive_from(asio::buffer(buffer), sender, [self = shared_from_this()](ErrorCode error, size_t size) {
       if (self->is_stopped || error == asio::error::operation_aborted) return;
-      // Other errors report that an earlier datagram did not arrive, which is to be expected.
+      // Other errors report that an earlier datagram was not delivered, which is expected.
       if (!error) self->on_datagram(std::string_view(self->buffer.data(), size));
       self->Receive();
     });
@@ -69,7 +69,7 @@
   ErrorCode error;
   const auto address = asio::ip::make_address(target.address.Get(), error);
   if (error) return;
-  // A full buffer loses the datagram like the network may.
+  // If the buffer is full the datagram is lost, as it may be in the network.
   m_impl->socket.send_to(asio::buffer(data), udp::endpoint(address, target.port.Get()), 0, error);
 }
 
--- a/src/udp_socket.h
+++ b/src/udp_socket.h
@@ -1,4 +1,4 @@
-// A UDP socket on one loop.
+// UDP socket on a Loop.
 
 #ifndef PLANTAIN_UDP_SOCKET_H_
 #define PLANTAIN_UDP_SOCKET_H_
@@ -14,7 +14,7 @@
 
 namespace plantain {
 
-// Used on the loop's thread.
+// Must only be used on the loop's thread.
 class UdpSocket {
  public:
   using OnDatagram = std::function<void(std::string_view data)>;
@@ -22,7 +22,7 @@
   UdpSocket(Loop& loop, IpAddress address, Port port, OnDatagram on_datagram);
   ~UdpSocket();
 
-  // Binds and begins to receive. Fails with kAddressInUse.
+  // Binds and starts to receive. Fails with kAddressInUse.
   absl::Status Start();
   void Stop();
 
--- a/src/yaml_tree.cpp
+++ b/src/yaml_tree.cpp
@@ -11,7 +11,7 @@
 namespace plantain {
 namespace {
 
-// Ends the reading at the first event that breaks a limit, so that no further text is expanded.
+// Thrown at the first event that violates a limit or rule, so that no further input is processed.
 struct TreeRefusal {
   FailureCode code;
   int line;
@@ -62,7 +62,7 @@
     m_open.push_back(node);
   }
 
-  // Adds a node to the innermost open list or map. Returns null if the node was taken as a key.
+  // Adds a node to the innermost open list or map. Returns null if the node is a key.
   //
   // Pointers to open nodes stay valid: a parent's list grows only after its open child is closed.
   YamlNode* AddNode(YamlNode::Kind kind, const YAML::Mark& mark, const std::string& tag, YAML::anchor_t anchor,
@@ -113,7 +113,7 @@
   return length;
 }
 
-// yaml-cpp guesses the encoding and replaces what it cannot read, so text other than plain UTF-8 is refused first.
+// yaml-cpp guesses the encoding and replaces invalid sequences, so text that is not plain UTF-8 is rejected first.
 bool IsReadableText(std::string_view text, int& line) {
   line = 1;
   for (size_t at = 0; at < text.size();) {
--- a/src/yaml_tree.h
+++ b/src/yaml_tree.h
@@ -1,4 +1,4 @@
-// A small tree of YAML nodes with line numbers, read under limits that are checked before anything is expanded.
+// A tree of YAML nodes with line numbers. Limits on its size are checked while it is built.
 
 #ifndef PLANTAIN_YAML_TREE_H_
 #define PLANTAIN_YAML_TREE_H_
@@ -13,14 +13,14 @@
 
 namespace plantain {
 
-// One node. A map keeps its keys in the order of the text; `keys[i]` belongs to `items[i]`.
+// One node. A map keeps its keys in source order; `keys[i]` belongs to `items[i]`.
 struct YamlNode {
   enum class Kind { kNull, kScalar, kList, kMap };
 
   Kind kind = Kind::kNull;
   int line = 1;
   std::string scalar;
-  // True for a scalar without quotes; only such a scalar can be a number or a flag.
+  // True for an unquoted scalar. Only such a scalar can be a number or a flag.
   bool is_plain = false;
   std::vector<std::string> keys;
   std::vector<YamlNode> items;
--- a/tests/config_carry_test.cpp
+++ b/tests/config_carry_test.cpp
@@ -13,8 +13,8 @@
   return entries;
 }
 
-// Guards against all carries expiring from the log, and against many entries writing a carry at the same time.
-TEST_CASE("Entries write a carry at half the retention time in rank order") {
+// Guards against all checkpoints expiring from the log, and against many entries writing one at the same time.
+TEST_CASE("Entries write a checkpoint at half the retention time in rank order") {
   VirtualClock clock;
   const std::vector<VmId> entries = MakeEntries(370);
   std::vector<CarrySchedule> schedules;
@@ -36,7 +36,7 @@
     clock.Advance(kRetention / 2);
     CHECK(count_due(start) == 1);
 
-    SECTION("once its carry has been read no other entry writes") {
+    SECTION("once its checkpoint has been read no other entry writes") {
       const FoldStart newer{LogOffset(8), clock.GetWallTime()};
       clock.Advance(kRetention / 4);
       CHECK(count_due(newer) == 0);
--- a/tests/config_fold_test.cpp
+++ b/tests/config_fold_test.cpp
@@ -165,11 +165,11 @@
   CHECK(is_ok);
 }
 
-// Guards against a reader that starts from a carry and later makes other decisions than one that read all records.
-TEST_CASE("A reader that starts from a carry agrees with one that read all records") {
-  const bool is_ok = rc::check("carries and expiry do not matter", [] {
+// Guards against a reader that starts from a checkpoint and later makes other decisions than one that read all records.
+TEST_CASE("A reader that starts from a checkpoint agrees with one that read all records") {
+  const bool is_ok = rc::check("checkpoints and expiry do not matter", [] {
     const TestLog plain = MakeRandomLog(*rc::gen::inRange<size_t>(3, 14));
-    // The writer of the carries lags behind the log by a random number of records.
+    // The writer of the checkpoints lags behind the log by a random number of records.
     TestLog log;
     ConfigFold writer;
     uint64_t last_usable = 0;
@@ -203,7 +203,7 @@
 }
 
 // Guards against a reader that treats the first retained publish as the first publish of the stream.
-TEST_CASE("A reader without a usable carry waits, and can continue from a peer's document") {
+TEST_CASE("A reader without a usable checkpoint waits, and can continue from a peer's document") {
   TestLog log;
   for (uint64_t i = 0; i < 4; ++i) log.Append(MakeTestPublish("p" + std::to_string(i), i, MakeTestDocument("x")));
   ConfigFold old_reader;
@@ -219,7 +219,7 @@
     CHECK(fold.GetVersion() == ConfigVersion(0));
     CHECK_FALSE(fold.MakeCarry("w").has_value());
 
-    SECTION("until a carry is appended") {
+    SECTION("until a checkpoint is appended") {
       log.Append(*old_reader.MakeCarry("w"));
       FoldAll(log, fold);
       CHECK(IsSameState(fold, old_reader));
@@ -231,7 +231,7 @@
       CHECK(fold.GetVersion() == ConfigVersion(5));
     }
   }
-  SECTION("a carry that does not reach the first retained record is ignored") {
+  SECTION("a checkpoint that does not reach the first retained record is ignored") {
     ConfigFold early;
     early.ApplyBatch(MakeBatch({log.GetRecords()[0]}, 0, 4));
     log.Append(*early.MakeCarry("w"));
--- a/tests/decoder_fuzz_test.cpp
+++ b/tests/decoder_fuzz_test.cpp
@@ -28,7 +28,7 @@
   return text.str();
 }
 
-// Changes, removes, repeats or inserts a few places of a text.
+// Makes one to four random edits: changes a byte, removes, duplicates or inserts a part, or truncates the text.
 std::string Mutate(std::string text, const std::vector<std::string>& words, Random& random) {
   for (uint64_t changes = 1 + random.GetBelow(4); changes > 0 && !text.empty(); --changes) {
     const size_t at = random.GetBelow(text.size());
@@ -54,7 +54,7 @@
   return text;
 }
 
-// Guards against documents that crash the parser, that two processes judge differently, or that are accepted but
+// Guards against documents that crash the parser, on which two processes decide differently, or that are accepted but
 // cannot be written back.
 TEST_CASE("Damaged documents are refused or read back the same") {
   const std::vector<std::string> words = {
@@ -86,7 +86,7 @@
   CHECK(accepted < 2900);
 }
 
-// Guards against records that crash the fold or take effect although they are damaged.
+// Guards against damaged records that crash the fold or take effect.
 TEST_CASE("Damaged records of the configuration log never give a version without a valid document") {
   // protobuf reports each malformed text field on standard error.
   google::protobuf::SetLogHandler(nullptr);
@@ -103,14 +103,14 @@
     const std::string data = Mutate(corpus[random.GetBelow(corpus.size())], {std::string(1, '\0'), "\xff"}, random);
     damaged.records.push_back({LogOffset(i), WallTime(), data});
     damaged.next_offset = LogOffset(i + 1);
-    // Half of the time the fold looks for a carry.
+    // In half of the cases the fold searches for a checkpoint.
     if (random.GetBelow(2) == 0) damaged.first_offset = LogOffset(i);
     fold.ApplyBatch(damaged);
     if (fold.GetView() != nullptr) REQUIRE(ParseDocument("view", fold.GetView()->text).ok());
   }
 }
 
-// Guards against answers of the platform that crash a process.
+// Guards against damaged platform responses that crash a process.
 TEST_CASE("Damaged answers of the VM list and of the log are refused or read in part") {
   SeededRandom random(GetSeed());
   const std::string list =
--- a/tests/document_test.cpp
+++ b/tests/document_test.cpp
@@ -19,7 +19,7 @@
   return text.str();
 }
 
-// Guards against wrong documents that pass, and against messages that do not lead the operator to the place.
+// Guards against invalid documents that are accepted, and against errors that do not name the line and field.
 TEST_CASE("A wrong document is refused with the line and the field of each fault") {
   REQUIRE(ParseDocument("d.yaml", MakeText()).ok());
   for (const WrongDocument& wrong : GetWrongDocuments()) {
@@ -32,7 +32,7 @@
   }
 }
 
-// Guards against a report that stops at the first fault or that grows without bound.
+// Guards against error reports that stop at the first fault or that have no size limit.
 TEST_CASE("Faults of one document are reported together and bounded in number") {
   SECTION("three faults give three lines") {
     std::string text = Replace(MakeText(), "floor: 0.5", "floor: 7");
@@ -58,7 +58,7 @@
   return text;
 }
 
-// Guards against documents that cost much time or memory before they are refused.
+// Guards against documents that use much time or memory before they are rejected.
 TEST_CASE("Documents beyond the limits are refused with a type of their own") {
   const auto get_code = [](const std::string& text) { return GetFailureCode(ParseDocument("d.yaml", text).status()); };
   SECTION("ten megabytes") { CHECK(get_code(MakeLongText()) == FailureCode::kDocumentTooLarge); }
@@ -92,7 +92,7 @@
   SECTION("a zero byte") { CHECK(get_code(std::string("schema: 1\n\0", 11)) == FailureCode::kDocumentSyntax); }
 }
 
-// Guards against an edit that loses comments or touches another zone.
+// Guards against an edit that loses comments or changes another zone.
 TEST_CASE("A zone's service field is changed in place") {
   const std::string text = ReadSample("ustav.yaml");
   SECTION("out and in again gives the same text") {
@@ -127,7 +127,7 @@
   }
 }
 
-// Guards against sample documents that drift from the parser, and against a writer that loses fields.
+// Guards against sample documents that the parser no longer accepts, and against a writer that loses fields.
 TEST_CASE("Sample documents are valid and read back the same after writing") {
   for (const std::string name : {"ustav.yaml", "atlas-sol.yaml"}) {
     const auto document = ParseDocument(name, ReadSample(name));
--- a/tests/http_limits_test.cpp
+++ b/tests/http_limits_test.cpp
@@ -22,7 +22,7 @@
 
 const HttpTarget kTarget{IpAddress("127.0.250.2"), Port(29991)};
 
-// A server on loopback that keeps what it was asked, and callers that send raw bytes.
+// A loopback server that records the requests it handled, and clients that send raw bytes.
 struct RawWorld {
   RawWorld()
       : server(loop, kTarget.address, kTarget.port, 0,
@@ -60,7 +60,7 @@
 
 std::string GetStatusLine(const std::string& answer) { return answer.substr(0, answer.find("\r\n")); }
 
-// Guards against requests that take more than their share or hide another request, and against handling any of them.
+// Guards against oversized or stalled requests and against request smuggling: none of these may reach the handler.
 TEST_CASE("A caller's connection is bounded, and a request that cannot be read is answered and not handled") {
   RawWorld world;
 
@@ -96,7 +96,7 @@
   CHECK(world.handled.empty());
 }
 
-// Guards against limits that cut proper requests.
+// Guards against limits that reject valid requests.
 TEST_CASE("Proper requests pass, one after the other and in any form of body") {
   RawWorld world;
   const std::string answer = world.Exchange(
@@ -109,7 +109,7 @@
 
 std::string MakeNote(uint64_t dropped) { return "dropped " + std::to_string(dropped) + "\n"; }
 
-// Guards against a log reader that stalls and blocks those who log.
+// Guards against a stalled log reader that blocks the threads that write log lines.
 TEST_CASE("Log lines never wait for their reader, and routine ones are dropped first") {
   int ends[2];
   REQUIRE(pipe(ends) == 0);
@@ -124,10 +124,10 @@
     constexpr size_t kLimit = 4096;
     LogWriter writer(ends[1], kLimit, MakeNote);
     const std::string line(63, 'x');
-    // Far more than the buffer takes; Write returns all the same.
+    // Far more than the buffer can hold. Write must still return.
     for (int i = 0; i < 4000; ++i) writer.Write(line + "\n", LinePriority::kRoutine);
     writer.Write("important\n", LinePriority::kImportant);
-    // The reader is back.
+    // The reader resumes.
     std::string filled(1024 * 1024, '\0');
     CHECK(read(ends[0], filled.data(), filled.size()) > 0);
     writer.Stop();
--- a/tests/kernel_test.cpp
+++ b/tests/kernel_test.cpp
@@ -9,7 +9,7 @@
 namespace plantain {
 namespace {
 
-// Notes its starts and stops in a list shared by all services of a test.
+// Records its starts and stops in a list shared by all services of a test.
 class RecordingService : public Service {
  public:
   RecordingService(std::string name, std::vector<std::string>& events, bool fails = false)
@@ -28,7 +28,7 @@
   bool m_fails;
 };
 
-// Guards against services that start before what they depend on, or stop after it.
+// Guards against services that start before their dependencies, or stop after them.
 TEST_CASE("A kernel starts and stops its services in the order of their dependencies") {
   std::vector<std::string> events;
   Kernel kernel;
