--- a/src/channel.cpp
+++ b/src/channel.cpp
@@ -19,7 +19,7 @@
 // A connection without traffic or heartbeat for this time counts as lost, which detects stalled links.
 constexpr int kHeartbeatTimeoutMs = 3000;
 // Messages handled in one callback, so that other callbacks of the loop are not delayed.
-constexpr int kMaxBurst = 64;
+constexpr int kMaxMessagesPerDrain = 64;
 
 void SetOption(void* socket, int option, int value) { zmq_setsockopt(socket, option, &value, sizeof(value)); }
 
@@ -56,14 +56,14 @@
 
 // Receives from a ZeroMQ socket on an Asio loop. ZeroMQ's descriptor is edge-triggered, so after each event and after
 // each send the socket is read until no input is left.
-class SocketPump : public std::enable_shared_from_this<SocketPump> {
+class SocketReader : public std::enable_shared_from_this<SocketReader> {
  public:
   using OnReadable = std::function<bool(void* socket)>;
 
-  SocketPump(asio::io_context& context, void* socket) : m_context(context), m_socket(socket), m_descriptor(context) {}
-  ~SocketPump() { Close(); }
-  SocketPump(const SocketPump&) = delete;
-  SocketPump& operator=(const SocketPump&) = delete;
+  SocketReader(asio::io_context& context, void* socket) : m_context(context), m_socket(socket), m_descriptor(context) {}
+  ~SocketReader() { Close(); }
+  SocketReader(const SocketReader&) = delete;
+  SocketReader& operator=(const SocketReader&) = delete;
 
   // `on_readable` reads one message and returns false if there was none.
   void Start(OnReadable on_readable) {
@@ -109,7 +109,7 @@
   void Drain() {
     m_is_scheduled = false;
     const auto self = shared_from_this();
-    for (int i = 0; i < kMaxBurst; ++i) {
+    for (int i = 0; i < kMaxMessagesPerDrain; ++i) {
       if (m_socket == nullptr || !HasInput()) return;
       if (!m_on_readable(m_socket)) return;
     }
@@ -131,7 +131,7 @@
 };
 
 // Discards the remaining frames of a message that has more than expected.
-void DropRest(void* socket, bool has_more) {
+void DiscardRemainingFrames(void* socket, bool has_more) {
   while (has_more) {
     Frame frame;
     if (!frame.Receive(socket)) return;
@@ -149,16 +149,16 @@
 ChannelContext::~ChannelContext() { zmq_ctx_term(m_handle); }
 
 struct ServerChannel::Impl {
-  std::shared_ptr<SocketPump> pump;
+  std::shared_ptr<SocketReader> reader;
   OnMessage on_message;
 
-  bool TakeMessage(void* socket) {
+  bool ReadMessage(void* socket) {
     Frame from;
     if (!from.Receive(socket)) return false;
     if (!from.HasMore()) return true;
     Frame body;
     if (!body.Receive(socket)) return false;
-    DropRest(socket, body.HasMore());
+    DiscardRemainingFrames(socket, body.HasMore());
     on_message(ConnectionId(std::string(from.GetView())), body.GetView());
     return true;
   }
@@ -169,32 +169,32 @@
   void* socket = zmq_socket(context.GetHandle(), ZMQ_ROUTER);
   SetCommonOptions(socket, options);
   SetOption(socket, ZMQ_ROUTER_MANDATORY, 1);
-  m_impl->pump = std::make_shared<SocketPump>(loop.GetImpl().context, socket);
+  m_impl->reader = std::make_shared<SocketReader>(loop.GetImpl().context, socket);
   m_impl->on_message = std::move(on_message);
 }
 
-ServerChannel::~ServerChannel() { m_impl->pump->Close(); }
+ServerChannel::~ServerChannel() { m_impl->reader->Close(); }
 
 absl::Status ServerChannel::Start(const IpAddress& address, Port port) {
   const std::string url = MakeUrl({address, port});
-  if (zmq_bind(m_impl->pump->GetSocket(), url.c_str()) != 0) {
+  if (zmq_bind(m_impl->reader->GetSocket(), url.c_str()) != 0) {
     return MakeFailure(FailureCode::kAddressInUse, url + ": " + zmq_strerror(zmq_errno()));
   }
-  m_impl->pump->Start([impl = m_impl.get()](void* socket) { return impl->TakeMessage(socket); });
+  m_impl->reader->Start([impl = m_impl.get()](void* socket) { return impl->ReadMessage(socket); });
   return absl::OkStatus();
 }
 
 bool ServerChannel::Send(const ConnectionId& to, std::string_view message) {
-  void* socket = m_impl->pump->GetSocket();
+  void* socket = m_impl->reader->GetSocket();
   const std::string& id = to.Get();
   if (zmq_send(socket, id.data(), id.size(), ZMQ_DONTWAIT | ZMQ_SNDMORE) < 0) return false;
   const bool is_sent = zmq_send(socket, message.data(), message.size(), ZMQ_DONTWAIT) >= 0;
-  m_impl->pump->ScheduleDrain();
+  m_impl->reader->ScheduleDrain();
   return is_sent;
 }
 
 bool ServerChannel::SendOwned(const ConnectionId& to, std::string message) {
-  void* socket = m_impl->pump->GetSocket();
+  void* socket = m_impl->reader->GetSocket();
   const std::string& id = to.Get();
   if (zmq_send(socket, id.data(), id.size(), ZMQ_DONTWAIT | ZMQ_SNDMORE) < 0) return false;
   auto owned = std::make_unique<std::string>(std::move(message));
@@ -204,18 +204,18 @@
   owned.release();
   const bool is_sent = zmq_msg_send(&frame, socket, ZMQ_DONTWAIT) >= 0;
   if (!is_sent) zmq_msg_close(&frame);
-  m_impl->pump->ScheduleDrain();
+  m_impl->reader->ScheduleDrain();
   return is_sent;
 }
 
 struct ClientChannel::Impl {
-  std::shared_ptr<SocketPump> pump;
+  std::shared_ptr<SocketReader> reader;
   OnMessage on_message;
 
-  bool TakeMessage(void* socket) {
+  bool ReadMessage(void* socket) {
     Frame body;
     if (!body.Receive(socket)) return false;
-    DropRest(socket, body.HasMore());
+    DiscardRemainingFrames(socket, body.HasMore());
     on_message(body.GetView());
     return true;
   }
@@ -231,16 +231,16 @@
   SetOption(socket, ZMQ_RECONNECT_IVL, kReconnectMs);
   SetOption(socket, ZMQ_RECONNECT_IVL_MAX, kReconnectMaxMs);
   m_impl->on_message = std::move(on_message);
-  m_impl->pump = std::make_shared<SocketPump>(loop.GetImpl().context, socket);
+  m_impl->reader = std::make_shared<SocketReader>(loop.GetImpl().context, socket);
   zmq_connect(socket, MakeUrl(target).c_str());
-  m_impl->pump->Start([impl = m_impl.get()](void* s) { return impl->TakeMessage(s); });
+  m_impl->reader->Start([impl = m_impl.get()](void* s) { return impl->ReadMessage(s); });
 }
 
-ClientChannel::~ClientChannel() { m_impl->pump->Close(); }
+ClientChannel::~ClientChannel() { m_impl->reader->Close(); }
 
 bool ClientChannel::Send(std::string_view message) {
-  const bool is_sent = zmq_send(m_impl->pump->GetSocket(), message.data(), message.size(), ZMQ_DONTWAIT) >= 0;
-  m_impl->pump->ScheduleDrain();
+  const bool is_sent = zmq_send(m_impl->reader->GetSocket(), message.data(), message.size(), ZMQ_DONTWAIT) >= 0;
+  m_impl->reader->ScheduleDrain();
   return is_sent;
 }
 
--- a/src/config_carry.cpp
+++ b/src/config_carry.cpp
@@ -18,10 +18,10 @@
 
 }  // namespace
 
-CarrySchedule::CarrySchedule(const Clock& clock, VmId self, Duration retention)
+CheckpointSchedule::CheckpointSchedule(const Clock& clock, VmId self, Duration retention)
     : m_clock(clock), m_self(std::move(self)), m_retention(retention) {}
 
-bool CarrySchedule::IsDue(const std::optional<FoldStart>& newest_start, const std::vector<VmId>& entries) {
+bool CheckpointSchedule::IsDue(const std::optional<FoldStart>& newest_start, const std::vector<VmId>& entries) {
   if (!newest_start.has_value()) return false;
   const Duration age = m_clock.GetWallTime() - newest_start->time;
   if (age < m_retention / kMaxAgeDivisor) {
@@ -40,9 +40,9 @@
   return !m_last_attempt.has_value() || now - *m_last_attempt >= std::min(retry_delay, m_retention / kMaxDelayDivisor);
 }
 
-void CarrySchedule::RecordAttempt() { m_last_attempt = m_clock.GetNow(); }
+void CheckpointSchedule::RecordAttempt() { m_last_attempt = m_clock.GetNow(); }
 
-Duration CarrySchedule::GetDelay(const FoldStart& start, const std::vector<VmId>& entries) const {
+Duration CheckpointSchedule::GetDelay(const FoldStart& start, const std::vector<VmId>& entries) const {
   // The offset of the start record is part of the key, so that a different entry ranks first each time.
   const std::string key = "carry " + std::to_string(start.offset.Get());
   const uint64_t own_score = GetRendezvousScore(key, m_self.Get());
--- a/src/config_carry.h
+++ b/src/config_carry.h
@@ -15,9 +15,9 @@
 // Schedule of one entry. A checkpoint is due when the newest record from which a fold can start is older than half the
 // retention time. Each entry waits according to its rendezvous rank. Usually the first one writes, and the others read
 // its checkpoint before their own wait ends. Two checkpoints of the same state are harmless.
-class CarrySchedule {
+class CheckpointSchedule {
  public:
-  CarrySchedule(const Clock& clock, VmId self, Duration retention);
+  CheckpointSchedule(const Clock& clock, VmId self, Duration retention);
 
   // Returns whether to write a checkpoint now. `entries` are the entries believed to be alive. Must be called
   // periodically and after each read of the log.
--- a/src/config_fold.cpp
+++ b/src/config_fold.cpp
@@ -34,10 +34,10 @@
   return std::shared_ptr<const ConfigView>(std::move(view));
 }
 
-bool IsCarryPlausible(const proto::Carry& carry, LogOffset offset) {
-  return carry.version() > 0 && carry.folded_through() < offset.Get() &&
-         carry.publish_offset() <= carry.folded_through() &&
-         static_cast<size_t>(carry.recent_publish_ids_size()) <= kMaxRecentIds;
+bool IsCheckpointPlausible(const proto::Carry& checkpoint, LogOffset offset) {
+  return checkpoint.version() > 0 && checkpoint.folded_through() < offset.Get() &&
+         checkpoint.publish_offset() <= checkpoint.folded_through() &&
+         static_cast<size_t>(checkpoint.recent_publish_ids_size()) <= kMaxRecentIds;
 }
 
 }  // namespace
@@ -54,9 +54,9 @@
       return "refused";
     case FoldVerdict::kMalformed:
       return "malformed";
-    case FoldVerdict::kCarryIgnored:
+    case FoldVerdict::kCheckpointIgnored:
       return "carry_ignored";
-    case FoldVerdict::kCarryAdopted:
+    case FoldVerdict::kCheckpointAdopted:
       return "carry_adopted";
     case FoldVerdict::kDuplicate:
       return "duplicate";
@@ -97,7 +97,7 @@
     }
     steps.push_back(ApplyRecord(record));
     // The fold continues after the last record covered by the checkpoint, which the reader must request again.
-    if (steps.back().verdict == FoldVerdict::kCarryAdopted) break;
+    if (steps.back().verdict == FoldVerdict::kCheckpointAdopted) break;
   }
   return steps;
 }
@@ -109,21 +109,21 @@
   if (!message.ParseFromString(record.data)) return MakeStep(FoldVerdict::kMalformed, record.offset);
 
   if (message.has_carry()) {
-    const proto::Carry& carry = message.carry();
-    if (!IsCarryPlausible(carry, record.offset)) return MakeStep(FoldVerdict::kMalformed, record.offset);
+    const proto::Carry& checkpoint = message.carry();
+    if (!IsCheckpointPlausible(checkpoint, record.offset)) return MakeStep(FoldVerdict::kMalformed, record.offset);
     m_newest_start = FoldStart{record.offset, record.time};
-    const bool covers_expired = carry.folded_through() + 1 >= m_search_offset.Get();
-    if (!m_is_searching || !covers_expired) return MakeStep(FoldVerdict::kCarryIgnored, record.offset);
-    auto view =
-        MakeView(ConfigVersion(carry.version()), LogOffset(carry.publish_offset()), carry.document(), std::nullopt);
+    const bool covers_expired = checkpoint.folded_through() + 1 >= m_search_offset.Get();
+    if (!m_is_searching || !covers_expired) return MakeStep(FoldVerdict::kCheckpointIgnored, record.offset);
+    auto view = MakeView(ConfigVersion(checkpoint.version()), LogOffset(checkpoint.publish_offset()),
+                         checkpoint.document(), std::nullopt);
     if (!view.ok()) return MakeStep(FoldVerdict::kMalformed, record.offset);
     m_view = *std::move(view);
-    m_publish_id = carry.publish_id();
-    m_recent_ids.assign(carry.recent_publish_ids().begin(), carry.recent_publish_ids().end());
+    m_publish_id = checkpoint.publish_id();
+    m_recent_ids.assign(checkpoint.recent_publish_ids().begin(), checkpoint.recent_publish_ids().end());
     m_known_ids = std::set<std::string>(m_recent_ids.begin(), m_recent_ids.end());
     m_is_searching = false;
-    m_next = LogOffset(carry.folded_through()).Next();
-    return MakeStep(FoldVerdict::kCarryAdopted, record.offset);
+    m_next = LogOffset(checkpoint.folded_through()).Next();
+    return MakeStep(FoldVerdict::kCheckpointAdopted, record.offset);
   }
 
   if (!message.has_publish() || !IsPublishId(message.publish().publish_id())) {
@@ -168,17 +168,17 @@
   m_is_searching = false;
 }
 
-std::optional<std::string> ConfigFold::MakeCarry(const std::string& writer) const {
+std::optional<std::string> ConfigFold::MakeCheckpoint(const std::string& writer) const {
   if (m_is_searching || m_view == nullptr) return std::nullopt;
   proto::ConfigRecord record;
-  proto::Carry& carry = *record.mutable_carry();
-  carry.set_version(m_view->version.Get());
-  carry.set_document(m_view->text);
-  carry.set_publish_id(m_publish_id);
-  carry.set_publish_offset(m_view->publish_offset.Get());
-  carry.set_folded_through(m_next.Get() - 1);
-  for (const std::string& id : m_recent_ids) carry.add_recent_publish_ids(id);
-  carry.set_writer(writer);
+  proto::Carry& checkpoint = *record.mutable_carry();
+  checkpoint.set_version(m_view->version.Get());
+  checkpoint.set_document(m_view->text);
+  checkpoint.set_publish_id(m_publish_id);
+  checkpoint.set_publish_offset(m_view->publish_offset.Get());
+  checkpoint.set_folded_through(m_next.Get() - 1);
+  for (const std::string& id : m_recent_ids) checkpoint.add_recent_publish_ids(id);
+  checkpoint.set_writer(writer);
   return record.SerializeAsString();
 }
 
--- a/src/config_fold.h
+++ b/src/config_fold.h
@@ -30,9 +30,9 @@
   // The record is not a valid ConfigRecord, or not of a kind that this build supports.
   kMalformed,
   // A checkpoint was not needed.
-  kCarryIgnored,
+  kCheckpointIgnored,
   // The fold restarted from this checkpoint.
-  kCarryAdopted,
+  kCheckpointAdopted,
   // The record was processed before; the log returned it again.
   kDuplicate,
   // A record is missing. The fold does not advance until it arrives.
@@ -92,7 +92,7 @@
   std::optional<FoldStart> GetNewestStart() const { return m_newest_start; }
 
   // Returns a serialized ConfigRecord that contains a checkpoint of the current state, or nullopt if there is no state.
-  std::optional<std::string> MakeCarry(const std::string& writer) const;
+  std::optional<std::string> MakeCheckpoint(const std::string& writer) const;
 
  private:
   FoldStep ApplyRecord(const LogRecord& record);
--- a/src/config_service.cpp
+++ b/src/config_service.cpp
@@ -19,9 +19,9 @@
 // that 370 entries cause no more than about 32 reads/s. A longer poll does not delay a new record.
 constexpr size_t kPollingEntries = 32;
 constexpr Duration kMaxLongPoll = std::chrono::seconds(20);
-constexpr Duration kMinCarryCheck = std::chrono::milliseconds(100);
-constexpr Duration kMaxCarryCheck = std::chrono::seconds(30);
-constexpr int kCarryChecksPerRetention = 100;
+constexpr Duration kMinCheckpointCheck = std::chrono::milliseconds(100);
+constexpr Duration kMaxCheckpointCheck = std::chrono::seconds(30);
+constexpr int kCheckpointChecksPerRetention = 100;
 const std::vector<double> kLagBuckets = {0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10, 17, 30, 60};
 
 }  // namespace
@@ -36,7 +36,7 @@
       m_members(members),
       m_options(std::move(options)),
       m_active_config(m_options.key),
-      m_carry(clock, m_options.vm, m_options.retention) {}
+      m_checkpoint_schedule(clock, m_options.vm, m_options.retention) {}
 
 absl::Status ConfigService::Start() {
   m_metrics.GetGauge("config_version", "Version of the document in force.").Set(0);
@@ -45,14 +45,15 @@
   const Duration first = m_options.is_entry ? Duration(0) : m_options.isolated_read_interval;
   ScheduleRead(std::chrono::duration_cast<Duration>(first * m_random.GetUnit()));
   if (!m_options.is_entry) return absl::OkStatus();
-  const Duration check = m_options.retention / kCarryChecksPerRetention;
-  m_carry_timer = m_loop.RunEvery(std::clamp(check, kMinCarryCheck, kMaxCarryCheck), [this] { WriteCarryIfDue(); });
+  const Duration check = m_options.retention / kCheckpointChecksPerRetention;
+  m_checkpoint_timer =
+      m_loop.RunEvery(std::clamp(check, kMinCheckpointCheck, kMaxCheckpointCheck), [this] { WriteCheckpointIfDue(); });
   return absl::OkStatus();
 }
 
 void ConfigService::Stop() {
   m_read_timer.reset();
-  m_carry_timer.reset();
+  m_checkpoint_timer.reset();
 }
 
 void ConfigService::AddConfigListener(std::function<void(const std::shared_ptr<const ConfigView>&)> listener) {
@@ -94,7 +95,7 @@
   const bool is_at_end = batch->records.empty() && steps.empty();
   if (is_at_end) StartFromPeersIfNeeded(*batch);
   if (m_active_config.AdoptFolded(m_fold.GetView())) PublishConfig("log");
-  if (m_options.is_entry) WriteCarryIfDue();
+  if (m_options.is_entry) WriteCheckpointIfDue();
   ScheduleRead(GetDelayAfterSuccess(m_fold.GetNextOffset() != before));
 }
 
@@ -124,7 +125,7 @@
     const std::string verdict(GetFoldVerdictName(step.verdict));
     m_metrics.GetCounter("config_fold_steps_total", "Steps of the fold of the log by verdict.", {{"verdict", verdict}})
         .Increment();
-    const bool is_routine = step.verdict == FoldVerdict::kDuplicate || step.verdict == FoldVerdict::kCarryIgnored;
+    const bool is_routine = step.verdict == FoldVerdict::kDuplicate || step.verdict == FoldVerdict::kCheckpointIgnored;
     LogEvent(is_routine ? LogLevel::kDebug : LogLevel::kInfo, "config_record",
              {{"verdict", verdict},
               {"offset", step.offset},
@@ -151,12 +152,12 @@
   LogEvent(LogLevel::kInfo, "config_fold_started_from_peer", {{"version", view->version}});
 }
 
-void ConfigService::WriteCarryIfDue() {
+void ConfigService::WriteCheckpointIfDue() {
   if (!m_fold.IsStarted() || !IsLogReachable()) return;
-  if (!m_carry.IsDue(m_fold.GetNewestStart(), GetLiveEntries())) return;
-  std::optional<std::string> record = m_fold.MakeCarry(m_options.vm.Get());
+  if (!m_checkpoint_schedule.IsDue(m_fold.GetNewestStart(), GetLiveEntries())) return;
+  std::optional<std::string> record = m_fold.MakeCheckpoint(m_options.vm.Get());
   if (!record.has_value()) return;
-  m_carry.RecordAttempt();
+  m_checkpoint_schedule.RecordAttempt();
   LogEvent(LogLevel::kInfo, "config_carry_written", {{"version", m_fold.GetVersion()}});
   m_log.Append(kStream, *std::move(record), [this](const absl::StatusOr<LogOffset>& offset) {
     const std::string result = offset.ok() ? "ok" : std::string(GetFailureName(GetFailureCode(offset.status())));
--- a/src/config_service.h
+++ b/src/config_service.h
@@ -69,7 +69,7 @@
   Duration GetLongPollDuration() const;
   void ReportSteps(const std::vector<FoldStep>& steps, const LogBatch& batch);
   void StartFromPeersIfNeeded(const LogBatch& batch);
-  void WriteCarryIfDue();
+  void WriteCheckpointIfDue();
   std::vector<VmId> GetLiveEntries() const;
   void SetLogReachable(const absl::Status& status);
   void PublishConfig(const char* source);
@@ -83,14 +83,14 @@
   const ConfigServiceOptions m_options;
   ActiveConfig m_active_config;
   ConfigFold m_fold;
-  CarrySchedule m_carry;
+  CheckpointSchedule m_checkpoint_schedule;
   Snapshot<ConfigView> m_published;
   std::vector<std::function<void(const std::shared_ptr<const ConfigView>&)>> m_listeners;
   std::atomic<bool> m_is_log_reachable{false};
   int m_failures = 0;
   TimePoint m_last_peer_contact{};
   std::unique_ptr<Timer> m_read_timer;
-  std::unique_ptr<Timer> m_carry_timer;
+  std::unique_ptr<Timer> m_checkpoint_timer;
 };
 
 }  // namespace plantain
--- a/src/document_check.cpp
+++ b/src/document_check.cpp
@@ -26,7 +26,7 @@
   }
 
  private:
-  void Fault(const std::string& field, const std::string& expected) {
+  void AddFault(const std::string& field, const std::string& expected) {
     const auto found = m_lines.find(field);
     m_faults.Add(FailureCode::kDocumentImpossible, found == m_lines.end() ? 0 : found->second, field, expected);
   }
@@ -39,7 +39,7 @@
     for (size_t i = 0; i < items.size(); ++i) {
       const std::string name = get_name(items[i]);
       if (name.empty() || seen.insert(name).second) continue;
-      Fault(GetItemPath(list, i, field), "a name that no earlier entry has, not " + name);
+      AddFault(GetItemPath(list, i, field), "a name that no earlier entry has, not " + name);
     }
   }
 
@@ -47,22 +47,22 @@
     const auto& zones = m_document.zones;
     CheckUnique("zones", "name", zones, [](const ZoneSpec& zone) { return zone.name.Get(); });
     if (!m_document.origin_zone.IsEmpty() && FindZone(m_document, m_document.origin_zone) == nullptr) {
-      Fault("origin.zone", "a zone of the document, not " + m_document.origin_zone.Get());
+      AddFault("origin.zone", "a zone of the document, not " + m_document.origin_zone.Get());
     }
     if (zones.empty()) {
-      if (m_lines.count("zones") != 0 || m_lines.empty()) Fault("zones", "at least one zone");
+      if (m_lines.count("zones") != 0 || m_lines.empty()) AddFault("zones", "at least one zone");
       return;
     }
     for (const ZoneSpec& zone : zones) {
       if (zone.is_in_service) return;
     }
     if (m_document.allow_all_zones_out) return;
-    Fault("zones", "at least one zone in service, or allow_all_zones_out: true");
+    AddFault("zones", "at least one zone in service, or allow_all_zones_out: true");
   }
 
   void CheckVersions(const std::string& path, const std::vector<WeightsVersion>& versions) {
     CheckUnique(path, "name", versions, [](const WeightsVersion& version) { return version.name.Get(); });
-    if (versions.empty() && (m_lines.count(path) != 0 || m_lines.empty())) Fault(path, "at least one version");
+    if (versions.empty() && (m_lines.count(path) != 0 || m_lines.empty())) AddFault(path, "at least one version");
   }
 
   void CheckModels() {
@@ -102,12 +102,12 @@
     const ModelSpec* model = FindModel(placement.model);
     if (model == nullptr) {
       if (placement.model.IsEmpty()) return;
-      Fault(GetItemPath("placements", index, "model"), "a model of the document, not " + placement.model.Get());
+      AddFault(GetItemPath("placements", index, "model"), "a model of the document, not " + placement.model.Get());
       return;
     }
     if (!placement.version.IsEmpty() && !HasVersion(model->versions, placement.version)) {
-      Fault(GetItemPath("placements", index, "version"),
-            "a version of model " + model->name.Get() + ", not " + placement.version.Get());
+      AddFault(GetItemPath("placements", index, "version"),
+               "a version of model " + model->name.Get() + ", not " + placement.version.Get());
     }
     const std::string path = GetItemPath("placements", index, "adapters");
     CheckUnique(path, "name", placement.adapters, [](const PlacedAdapter& adapter) { return adapter.name.Get(); });
@@ -121,11 +121,11 @@
     for (const AdapterSpec& adapter : model.adapters) {
       if (adapter.name != placed.name) continue;
       if (!placed.version.IsEmpty() && !HasVersion(adapter.versions, placed.version)) {
-        Fault(path + ".version", "a version of adapter " + placed.name.Get() + ", not " + placed.version.Get());
+        AddFault(path + ".version", "a version of adapter " + placed.name.Get() + ", not " + placed.version.Get());
       }
       return;
     }
-    Fault(path + ".name", "an adapter of model " + model.name.Get() + ", not " + placed.name.Get());
+    AddFault(path + ".name", "an adapter of model " + model.name.Get() + ", not " + placed.name.Get());
   }
 
   void CheckServices() {
@@ -138,7 +138,7 @@
                   [](const ServiceCallSpec& call) { return call.name; });
       // A VM runs either an engine or a plain service.
       if (!services[i].pool.IsEmpty() && placed.count(services[i].pool) != 0) {
-        Fault(GetItemPath("services", i, "pool"), "a pool without a placement, not " + services[i].pool.Get());
+        AddFault(GetItemPath("services", i, "pool"), "a pool without a placement, not " + services[i].pool.Get());
       }
     }
   }
--- a/src/document_parse.cpp
+++ b/src/document_parse.cpp
@@ -54,7 +54,7 @@
 }
 
 // Output of the parser besides the document.
-struct Sink {
+struct ParseOutput {
   DocumentFaults& faults;
   DocumentLines& lines;
 };
@@ -62,46 +62,47 @@
 // Reads the fields of one map and reports missing, invalid and unknown ones.
 class MapReader {
  public:
-  MapReader(const YamlNode& node, std::string path, Sink sink) : m_node(node), m_path(std::move(path)), m_sink(sink) {
-    m_sink.lines[m_path] = node.line;
+  MapReader(const YamlNode& node, std::string path, ParseOutput output)
+      : m_node(node), m_path(std::move(path)), m_output(output) {
+    m_output.lines[m_path] = node.line;
     if (node.kind != YamlNode::Kind::kMap) {
-      Fault(node.line, m_path.empty() ? "document" : m_path, "a map");
+      AddFault(node.line, m_path.empty() ? "document" : m_path, "a map");
       return;
     }
     std::set<std::string_view> seen;
     for (size_t i = 0; i < node.items.size(); ++i) {
       if (!seen.insert(node.keys[i]).second) {
-        Fault(node.items[i].line, GetPath(node.keys[i]), "each field once");
+        AddFault(node.items[i].line, GetPath(node.keys[i]), "each field once");
       }
     }
   }
 
   // Returns the field's node, or null. Reports a fault if a required field is missing.
-  const YamlNode* Take(const std::string& name, bool is_required) {
-    m_known.insert(name);
+  const YamlNode* FindField(const std::string& name, bool is_required) {
+    m_known_fields.insert(name);
     if (m_node.kind != YamlNode::Kind::kMap) return nullptr;
     const auto found = std::find(m_node.keys.begin(), m_node.keys.end(), name);
     if (found == m_node.keys.end()) {
-      if (is_required) Fault(m_node.line, GetPath(name), "a value; the field is required");
+      if (is_required) AddFault(m_node.line, GetPath(name), "a value; the field is required");
       return nullptr;
     }
     const YamlNode& node = m_node.items[static_cast<size_t>(found - m_node.keys.begin())];
-    m_sink.lines[GetPath(name)] = node.line;
+    m_output.lines[GetPath(name)] = node.line;
     return &node;
   }
 
-  std::string TakeName(const std::string& name, bool is_required = true) {
-    const YamlNode* node = Take(name, is_required);
+  std::string ReadName(const std::string& name, bool is_required = true) {
+    const YamlNode* node = FindField(name, is_required);
     if (node == nullptr) return "";
     if (node->kind == YamlNode::Kind::kScalar && IsName(node->scalar)) return node->scalar;
-    Fault(node->line, GetPath(name), "a name of 1 to 64 letters, digits, dots, underscores and hyphens");
+    AddFault(node->line, GetPath(name), "a name of 1 to 64 letters, digits, dots, underscores and hyphens");
     return "";
   }
 
   // Returns the index of the scalar among the words, or `fallback`.
-  size_t TakeWord(const std::string& name, const std::vector<std::string>& words, size_t fallback,
+  size_t ReadEnum(const std::string& name, const std::vector<std::string>& words, size_t fallback,
                   bool is_required = false) {
-    const YamlNode* node = Take(name, is_required);
+    const YamlNode* node = FindField(name, is_required);
     if (node == nullptr) return fallback;
     const auto found = std::find(words.begin(), words.end(), node->scalar);
     if (node->kind == YamlNode::Kind::kScalar && found != words.end()) {
@@ -109,78 +110,78 @@
     }
     std::string expected;
     for (const std::string& word : words) expected += (expected.empty() ? "" : " or ") + word;
-    Fault(node->line, GetPath(name), expected);
+    AddFault(node->line, GetPath(name), expected);
     return fallback;
   }
 
-  bool TakeFlag(const std::string& name, bool fallback, bool is_required = false) {
-    return TakeWord(name, {"false", "true"}, fallback ? 1 : 0, is_required) == 1;
+  bool ReadFlag(const std::string& name, bool fallback, bool is_required = false) {
+    return ReadEnum(name, {"false", "true"}, fallback ? 1 : 0, is_required) == 1;
   }
 
-  double TakeNumber(const std::string& name, double min, double max, double fallback, bool is_required = false) {
-    const YamlNode* node = Take(name, is_required);
+  double ReadNumber(const std::string& name, double min, double max, double fallback, bool is_required = false) {
+    const YamlNode* node = FindField(name, is_required);
     if (node == nullptr) return fallback;
     const std::optional<double> value = IsNumeric(*node) ? ParseNumber<double>(node->scalar) : std::nullopt;
     if (value.has_value() && std::isfinite(*value) && *value >= min && *value <= max) return *value;
-    Fault(node->line, GetPath(name), "a number from " + FormatNumber(min) + " to " + FormatNumber(max));
+    AddFault(node->line, GetPath(name), "a number from " + FormatNumber(min) + " to " + FormatNumber(max));
     return fallback;
   }
 
-  uint64_t TakeInteger(const std::string& name, uint64_t min, uint64_t max, uint64_t fallback, bool is_required) {
-    const YamlNode* node = Take(name, is_required);
+  uint64_t ReadInteger(const std::string& name, uint64_t min, uint64_t max, uint64_t fallback, bool is_required) {
+    const YamlNode* node = FindField(name, is_required);
     if (node == nullptr) return fallback;
     const std::optional<uint64_t> value = IsNumeric(*node) ? ParseNumber<uint64_t>(node->scalar) : std::nullopt;
     if (value.has_value() && *value >= min && *value <= max) return *value;
-    Fault(node->line, GetPath(name), "an integer from " + std::to_string(min) + " to " + std::to_string(max));
+    AddFault(node->line, GetPath(name), "an integer from " + std::to_string(min) + " to " + std::to_string(max));
     return fallback;
   }
 
-  Digest TakeDigest(const std::string& name) {
-    const YamlNode* node = Take(name, true);
+  Digest ReadDigest(const std::string& name) {
+    const YamlNode* node = FindField(name, true);
     if (node == nullptr) return Digest();
     const std::optional<Digest> digest = ParseDigest(node->kind == YamlNode::Kind::kScalar ? node->scalar : "");
     if (digest.has_value()) return *digest;
-    Fault(node->line, GetPath(name), "a SHA-256 digest of 64 lower-case hex digits");
+    AddFault(node->line, GetPath(name), "a SHA-256 digest of 64 lower-case hex digits");
     return Digest();
   }
 
   // Reads each entry of a list of maps with `read(MapReader&)`.
   template <typename Item, typename Read>
-  std::vector<Item> TakeList(const std::string& name, size_t max_items, bool is_required, const Read& read) {
+  std::vector<Item> ReadList(const std::string& name, size_t max_items, bool is_required, const Read& read) {
     std::vector<Item> out;
-    const YamlNode* node = Take(name, is_required);
+    const YamlNode* node = FindField(name, is_required);
     if (node == nullptr) return out;
     if (node->kind != YamlNode::Kind::kList) {
-      Fault(node->line, GetPath(name), "a list");
+      AddFault(node->line, GetPath(name), "a list");
       return out;
     }
     if (node->items.size() > max_items) {
-      Fault(node->line, GetPath(name), "at most " + std::to_string(max_items) + " entries");
+      AddFault(node->line, GetPath(name), "at most " + std::to_string(max_items) + " entries");
       return out;
     }
     for (size_t i = 0; i < node->items.size(); ++i) {
-      MapReader entry(node->items[i], GetPath(name) + "[" + std::to_string(i) + "]", m_sink);
+      MapReader entry(node->items[i], GetPath(name) + "[" + std::to_string(i) + "]", m_output);
       out.push_back(read(entry));
-      entry.Finish();
+      entry.ReportUnknownFields();
     }
     return out;
   }
 
   // Reads a nested map with `read(MapReader&)`.
   template <typename Read>
-  void TakeMap(const std::string& name, bool is_required, const Read& read) {
-    const YamlNode* node = Take(name, is_required);
+  void ReadMap(const std::string& name, bool is_required, const Read& read) {
+    const YamlNode* node = FindField(name, is_required);
     if (node == nullptr) return;
-    MapReader entry(*node, GetPath(name), m_sink);
+    MapReader entry(*node, GetPath(name), m_output);
     read(entry);
-    entry.Finish();
+    entry.ReportUnknownFields();
   }
 
   // Reports fields that were not read.
-  void Finish() {
+  void ReportUnknownFields() {
     for (size_t i = 0; i < m_node.keys.size(); ++i) {
-      if (m_known.count(m_node.keys[i]) != 0) continue;
-      Fault(m_node.items[i].line, GetPath(m_node.keys[i]), "a known field");
+      if (m_known_fields.count(m_node.keys[i]) != 0) continue;
+      AddFault(m_node.items[i].line, GetPath(m_node.keys[i]), "a known field");
     }
   }
 
@@ -189,124 +190,124 @@
 
   std::string GetPath(const std::string& name) const { return m_path.empty() ? name : m_path + "." + name; }
 
-  void Fault(int line, std::string_view field, std::string_view expected) {
-    m_sink.faults.Add(FailureCode::kDocumentField, line, field, expected);
+  void AddFault(int line, std::string_view field, std::string_view expected) {
+    m_output.faults.Add(FailureCode::kDocumentField, line, field, expected);
   }
 
   const YamlNode& m_node;
   std::string m_path;
-  Sink m_sink;
-  std::set<std::string> m_known;
+  ParseOutput m_output;
+  std::set<std::string> m_known_fields;
 };
 
 WeightsVersion ReadVersion(MapReader& map) {
   WeightsVersion version;
-  version.name = VersionName(map.TakeName("name"));
-  version.manifest = map.TakeDigest("manifest");
-  version.size = Bytes(map.TakeInteger("bytes", 1, kMaxWeightsBytes, 0, true));
+  version.name = VersionName(map.ReadName("name"));
+  version.manifest = map.ReadDigest("manifest");
+  version.size = Bytes(map.ReadInteger("bytes", 1, kMaxWeightsBytes, 0, true));
   return version;
 }
 
 AdapterSpec ReadAdapter(MapReader& map) {
   AdapterSpec adapter;
-  adapter.name = AdapterName(map.TakeName("name"));
-  adapter.versions = map.TakeList<WeightsVersion>("versions", kMaxVersions, true, ReadVersion);
+  adapter.name = AdapterName(map.ReadName("name"));
+  adapter.versions = map.ReadList<WeightsVersion>("versions", kMaxVersions, true, ReadVersion);
   return adapter;
 }
 
 ModelSpec ReadModel(MapReader& map) {
   ModelSpec model;
-  model.name = ModelName(map.TakeName("name"));
-  model.versions = map.TakeList<WeightsVersion>("versions", kMaxVersions, true, ReadVersion);
-  model.adapters = map.TakeList<AdapterSpec>("adapters", kMaxAdapters, false, ReadAdapter);
+  model.name = ModelName(map.ReadName("name"));
+  model.versions = map.ReadList<WeightsVersion>("versions", kMaxVersions, true, ReadVersion);
+  model.adapters = map.ReadList<AdapterSpec>("adapters", kMaxAdapters, false, ReadAdapter);
   return model;
 }
 
 ZoneSpec ReadZone(MapReader& map) {
   ZoneSpec zone;
-  zone.name = ZoneName(map.TakeName("name"));
-  zone.region = RegionName(map.TakeName("region"));
-  zone.is_in_service = map.TakeWord("service", {"out", "in"}, 1) == 1;
+  zone.name = ZoneName(map.ReadName("name"));
+  zone.region = RegionName(map.ReadName("region"));
+  zone.is_in_service = map.ReadEnum("service", {"out", "in"}, 1) == 1;
   return zone;
 }
 
 PlacedAdapter ReadPlacedAdapter(MapReader& map) {
   PlacedAdapter adapter;
-  adapter.name = AdapterName(map.TakeName("name"));
-  adapter.version = VersionName(map.TakeName("version"));
+  adapter.name = AdapterName(map.ReadName("name"));
+  adapter.version = VersionName(map.ReadName("version"));
   return adapter;
 }
 
 PlacementSpec ReadPlacement(MapReader& map) {
   PlacementSpec placement;
-  placement.pool = PoolName(map.TakeName("pool"));
-  placement.model = ModelName(map.TakeName("model"));
-  placement.version = VersionName(map.TakeName("version"));
-  placement.adapters = map.TakeList<PlacedAdapter>("adapters", kMaxAdapters, false, ReadPlacedAdapter);
+  placement.pool = PoolName(map.ReadName("pool"));
+  placement.model = ModelName(map.ReadName("model"));
+  placement.version = VersionName(map.ReadName("version"));
+  placement.adapters = map.ReadList<PlacedAdapter>("adapters", kMaxAdapters, false, ReadPlacedAdapter);
   return placement;
 }
 
 ServiceCallSpec ReadCall(MapReader& map) {
   ServiceCallSpec call;
-  call.name = map.TakeName("name");
-  call.is_repeatable = map.TakeFlag("repeatable", false, true);
+  call.name = map.ReadName("name");
+  call.is_repeatable = map.ReadFlag("repeatable", false, true);
   return call;
 }
 
 ServiceSpec ReadService(MapReader& map) {
   ServiceSpec service;
-  service.name = ServiceName(map.TakeName("name"));
-  service.pool = PoolName(map.TakeName("pool"));
-  service.calls = map.TakeList<ServiceCallSpec>("calls", kMaxCalls, true, ReadCall);
+  service.name = ServiceName(map.ReadName("name"));
+  service.pool = PoolName(map.ReadName("pool"));
+  service.calls = map.ReadList<ServiceCallSpec>("calls", kMaxCalls, true, ReadCall);
   return service;
 }
 
 WorkspaceSpec ReadWorkspace(MapReader& map) {
   constexpr double kMinRate = 1e-3;
   WorkspaceSpec workspace;
-  workspace.name = WorkspaceName(map.TakeName("name"));
-  workspace.weight = map.TakeNumber("weight", kMinRate, kMaxWeight, workspace.weight);
-  workspace.requests_per_s = map.TakeNumber("requests_per_s", kMinRate, kMaxRate, 0, true);
-  workspace.concurrency = static_cast<uint32_t>(map.TakeInteger("concurrency", 1, 1'000'000, 0, true));
-  workspace.tokens_per_s = map.TakeNumber("tokens_per_s", kMinRate, kMaxRate, 0, true);
+  workspace.name = WorkspaceName(map.ReadName("name"));
+  workspace.weight = map.ReadNumber("weight", kMinRate, kMaxWeight, workspace.weight);
+  workspace.requests_per_s = map.ReadNumber("requests_per_s", kMinRate, kMaxRate, 0, true);
+  workspace.concurrency = static_cast<uint32_t>(map.ReadInteger("concurrency", 1, 1'000'000, 0, true));
+  workspace.tokens_per_s = map.ReadNumber("tokens_per_s", kMinRate, kMaxRate, 0, true);
   return workspace;
 }
 
 void ReadRollout(MapReader& map, RolloutSpec& out) {
   constexpr double kMinWave = 1e-4;
-  out.floor = map.TakeNumber("floor", 0, 1, out.floor);
-  out.wave = map.TakeNumber("wave", kMinWave, 1, out.wave);
-  out.pause_error_share = map.TakeNumber("pause_error_share", 0, 1, out.pause_error_share);
-  const size_t priority = map.TakeWord("priority", {"routine", "hurried"}, 0);
-  out.priority = priority == 1 ? RolloutPriority::kHurried : RolloutPriority::kRoutine;
+  out.floor = map.ReadNumber("floor", 0, 1, out.floor);
+  out.wave = map.ReadNumber("wave", kMinWave, 1, out.wave);
+  out.pause_error_share = map.ReadNumber("pause_error_share", 0, 1, out.pause_error_share);
+  const size_t priority = map.ReadEnum("priority", {"routine", "hurried"}, 0);
+  out.priority = priority == 1 ? RolloutPriority::kUrgent : RolloutPriority::kRoutine;
 }
 
 void ReadObjectives(MapReader& map, ObjectiveSpec& out) {
-  out.availability = map.TakeNumber("availability", 0, 1, out.availability);
-  out.first_token_ms = map.TakeNumber("first_token_ms", 1, kMaxMilliseconds, out.first_token_ms);
-  out.token_gap_ms = map.TakeNumber("token_gap_ms", 1, kMaxMilliseconds, out.token_gap_ms);
-  out.latency_share = map.TakeNumber("latency_share", 0, 1, out.latency_share);
-  out.replicas_s = map.TakeNumber("replicas_s", 0, kMaxSeconds, out.replicas_s);
-  out.zone_change_s = map.TakeNumber("zone_change_s", 0, kMaxSeconds, out.zone_change_s);
-  out.replicas_weight = map.TakeNumber("replicas_weight", 0, kMaxWeight, out.replicas_weight);
-  out.origin_weight = map.TakeNumber("origin_weight", 0, kMaxWeight, out.origin_weight);
-  out.zone_weight = map.TakeNumber("zone_weight", 0, kMaxWeight, out.zone_weight);
+  out.availability = map.ReadNumber("availability", 0, 1, out.availability);
+  out.first_token_ms = map.ReadNumber("first_token_ms", 1, kMaxMilliseconds, out.first_token_ms);
+  out.token_gap_ms = map.ReadNumber("token_gap_ms", 1, kMaxMilliseconds, out.token_gap_ms);
+  out.latency_share = map.ReadNumber("latency_share", 0, 1, out.latency_share);
+  out.replicas_s = map.ReadNumber("replicas_s", 0, kMaxSeconds, out.replicas_s);
+  out.zone_change_s = map.ReadNumber("zone_change_s", 0, kMaxSeconds, out.zone_change_s);
+  out.replicas_weight = map.ReadNumber("replicas_weight", 0, kMaxWeight, out.replicas_weight);
+  out.origin_weight = map.ReadNumber("origin_weight", 0, kMaxWeight, out.origin_weight);
+  out.zone_weight = map.ReadNumber("zone_weight", 0, kMaxWeight, out.zone_weight);
 }
 
 Document ReadDocument(MapReader& map) {
   Document document;
-  document.schema = static_cast<int>(map.TakeInteger("schema", 1, 1, 1, true));
-  document.deployment = map.TakeName("deployment");
-  document.allow_all_zones_out = map.TakeFlag("allow_all_zones_out", false);
-  map.TakeMap("origin", true, [&](MapReader& origin) { document.origin_zone = ZoneName(origin.TakeName("zone")); });
-  document.zones = map.TakeList<ZoneSpec>("zones", kMaxZones, true, ReadZone);
-  document.models = map.TakeList<ModelSpec>("models", kMaxModels, false, ReadModel);
-  document.placements = map.TakeList<PlacementSpec>("placements", kMaxPools, false, ReadPlacement);
-  document.services = map.TakeList<ServiceSpec>("services", kMaxPools, false, ReadService);
-  document.workspaces = map.TakeList<WorkspaceSpec>("workspaces", kMaxWorkspaces, false, ReadWorkspace);
-  map.TakeMap("rollout", false, [&](MapReader& rollout) { ReadRollout(rollout, document.rollout); });
-  map.TakeMap("objectives", false, [&](MapReader& objectives) { ReadObjectives(objectives, document.objectives); });
-  map.Finish();
+  document.schema = static_cast<int>(map.ReadInteger("schema", 1, 1, 1, true));
+  document.deployment = map.ReadName("deployment");
+  document.allow_all_zones_out = map.ReadFlag("allow_all_zones_out", false);
+  map.ReadMap("origin", true, [&](MapReader& origin) { document.origin_zone = ZoneName(origin.ReadName("zone")); });
+  document.zones = map.ReadList<ZoneSpec>("zones", kMaxZones, true, ReadZone);
+  document.models = map.ReadList<ModelSpec>("models", kMaxModels, false, ReadModel);
+  document.placements = map.ReadList<PlacementSpec>("placements", kMaxPools, false, ReadPlacement);
+  document.services = map.ReadList<ServiceSpec>("services", kMaxPools, false, ReadService);
+  document.workspaces = map.ReadList<WorkspaceSpec>("workspaces", kMaxWorkspaces, false, ReadWorkspace);
+  map.ReadMap("rollout", false, [&](MapReader& rollout) { ReadRollout(rollout, document.rollout); });
+  map.ReadMap("objectives", false, [&](MapReader& objectives) { ReadObjectives(objectives, document.objectives); });
+  map.ReportUnknownFields();
   return document;
 }
 
--- a/src/document_type.h
+++ b/src/document_type.h
@@ -72,7 +72,7 @@
   double tokens_per_s = 0;
 };
 
-enum class RolloutPriority { kRoutine, kHurried };
+enum class RolloutPriority { kRoutine, kUrgent };
 
 struct RolloutSpec {
   // Share of a pool's VMs in each zone that must keep serving during a rollout, from 0 to 1.
--- a/src/document_write.cpp
+++ b/src/document_write.cpp
@@ -107,7 +107,7 @@
   out << "  floor: " << FormatNumber(rollout.floor) << "\n";
   out << "  wave: " << FormatNumber(rollout.wave) << "\n";
   out << "  pause_error_share: " << FormatNumber(rollout.pause_error_share) << "\n";
-  out << "  priority: " << (rollout.priority == RolloutPriority::kHurried ? "hurried" : "routine") << "\n";
+  out << "  priority: " << (rollout.priority == RolloutPriority::kUrgent ? "hurried" : "routine") << "\n";
 }
 
 void WriteObjectives(std::ostream& out, const ObjectiveSpec& objectives) {
--- a/src/event_log.cpp
+++ b/src/event_log.cpp
@@ -34,12 +34,12 @@
 // Holds a few seconds of lines at the highest request rate.
 constexpr size_t kLogBufferBytes = 512 * 1024;
 
-std::string MakeDropNote(uint64_t dropped) { return FormatEvent("log_dropped", {{"lines", dropped}}) + "\n"; }
+std::string FormatDroppedLines(uint64_t dropped) { return FormatEvent("log_dropped", {{"lines", dropped}}) + "\n"; }
 
 // Passes formatted lines to the writer's thread.
 class BufferedAppender : public log4cplus::Appender {
  public:
-  BufferedAppender() : m_writer(STDOUT_FILENO, kLogBufferBytes, MakeDropNote) {}
+  BufferedAppender() : m_writer(STDOUT_FILENO, kLogBufferBytes, FormatDroppedLines) {}
   ~BufferedAppender() override { destructorImpl(); }
 
   void close() override {}
--- a/src/rollout.cpp
+++ b/src/rollout.cpp
@@ -19,7 +19,7 @@
 constexpr double kCapacityHeadroom = 1.5;
 // Maximum time that a VM waits for capacity. About the warm-up time of an engine, since the wait is for newly loaded
 // engines to warm up.
-constexpr Duration kHurriedCapacityWait = std::chrono::seconds(2);
+constexpr Duration kUrgentCapacityWait = std::chrono::seconds(2);
 constexpr Duration kRoutineCapacityWait = std::chrono::seconds(20);
 
 // State of one pool in one zone.
@@ -138,7 +138,7 @@
 bool RolloutPolicy::IsCapacityWaitOver(RolloutPriority priority) {
   const TimePoint now = m_clock.GetNow();
   if (!m_capacity_short_since.has_value()) m_capacity_short_since = now;
-  const Duration limit = priority == RolloutPriority::kHurried ? kHurriedCapacityWait : kRoutineCapacityWait;
+  const Duration limit = priority == RolloutPriority::kUrgent ? kUrgentCapacityWait : kRoutineCapacityWait;
   return now - *m_capacity_short_since >= limit;
 }
 
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -20,7 +20,7 @@
 
 constexpr size_t kMaxSettingsBytes = 256 * 1024;
 
-struct Scanned {
+struct YamlValue {
   std::vector<std::string> items;
   int line;
   bool is_list;
@@ -89,7 +89,7 @@
   return row.kind != SettingKind::kInteger || *value == std::floor(*value);
 }
 
-void Flatten(const YAML::Node& node, const std::string& prefix, std::map<std::string, Scanned>& out) {
+void Flatten(const YAML::Node& node, const std::string& prefix, std::map<std::string, YamlValue>& out) {
   for (const auto& pair : node) {
     const std::string name = prefix.empty() ? pair.first.Scalar() : prefix + "." + pair.first.Scalar();
     const YAML::Node& value = pair.second;
@@ -97,12 +97,12 @@
       Flatten(value, name, out);
       continue;
     }
-    Scanned scanned{{}, value.Mark().line + 1, value.IsSequence()};
-    if (value.IsScalar()) scanned.items.push_back(value.Scalar());
+    YamlValue yaml_value{{}, value.Mark().line + 1, value.IsSequence()};
+    if (value.IsScalar()) yaml_value.items.push_back(value.Scalar());
     if (value.IsSequence()) {
-      for (const auto& item : value) scanned.items.push_back(item.IsScalar() ? item.Scalar() : "");
+      for (const auto& item : value) yaml_value.items.push_back(item.IsScalar() ? item.Scalar() : "");
     }
-    out[name] = std::move(scanned);
+    out[name] = std::move(yaml_value);
   }
 }
 
@@ -113,7 +113,7 @@
   return nullptr;
 }
 
-[[noreturn]] void FailGetter(std::string_view name) {
+[[noreturn]] void AbortOnInvalidLookup(std::string_view name) {
   std::cerr << "event=setting_lookup_failed name=" << name << "\n";
   std::abort();
 }
@@ -125,11 +125,11 @@
 }
 
 // Sets the value of one row. Returns a fault text, or an empty string if the value is valid.
-std::string TakeValue(const SettingRow& row, std::string_view file, const std::map<std::string, Scanned>& scanned,
+std::string ReadValue(const SettingRow& row, std::string_view file, const std::map<std::string, YamlValue>& yaml_values,
                       Values& values) {
   const std::string name(row.name);
-  const auto found = scanned.find(name);
-  if (found == scanned.end()) {
+  const auto found = yaml_values.find(name);
+  if (found == yaml_values.end()) {
     if (row.default_text.empty() && row.kind != SettingKind::kList) {
       return MakeFault(file, 0, name, DescribeExpectation(row) + "; the setting has no default");
     }
@@ -151,7 +151,7 @@
 
 const std::vector<std::string>& Settings::GetValue(std::string_view name, SettingKind kind) const {
   const SettingRow* row = FindRow(m_table, name);
-  if (row == nullptr || row->kind != kind) FailGetter(name);
+  if (row == nullptr || row->kind != kind) AbortOnInvalidLookup(name);
   return m_values.find(name)->second;
 }
 
@@ -205,14 +205,14 @@
     return MakeFailure(FailureCode::kSettingInvalid,
                        MakeFault(file, error.mark.line + 1, "document", "YAML (" + error.msg + ")"));
   }
-  std::map<std::string, Scanned> scanned;
-  if (root.IsMap()) Flatten(root, "", scanned);
+  std::map<std::string, YamlValue> yaml_values;
+  if (root.IsMap()) Flatten(root, "", yaml_values);
   std::string faults;
-  for (const auto& [name, value] : scanned) {
+  for (const auto& [name, value] : yaml_values) {
     if (FindRow(table, name) == nullptr) faults += MakeFault(file, value.line, name, "a known setting");
   }
   Values values;
-  for (const SettingRow& row : table) faults += TakeValue(row, file, scanned, values);
+  for (const SettingRow& row : table) faults += ReadValue(row, file, yaml_values, values);
   if (!faults.empty()) {
     faults.pop_back();
     return MakeFailure(FailureCode::kSettingInvalid, faults);
--- a/src/slo_counter.cpp
+++ b/src/slo_counter.cpp
@@ -17,22 +17,22 @@
 }
 
 void SloCounter::CountFirstToken(const SloContext& context, Duration time) {
-  CountAgainst(BurnMeasure::kFirstToken, context, time, GetObjectives().first_token_ms / 1000);
+  CountAgainstLimit(BurnMeasure::kFirstToken, context, time, GetObjectives().first_token_ms / 1000);
 }
 
 void SloCounter::CountTokenGap(const SloContext& context, Duration gap) {
-  CountAgainst(BurnMeasure::kTokenGap, context, gap, GetObjectives().token_gap_ms / 1000);
+  CountAgainstLimit(BurnMeasure::kTokenGap, context, gap, GetObjectives().token_gap_ms / 1000);
 }
 
 void SloCounter::CountReplica(const SloContext& context, Duration time) {
-  CountAgainst(BurnMeasure::kReplicas, context, time, GetObjectives().replicas_s);
+  CountAgainstLimit(BurnMeasure::kReplicas, context, time, GetObjectives().replicas_s);
 }
 
 void SloCounter::CountZoneChange(const SloContext& context, Duration time) {
-  CountAgainst(BurnMeasure::kZoneChange, context, time, GetObjectives().zone_change_s);
+  CountAgainstLimit(BurnMeasure::kZoneChange, context, time, GetObjectives().zone_change_s);
 }
 
-void SloCounter::CountAgainst(BurnMeasure measure, const SloContext& context, Duration time, double limit_s) {
+void SloCounter::CountAgainstLimit(BurnMeasure measure, const SloContext& context, Duration time, double limit_s) {
   const bool is_good = ToSeconds(time) <= limit_s;
   Count(measure, context, is_good, is_good ? "" : "slow");
 }
--- a/src/slo_counter.h
+++ b/src/slo_counter.h
@@ -42,7 +42,7 @@
   void CountZoneChange(const SloContext& context, Duration time);
 
  private:
-  void CountAgainst(BurnMeasure measure, const SloContext& context, Duration time, double limit_s);
+  void CountAgainstLimit(BurnMeasure measure, const SloContext& context, Duration time, double limit_s);
   void Count(BurnMeasure measure, const SloContext& context, bool is_good, const std::string& reason);
   ObjectiveSpec GetObjectives() const;
 
--- a/src/slo_meter.cpp
+++ b/src/slo_meter.cpp
@@ -39,11 +39,11 @@
     m_counter.CountZoneChange(context, std::max(lag, Duration::zero()));
   }
   const auto wanted = GetAssignments(view->document, m_options.pool);
-  if (wanted != GetAssignments(before->document, m_options.pool)) m_rollout_since = m_clock.GetNow();
+  if (wanted != GetAssignments(before->document, m_options.pool)) m_rollout_start = m_clock.GetNow();
 }
 
 void SloMeter::Tick() {
-  if (m_holdings == nullptr || !m_rollout_since.has_value()) return;
+  if (m_holdings == nullptr || !m_rollout_start.has_value()) return;
   const std::vector<HoldingInfo> holdings = m_holdings->GetHoldings();
   for (const Assignment& wanted : GetAssignments(m_view->document, m_options.pool)) {
     const bool is_serving = std::any_of(holdings.begin(), holdings.end(), [&](const HoldingInfo& holding) {
@@ -51,8 +51,8 @@
     });
     if (!is_serving) return;
   }
-  m_counter.CountReplica({WorkspaceName(), m_options.zone, m_options.vm}, m_clock.GetNow() - *m_rollout_since);
-  m_rollout_since.reset();
+  m_counter.CountReplica({WorkspaceName(), m_options.zone, m_options.vm}, m_clock.GetNow() - *m_rollout_start);
+  m_rollout_start.reset();
 }
 
 }  // namespace plantain
--- a/src/slo_meter.h
+++ b/src/slo_meter.h
@@ -45,7 +45,7 @@
   const HoldingSource* m_holdings;
   std::shared_ptr<const ConfigView> m_view;
   // When the document was adopted whose weights this VM does not serve yet.
-  std::optional<TimePoint> m_rollout_since;
+  std::optional<TimePoint> m_rollout_start;
   std::unique_ptr<Timer> m_tick;
 };
 
--- a/src/sse_parser.cpp
+++ b/src/sse_parser.cpp
@@ -15,22 +15,22 @@
 absl::Status SseParser::Feed(std::string_view bytes) {
   for (const char c : bytes) {
     if (m_is_failed) break;
-    const bool is_second_half = m_skip_lf && c == '\n';
+    const bool is_lf_after_cr = m_skip_lf && c == '\n';
     m_skip_lf = c == '\r';
-    if (is_second_half) continue;
+    if (is_lf_after_cr) continue;
     if (c != '\n' && c != '\r') {
       m_line.push_back(c);
       m_is_failed = m_line.size() + m_data.size() > m_max_event_bytes;
       continue;
     }
-    TakeLine(m_line);
+    HandleLine(m_line);
     m_line.clear();
   }
   if (m_is_failed) return MakeFailure(FailureCode::kProtocol, "server-sent event exceeds the size limit");
   return absl::OkStatus();
 }
 
-void SseParser::TakeLine(std::string_view line) {
+void SseParser::HandleLine(std::string_view line) {
   if (line.empty()) {
     if (m_has_data) m_on_event(m_data);
     m_data.clear();
--- a/src/sse_parser.h
+++ b/src/sse_parser.h
@@ -23,7 +23,7 @@
   absl::Status Feed(std::string_view bytes);
 
  private:
-  void TakeLine(std::string_view line);
+  void HandleLine(std::string_view line);
 
   const size_t m_max_event_bytes;
   const OnEvent m_on_event;
--- a/src/transfer_service.cpp
+++ b/src/transfer_service.cpp
@@ -30,9 +30,9 @@
       m_control_loop(control_loop),
       m_loop(transfer_loop),
       m_store(m_options.cache),
-      m_pace(m_options.pace, clock),
+      m_rate_limits(m_options.pace, clock),
       m_random(seed),
-      m_state{clock, transfer_loop, m_store, m_manifest_index, m_pace, metrics, m_options.vm, m_options.zone},
+      m_state{clock, transfer_loop, m_store, m_manifest_index, m_rate_limits, metrics, m_options.vm, m_options.zone},
       m_staging_uploader(transfer_loop, *m_deps.stage, m_store, m_manifest_index,
                          [this](const Digest& chunk) { OnStaged(chunk); }),
       m_upload(
@@ -78,7 +78,7 @@
 }
 
 void TransferService::ApplyGoal(const ExchangeGoal& goal) {
-  m_pace.SetHasLiveRequests(goal.has_live_requests);
+  m_rate_limits.SetHasLiveRequests(goal.has_live_requests);
   if (goal.wants == m_goal.wants) return;
   m_goal = goal;
   m_zones.clear();
--- a/src/transfer_service.h
+++ b/src/transfer_service.h
@@ -75,7 +75,7 @@
   Loop& m_loop;
   ChunkStore m_store;
   ManifestIndex m_manifest_index;
-  TransferRateLimits m_pace;
+  TransferRateLimits m_rate_limits;
   SeededRandom m_random;
   TransferState m_state;
   StagingUploader m_staging_uploader;
--- a/src/weight_control.cpp
+++ b/src/weight_control.cpp
@@ -138,7 +138,7 @@
     want.peers = {{m_options.vm, m_options.zone, m_options.address}};
     want.origin_fetch_zone = m_options.zone;
   }
-  want.is_urgent = document.rollout.priority == RolloutPriority::kHurried;
+  want.is_urgent = document.rollout.priority == RolloutPriority::kUrgent;
   want.is_needed = m_swap.GetConfirmed(want.slot) != assignment.manifest;
   return want;
 }
--- a/src/yaml_tree.cpp
+++ b/src/yaml_tree.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 // Thrown at the first event that violates a limit or rule, so that no further input is processed.
-struct TreeRefusal {
+struct TreeError {
   FailureCode code;
   int line;
   std::string expected;
@@ -24,7 +24,7 @@
   TreeBuilder(const YamlLimits& limits, YamlNode& root) : m_limits(limits), m_root(root) {}
 
   void OnDocumentStart(const YAML::Mark& mark) override {
-    if (m_documents++ > 0) Refuse(FailureCode::kDocumentSyntax, mark, "a single YAML document");
+    if (m_documents++ > 0) Fail(FailureCode::kDocumentSyntax, mark, "a single YAML document");
   }
   void OnDocumentEnd() override {}
 
@@ -32,7 +32,7 @@
     AddNode(YamlNode::Kind::kNull, mark, "?", anchor, "");
   }
   void OnAlias(const YAML::Mark& mark, YAML::anchor_t) override {
-    Refuse(FailureCode::kDocumentSyntax, mark, "no alias");
+    Fail(FailureCode::kDocumentSyntax, mark, "no alias");
   }
   void OnScalar(const YAML::Mark& mark, const std::string& tag, YAML::anchor_t anchor,
                 const std::string& value) override {
@@ -50,14 +50,14 @@
   void OnMapEnd() override { m_open.pop_back(); }
 
  private:
-  [[noreturn]] static void Refuse(FailureCode code, const YAML::Mark& mark, std::string expected) {
-    throw TreeRefusal{code, mark.line + 1, std::move(expected)};
+  [[noreturn]] static void Fail(FailureCode code, const YAML::Mark& mark, std::string expected) {
+    throw TreeError{code, mark.line + 1, std::move(expected)};
   }
 
   void Open(YamlNode* node, const YAML::Mark& mark) {
-    if (node == nullptr) Refuse(FailureCode::kDocumentSyntax, mark, "a name as the key of a map");
+    if (node == nullptr) Fail(FailureCode::kDocumentSyntax, mark, "a name as the key of a map");
     if (m_open.size() >= m_limits.max_depth) {
-      Refuse(FailureCode::kDocumentTooLarge, mark, "a depth of at most " + std::to_string(m_limits.max_depth));
+      Fail(FailureCode::kDocumentTooLarge, mark, "a depth of at most " + std::to_string(m_limits.max_depth));
     }
     m_open.push_back(node);
   }
@@ -67,18 +67,18 @@
   // Pointers to open nodes stay valid: a parent's list grows only after its open child is closed.
   YamlNode* AddNode(YamlNode::Kind kind, const YAML::Mark& mark, const std::string& tag, YAML::anchor_t anchor,
                     const std::string& value) {
-    if (anchor != YAML::NullAnchor) Refuse(FailureCode::kDocumentSyntax, mark, "no anchor");
+    if (anchor != YAML::NullAnchor) Fail(FailureCode::kDocumentSyntax, mark, "no anchor");
     const bool is_untagged = tag.empty() || tag == "?" || tag == "!";
-    if (!is_untagged) Refuse(FailureCode::kDocumentSyntax, mark, "no tag");
+    if (!is_untagged) Fail(FailureCode::kDocumentSyntax, mark, "no tag");
     if (++m_nodes > m_limits.max_nodes) {
-      Refuse(FailureCode::kDocumentTooLarge, mark, "at most " + std::to_string(m_limits.max_nodes) + " items");
+      Fail(FailureCode::kDocumentTooLarge, mark, "at most " + std::to_string(m_limits.max_nodes) + " items");
     }
     YamlNode* node = &m_root;
     if (!m_open.empty()) {
       YamlNode* parent = m_open.back();
       const bool is_key = parent->kind == YamlNode::Kind::kMap && parent->keys.size() == parent->items.size();
       if (is_key) {
-        if (kind != YamlNode::Kind::kScalar) Refuse(FailureCode::kDocumentSyntax, mark, "a name as the key of a map");
+        if (kind != YamlNode::Kind::kScalar) Fail(FailureCode::kDocumentSyntax, mark, "a name as the key of a map");
         parent->keys.push_back(value);
         return nullptr;
       }
@@ -114,7 +114,7 @@
 }
 
 // yaml-cpp guesses the encoding and replaces invalid sequences, so text that is not plain UTF-8 is rejected first.
-bool IsReadableText(std::string_view text, int& line) {
+bool IsPlainUtf8(std::string_view text, int& line) {
   line = 1;
   for (size_t at = 0; at < text.size();) {
     const char c = text[at];
@@ -135,7 +135,7 @@
     return false;
   }
   int line = 0;
-  if (!IsReadableText(text, line)) {
+  if (!IsPlainUtf8(text, line)) {
     faults.Add(FailureCode::kDocumentSyntax, line, "document", "UTF-8 text without control characters");
     return false;
   }
@@ -146,8 +146,8 @@
     while (parser.HandleNextDocument(builder)) {
     }
     return true;
-  } catch (const TreeRefusal& refusal) {
-    faults.Add(refusal.code, refusal.line, "document", refusal.expected);
+  } catch (const TreeError& error) {
+    faults.Add(error.code, error.line, "document", error.expected);
   } catch (const YAML::Exception& error) {
     faults.Add(FailureCode::kDocumentSyntax, std::max(error.mark.line, 0) + 1, "document", "YAML (" + error.msg + ")");
   }
--- a/tests/config_carry_test.cpp
+++ b/tests/config_carry_test.cpp
@@ -17,12 +17,12 @@
 TEST_CASE("Entries write a checkpoint at half the retention time in rank order") {
   VirtualClock clock;
   const std::vector<VmId> entries = MakeEntries(370);
-  std::vector<CarrySchedule> schedules;
+  std::vector<CheckpointSchedule> schedules;
   for (const VmId& entry : entries) schedules.emplace_back(clock, entry, kRetention);
   const FoldStart start{LogOffset(7), clock.GetWallTime()};
   const auto count_due = [&](const std::optional<FoldStart>& newest) {
     size_t due = 0;
-    for (CarrySchedule& schedule : schedules) due += schedule.IsDue(newest, entries) ? 1 : 0;
+    for (CheckpointSchedule& schedule : schedules) due += schedule.IsDue(newest, entries) ? 1 : 0;
     return due;
   };
 
@@ -48,7 +48,7 @@
       CHECK(count_due(start) == entries.size());
     }
     SECTION("an entry waits between two attempts") {
-      for (CarrySchedule& schedule : schedules) {
+      for (CheckpointSchedule& schedule : schedules) {
         if (schedule.IsDue(start, entries)) schedule.RecordAttempt();
       }
       CHECK(count_due(start) == 0);
--- a/tests/config_fold_test.cpp
+++ b/tests/config_fold_test.cpp
@@ -176,16 +176,16 @@
     for (const LogRecord& record : plain.GetRecords()) {
       log.Append(record.data);
       if (*rc::gen::inRange(0, 3) == 0) FoldAll(log, writer);
-      const auto carry = writer.MakeCarry("w");
-      if (*rc::gen::inRange(0, 3) != 0 || !carry.has_value()) continue;
+      const auto checkpoint = writer.MakeCheckpoint("w");
+      if (*rc::gen::inRange(0, 3) != 0 || !checkpoint.has_value()) continue;
       last_usable = writer.GetNextOffset().Get();
-      log.Append(*carry);
+      log.Append(*checkpoint);
     }
     ConfigFold old_reader;
     FoldAll(log, old_reader);
-    ConfigFold without_carries;
-    FoldAll(plain, without_carries);
-    RC_ASSERT(IsSameState(old_reader, without_carries));
+    ConfigFold without_checkpoints;
+    FoldAll(plain, without_checkpoints);
+    RC_ASSERT(IsSameState(old_reader, without_checkpoints));
 
     log.ExpireBefore(*rc::gen::inRange<uint64_t>(0, last_usable + 1));
     ConfigFold new_reader;
@@ -217,10 +217,10 @@
     CHECK(steps.back().verdict == FoldVerdict::kNoStart);
     CHECK_FALSE(fold.IsStarted());
     CHECK(fold.GetVersion() == ConfigVersion(0));
-    CHECK_FALSE(fold.MakeCarry("w").has_value());
+    CHECK_FALSE(fold.MakeCheckpoint("w").has_value());
 
     SECTION("until a checkpoint is appended") {
-      log.Append(*old_reader.MakeCarry("w"));
+      log.Append(*old_reader.MakeCheckpoint("w"));
       FoldAll(log, fold);
       CHECK(IsSameState(fold, old_reader));
     }
@@ -234,7 +234,7 @@
   SECTION("a checkpoint that does not reach the first retained record is ignored") {
     ConfigFold early;
     early.ApplyBatch(MakeBatch({log.GetRecords()[0]}, 0, 4));
-    log.Append(*early.MakeCarry("w"));
+    log.Append(*early.MakeCheckpoint("w"));
     FoldAll(log, fold);
     CHECK_FALSE(fold.IsStarted());
   }
--- a/tests/decoder_fuzz_test.cpp
+++ b/tests/decoder_fuzz_test.cpp
@@ -96,7 +96,7 @@
   batch.records.push_back({LogOffset(0), WallTime(), MakeTestPublish("a", 0, MakeTestDocument("a"))});
   batch.next_offset = LogOffset(1);
   writer.ApplyBatch(batch);
-  const std::vector<std::string> corpus = {MakeTestPublish("b", 0, MakeTestDocument("b")), *writer.MakeCarry("w")};
+  const std::vector<std::string> corpus = {MakeTestPublish("b", 0, MakeTestDocument("b")), *writer.MakeCheckpoint("w")};
   ConfigFold fold;
   for (uint64_t i = 0; i < 5000; ++i) {
     LogBatch damaged;
--- a/tests/http_limits_test.cpp
+++ b/tests/http_limits_test.cpp
@@ -23,8 +23,8 @@
 const HttpTarget kTarget{IpAddress("127.0.250.2"), Port(29991)};
 
 // A loopback server that records the requests it handled, and clients that send raw bytes.
-struct RawWorld {
-  RawWorld()
+struct RawHttpFixture {
+  RawHttpFixture()
       : server(loop, kTarget.address, kTarget.port, 0,
                [this](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
                  handled.push_back(request.target + " " + request.body);
@@ -62,82 +62,82 @@
 
 // Guards against oversized or stalled requests and against request smuggling: none of these may reach the handler.
 TEST_CASE("A caller's connection is bounded, and a request that cannot be read is answered and not handled") {
-  RawWorld world;
+  RawHttpFixture fixture;
 
   SECTION("a header above the limit") {
-    const std::string answer = world.Exchange("GET / HTTP/1.1\r\nX: " + std::string(600, 'x') + "\r\n\r\n");
+    const std::string answer = fixture.Exchange("GET / HTTP/1.1\r\nX: " + std::string(600, 'x') + "\r\n\r\n");
     CHECK(GetStatusLine(answer).starts_with("HTTP/1.1 431"));
   }
   SECTION("a body above the limit") {
-    const std::string answer = world.Exchange("POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n" + std::string(65, 'b'));
+    const std::string answer = fixture.Exchange("POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n" + std::string(65, 'b'));
     CHECK(GetStatusLine(answer).starts_with("HTTP/1.1 413"));
   }
   SECTION("two lengths") {
-    const std::string answer = world.Exchange("POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab");
+    const std::string answer = fixture.Exchange("POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab");
     CHECK(GetStatusLine(answer).starts_with("HTTP/1.1 400"));
   }
   SECTION("a length and chunks, behind which a second request hides") {
-    const std::string answer = world.Exchange(
+    const std::string answer = fixture.Exchange(
         "POST / HTTP/1.1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /hidden "
         "HTTP/1.1\r\n\r\n");
     CHECK(GetStatusLine(answer).starts_with("HTTP/1.1 400"));
   }
   SECTION("bytes that are no request") {
-    CHECK(GetStatusLine(world.Exchange("\x16\x03\x01 hello\r\n\r\n")).starts_with("HTTP/1.1 400"));
+    CHECK(GetStatusLine(fixture.Exchange("\x16\x03\x01 hello\r\n\r\n")).starts_with("HTTP/1.1 400"));
   }
   SECTION("a header that stops in the middle") {
-    CHECK(GetStatusLine(world.Exchange("GET / HTTP/1.1\r\nHost: a")).starts_with("HTTP/1.1 408"));
+    CHECK(GetStatusLine(fixture.Exchange("GET / HTTP/1.1\r\nHost: a")).starts_with("HTTP/1.1 408"));
   }
   SECTION("a body that stops in the middle") {
-    const std::string answer = world.Exchange("POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nab");
+    const std::string answer = fixture.Exchange("POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nab");
     CHECK(GetStatusLine(answer).starts_with("HTTP/1.1 408"));
   }
-  SECTION("a connection without a request is closed without a word") { CHECK(world.Exchange("").empty()); }
-  CHECK(world.handled.empty());
+  SECTION("a connection without a request is closed without a word") { CHECK(fixture.Exchange("").empty()); }
+  CHECK(fixture.handled.empty());
 }
 
 // Guards against limits that reject valid requests.
 TEST_CASE("Proper requests pass, one after the other and in any form of body") {
-  RawWorld world;
-  const std::string answer = world.Exchange(
+  RawHttpFixture fixture;
+  const std::string answer = fixture.Exchange(
       "POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nab"
       "POST /b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ncde\r\n0\r\n\r\n"
       "GET /c HTTP/1.1\r\nConnection: close\r\n\r\n");
-  CHECK(world.handled == std::vector<std::string>{"/a ab", "/b cde", "/c "});
+  CHECK(fixture.handled == std::vector<std::string>{"/a ab", "/b cde", "/c "});
   CHECK(answer.find("HTTP/1.1 200") != answer.rfind("HTTP/1.1 200"));
 }
 
-std::string MakeNote(uint64_t dropped) { return "dropped " + std::to_string(dropped) + "\n"; }
+std::string FormatDroppedLines(uint64_t dropped) { return "dropped " + std::to_string(dropped) + "\n"; }
 
 // Guards against a stalled log reader that blocks the threads that write log lines.
 TEST_CASE("Log lines never wait for their reader, and routine ones are dropped first") {
-  int ends[2];
-  REQUIRE(pipe(ends) == 0);
+  int pipe_fds[2];
+  REQUIRE(pipe(pipe_fds) == 0);
   // The reader stalls: the pipe is full before the first line.
-  REQUIRE(fcntl(ends[1], F_SETFL, O_NONBLOCK) == 0);
+  REQUIRE(fcntl(pipe_fds[1], F_SETFL, O_NONBLOCK) == 0);
   const std::string filler(4096, '.');
-  while (write(ends[1], filler.data(), filler.size()) > 0) {
+  while (write(pipe_fds[1], filler.data(), filler.size()) > 0) {
   }
-  REQUIRE(fcntl(ends[1], F_SETFL, 0) == 0);
+  REQUIRE(fcntl(pipe_fds[1], F_SETFL, 0) == 0);
   std::string text;
   {
     constexpr size_t kLimit = 4096;
-    LogWriter writer(ends[1], kLimit, MakeNote);
+    LogWriter writer(pipe_fds[1], kLimit, FormatDroppedLines);
     const std::string line(63, 'x');
     // Far more than the buffer can hold. Write must still return.
     for (int i = 0; i < 4000; ++i) writer.Write(line + "\n", LinePriority::kRoutine);
     writer.Write("important\n", LinePriority::kImportant);
     // The reader resumes.
     std::string filled(1024 * 1024, '\0');
-    CHECK(read(ends[0], filled.data(), filled.size()) > 0);
+    CHECK(read(pipe_fds[0], filled.data(), filled.size()) > 0);
     writer.Stop();
   }
-  close(ends[1]);
+  close(pipe_fds[1]);
   char buffer[4096];
-  for (ssize_t size = 0; (size = read(ends[0], buffer, sizeof(buffer))) > 0;) {
+  for (ssize_t size = 0; (size = read(pipe_fds[0], buffer, sizeof(buffer))) > 0;) {
     text.append(buffer, static_cast<size_t>(size));
   }
-  close(ends[0]);
+  close(pipe_fds[0]);
   CHECK(text.find("important\n") != std::string::npos);
   CHECK(text.find("dropped ") != std::string::npos);
 }
--- a/tests/rollout_test.cpp
+++ b/tests/rollout_test.cpp
@@ -85,7 +85,7 @@
     }
 
     SECTION("and a hurried rollout waits for a shorter time") {
-      document.rollout.priority = RolloutPriority::kHurried;
+      document.rollout.priority = RolloutPriority::kUrgent;
       clock.Advance(std::chrono::seconds(2));
       CHECK(CountAllowedSwaps(policy, document, view) == 1);
     }
