--- a/src/agent_self.cpp
+++ b/src/agent_self.cpp
@@ -33,7 +33,7 @@
 Readiness AgentSelf::GetReadiness() const {
   if (m_leaving.IsLeaving()) return {false, "leaving"};
   if (m_config.GetConfig() == nullptr) return {false, "no configuration received from the log or a peer"};
-  if (m_engine.GetEngineStatus()->state == EngineState::kUnreachable) return {false, "the engine does not answer"};
+  if (m_engine.GetEngineStatus()->state == EngineState::kUnreachable) return {false, "the engine does not respond"};
   return {true, "ready"};
 }
 
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -56,13 +56,13 @@
 std::string DescribeExpectation(const SettingRow& row) {
   switch (row.kind) {
     case SettingKind::kText:
-      return "a non-empty text";
+      return "a non-empty string";
     case SettingKind::kAddress:
       return "an IP address";
     case SettingKind::kFlag:
       return "true or false";
     case SettingKind::kList:
-      return "a list of texts";
+      return "a list of strings";
     case SettingKind::kTarget:
       return "an IP address and a port as ADDRESS:PORT";
     default:
--- a/tests/http_limits_test.cpp
+++ b/tests/http_limits_test.cpp
@@ -92,7 +92,7 @@
     const std::string answer = fixture.Exchange("POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nab");
     CHECK(GetStatusLine(answer).starts_with("HTTP/1.1 408"));
   }
-  SECTION("a connection without a request is closed without a word") { CHECK(fixture.Exchange("").empty()); }
+  SECTION("a connection without a request is closed without a response") { CHECK(fixture.Exchange("").empty()); }
   CHECK(fixture.handled.empty());
 }
 
