--- a/src/config_service.h
+++ b/src/config_service.h
@@ -1,4 +1,4 @@
-// Provides the configuration in force: follows the log, adopts documents offered by peers and writes carries.
+// Provides the configuration in force: follows the log, adopts documents offered by peers and writes checkpoints.
 
 #ifndef PLANTAIN_CONFIG_SERVICE_H_
 #define PLANTAIN_CONFIG_SERVICE_H_
@@ -27,7 +27,8 @@
 
 struct ConfigServiceOptions {
   VmId vm;
-  // Entries follow the log by long polling and write carries. Agents get documents from peers and rarely read the log.
+  // Entries follow the log by long polling and write checkpoints. Agents get documents from peers and rarely read the
+  // log.
   bool is_entry = false;
   std::string key;
   // Maximum duration of one long poll in a small fleet.
@@ -68,7 +69,7 @@
   Duration GetLongPollDuration() const;
   void ReportSteps(const std::vector<FoldStep>& steps, const LogBatch& batch);
   void StartFromPeersIfNeeded(const LogBatch& batch);
-  void WriteCarryIfDue();
+  void WriteCheckpointIfDue();
   std::vector<VmId> GetLiveEntries() const;
   void SetLogReachable(const absl::Status& status);
   void PublishConfig(const char* source);
@@ -82,14 +83,14 @@
   const ConfigServiceOptions m_options;
   ActiveConfig m_active_config;
   ConfigFold m_fold;
-  CarrySchedule m_carry;
+  CheckpointSchedule m_checkpoint_schedule;
   Snapshot<ConfigView> m_published;
   std::vector<std::function<void(const std::shared_ptr<const ConfigView>&)>> m_listeners;
   std::atomic<bool> m_is_log_reachable{false};
   int m_failures = 0;
   TimePoint m_last_peer_contact{};
   std::unique_ptr<Timer> m_read_timer;
-  std::unique_ptr<Timer> m_carry_timer;
+  std::unique_ptr<Timer> m_checkpoint_timer;
 };
 
 }  // namespace plantain
--- a/src/document_write.cpp
+++ b/src/document_write.cpp
@@ -17,14 +17,14 @@
   return hex;
 }
 
-// Shortest form that reads back to the same number.
+// Returns the shortest form that parses to the same number.
 std::string FormatNumber(double value) {
   char text[32];
   const auto [end, error] = std::to_chars(text, text + sizeof(text), value);
   return std::string(text, error == std::errc() ? end : text);
 }
 
-// Names are quoted because a plain `null`, `1` or `true` would read back as another kind.
+// Names are quoted because a plain `null`, `1` or `true` would be parsed as another type.
 std::string Quote(const std::string& name) { return "\"" + name + "\""; }
 
 void WriteVersions(std::ostream& out, const std::string& indent, const std::vector<WeightsVersion>& versions) {
@@ -107,7 +107,7 @@
   out << "  floor: " << FormatNumber(rollout.floor) << "\n";
   out << "  wave: " << FormatNumber(rollout.wave) << "\n";
   out << "  pause_error_share: " << FormatNumber(rollout.pause_error_share) << "\n";
-  out << "  priority: " << (rollout.priority == RolloutPriority::kHurried ? "hurried" : "routine") << "\n";
+  out << "  priority: " << (rollout.priority == RolloutPriority::kUrgent ? "hurried" : "routine") << "\n";
 }
 
 void WriteObjectives(std::ostream& out, const ObjectiveSpec& objectives) {
--- a/src/slo_counter.cpp
+++ b/src/slo_counter.cpp
@@ -5,7 +5,7 @@
 
 constexpr char kName[] = "plantain_slo_events_total";
 constexpr char kHelp[] = "Events that met (good) or missed (bad) a service-level objective of the document.";
-// Bounds memory against callers that make up workspace names.
+// Limits memory use if callers send many made-up workspace names.
 constexpr size_t kMaxCounters = 4096;
 
 }  // namespace
@@ -17,22 +17,22 @@
 }
 
 void SloCounter::CountFirstToken(const SloContext& context, Duration time) {
-  CountAgainst(BurnMeasure::kFirstToken, context, time, GetObjectives().first_token_ms / 1000);
+  CountAgainstLimit(BurnMeasure::kFirstToken, context, time, GetObjectives().first_token_ms / 1000);
 }
 
 void SloCounter::CountTokenGap(const SloContext& context, Duration gap) {
-  CountAgainst(BurnMeasure::kTokenGap, context, gap, GetObjectives().token_gap_ms / 1000);
+  CountAgainstLimit(BurnMeasure::kTokenGap, context, gap, GetObjectives().token_gap_ms / 1000);
 }
 
 void SloCounter::CountReplica(const SloContext& context, Duration time) {
-  CountAgainst(BurnMeasure::kReplicas, context, time, GetObjectives().replicas_s);
+  CountAgainstLimit(BurnMeasure::kReplicas, context, time, GetObjectives().replicas_s);
 }
 
 void SloCounter::CountZoneChange(const SloContext& context, Duration time) {
-  CountAgainst(BurnMeasure::kZoneChange, context, time, GetObjectives().zone_change_s);
+  CountAgainstLimit(BurnMeasure::kZoneChange, context, time, GetObjectives().zone_change_s);
 }
 
-void SloCounter::CountAgainst(BurnMeasure measure, const SloContext& context, Duration time, double limit_s) {
+void SloCounter::CountAgainstLimit(BurnMeasure measure, const SloContext& context, Duration time, double limit_s) {
   const bool is_good = ToSeconds(time) <= limit_s;
   Count(measure, context, is_good, is_good ? "" : "slow");
 }
@@ -43,7 +43,7 @@
   key.is_bad = !is_good;
   key.zone = context.zone.Get();
   key.workspace = context.workspace.Get();
-  // Good events do not need the endpoint, which keeps the number of series low.
+  // The endpoint and reason are recorded only for bad events, which keeps the number of series low.
   if (!is_good) key.vm = context.endpoint.Get();
   if (!is_good) key.reason = reason;
   const std::lock_guard lock(m_mutex);
--- a/tests/config_carry_test.cpp
+++ b/tests/config_carry_test.cpp
@@ -13,16 +13,16 @@
   return entries;
 }
 
-// Guards against all carries expiring from the log, and against many entries writing a carry at the same time.
-TEST_CASE("Entries write a carry at half the retention time in rank order") {
+// Guards against all checkpoints expiring from the log, and against many entries writing one at the same time.
+TEST_CASE("Entries write a checkpoint at half the retention time in rank order") {
   VirtualClock clock;
   const std::vector<VmId> entries = MakeEntries(370);
-  std::vector<CarrySchedule> schedules;
+  std::vector<CheckpointSchedule> schedules;
   for (const VmId& entry : entries) schedules.emplace_back(clock, entry, kRetention);
   const FoldStart start{LogOffset(7), clock.GetWallTime()};
   const auto count_due = [&](const std::optional<FoldStart>& newest) {
     size_t due = 0;
-    for (CarrySchedule& schedule : schedules) due += schedule.IsDue(newest, entries) ? 1 : 0;
+    for (CheckpointSchedule& schedule : schedules) due += schedule.IsDue(newest, entries) ? 1 : 0;
     return due;
   };
 
@@ -36,7 +36,7 @@
     clock.Advance(kRetention / 2);
     CHECK(count_due(start) == 1);
 
-    SECTION("once its carry has been read no other entry writes") {
+    SECTION("once its checkpoint has been read no other entry writes") {
       const FoldStart newer{LogOffset(8), clock.GetWallTime()};
       clock.Advance(kRetention / 4);
       CHECK(count_due(newer) == 0);
@@ -48,7 +48,7 @@
       CHECK(count_due(start) == entries.size());
     }
     SECTION("an entry waits between two attempts") {
-      for (CarrySchedule& schedule : schedules) {
+      for (CheckpointSchedule& schedule : schedules) {
         if (schedule.IsDue(start, entries)) schedule.RecordAttempt();
       }
       CHECK(count_due(start) == 0);
--- a/tests/config_fold_test.cpp
+++ b/tests/config_fold_test.cpp
@@ -165,27 +165,27 @@
   CHECK(is_ok);
 }
 
-// Guards against a reader that starts from a carry and later makes other decisions than one that read all records.
-TEST_CASE("A reader that starts from a carry agrees with one that read all records") {
-  const bool is_ok = rc::check("carries and expiry do not matter", [] {
+// Guards against a reader that starts from a checkpoint and later makes other decisions than one that read all records.
+TEST_CASE("A reader that starts from a checkpoint agrees with one that read all records") {
+  const bool is_ok = rc::check("checkpoints and expiry do not matter", [] {
     const TestLog plain = MakeRandomLog(*rc::gen::inRange<size_t>(3, 14));
-    // The writer of the carries lags behind the log by a random number of records.
+    // The writer of the checkpoints lags behind the log by a random number of records.
     TestLog log;
     ConfigFold writer;
     uint64_t last_usable = 0;
     for (const LogRecord& record : plain.GetRecords()) {
       log.Append(record.data);
       if (*rc::gen::inRange(0, 3) == 0) FoldAll(log, writer);
-      const auto carry = writer.MakeCarry("w");
-      if (*rc::gen::inRange(0, 3) != 0 || !carry.has_value()) continue;
+      const auto checkpoint = writer.MakeCheckpoint("w");
+      if (*rc::gen::inRange(0, 3) != 0 || !checkpoint.has_value()) continue;
       last_usable = writer.GetNextOffset().Get();
-      log.Append(*carry);
+      log.Append(*checkpoint);
     }
     ConfigFold old_reader;
     FoldAll(log, old_reader);
-    ConfigFold without_carries;
-    FoldAll(plain, without_carries);
-    RC_ASSERT(IsSameState(old_reader, without_carries));
+    ConfigFold without_checkpoints;
+    FoldAll(plain, without_checkpoints);
+    RC_ASSERT(IsSameState(old_reader, without_checkpoints));
 
     log.ExpireBefore(*rc::gen::inRange<uint64_t>(0, last_usable + 1));
     ConfigFold new_reader;
@@ -203,7 +203,7 @@
 }
 
 // Guards against a reader that treats the first retained publish as the first publish of the stream.
-TEST_CASE("A reader without a usable carry waits, and can continue from a peer's document") {
+TEST_CASE("A reader without a usable checkpoint waits, and can continue from a peer's document") {
   TestLog log;
   for (uint64_t i = 0; i < 4; ++i) log.Append(MakeTestPublish("p" + std::to_string(i), i, MakeTestDocument("x")));
   ConfigFold old_reader;
@@ -217,10 +217,10 @@
     CHECK(steps.back().verdict == FoldVerdict::kNoStart);
     CHECK_FALSE(fold.IsStarted());
     CHECK(fold.GetVersion() == ConfigVersion(0));
-    CHECK_FALSE(fold.MakeCarry("w").has_value());
+    CHECK_FALSE(fold.MakeCheckpoint("w").has_value());
 
-    SECTION("until a carry is appended") {
-      log.Append(*old_reader.MakeCarry("w"));
+    SECTION("until a checkpoint is appended") {
+      log.Append(*old_reader.MakeCheckpoint("w"));
       FoldAll(log, fold);
       CHECK(IsSameState(fold, old_reader));
     }
@@ -231,10 +231,10 @@
       CHECK(fold.GetVersion() == ConfigVersion(5));
     }
   }
-  SECTION("a carry that does not reach the first retained record is ignored") {
+  SECTION("a checkpoint that does not reach the first retained record is ignored") {
     ConfigFold early;
     early.ApplyBatch(MakeBatch({log.GetRecords()[0]}, 0, 4));
-    log.Append(*early.MakeCarry("w"));
+    log.Append(*early.MakeCheckpoint("w"));
     FoldAll(log, fold);
     CHECK_FALSE(fold.IsStarted());
   }
