--- a/standin/answer_check.cpp
+++ b/standin/answer_check.cpp
@@ -43,7 +43,7 @@
   if (line.substr(0, kDataPrefix.size()) != kDataPrefix) return;
   const std::string_view data = line.substr(kDataPrefix.size());
   if (data == kEndMark) {
-    if (m_has_end_mark) SetWrong("second end mark");
+    if (m_has_end_mark) SetWrong("duplicate end marker");
     m_has_end_mark = true;
     return;
   }
@@ -74,7 +74,7 @@
     m_error_type = error->is_object() ? error->value("type", "untyped") : "untyped";
     return;
   }
-  if (m_has_end_mark) SetWrong("token after the end mark");
+  if (m_has_end_mark) SetWrong("token after the end marker");
   const auto id = event.find("id");
   const auto index = event.find("index");
   const auto token = event.find("token");
@@ -106,7 +106,7 @@
 
 void AnswerCheck::TakeToken(uint32_t index, std::string_view token, std::string_view weights) {
   if (!TakeWeights(weights)) {
-    SetWrong("no weights digest");
+    SetWrong("token without a weights digest");
     return;
   }
   if (index != m_next_index) {
@@ -135,7 +135,7 @@
   }
   m_next_index = static_cast<uint32_t>(text.size() / token_bytes);
   const bool is_start = expected.compare(0, text.size(), text) == 0;
-  if (!is_start) SetWrong("text differs");
+  if (!is_start) SetWrong("text differs from the expected tokens");
   if (count != nullptr && *count != m_next_index) SetWrong("token count " + count->dump());
 }
 
--- a/standin/answer_check.h
+++ b/standin/answer_check.h
@@ -1,4 +1,4 @@
-// Checks an answer byte by byte against what the engine or service must produce.
+// Compares an answer byte by byte with the expected output of the engine or service.
 
 #ifndef PLANTAIN_ANSWER_CHECK_H_
 #define PLANTAIN_ANSWER_CHECK_H_
@@ -14,37 +14,37 @@
 namespace plantain::standin {
 
 enum class AnswerVerdict {
-  // Whole, of its own request, from one set of weights.
+  // Complete and correct, from one weight version.
   kGood,
-  // Ended without its end mark or with tokens missing.
+  // The end marker or tokens are missing.
   kTruncated,
-  // Bytes that do not belong to this request.
+  // Contains bytes that differ from the expected answer.
   kWrong,
-  // Tokens from more than one set of weights.
+  // Contains tokens from more than one weight version.
   kMixed,
-  // Ended with a typed error.
+  // The stream ended with a typed error.
   kError,
 };
 
-// Checks one answer as its bytes arrive.
+// Incremental check of one answer.
 class AnswerCheck {
  public:
-  // `manifests` holds the allowed digests in hex; empty allows all.
+  // `manifests` holds the allowed manifest digests in hex; empty allows all. Both references must outlive the check.
   AnswerCheck(const LoadRequest& request, const std::vector<std::string>& manifests)
       : m_request(request), m_manifests(manifests) {}
 
-  // Takes the next bytes of a streamed answer. Returns the number of tokens that they completed.
+  // Processes the next bytes of a streamed answer. Returns the number of tokens completed by them.
   uint32_t AddStreamBytes(std::string_view bytes);
 
-  // Judges a streamed answer after its last byte.
+  // Returns the verdict on a streamed answer. Call after its last byte.
   AnswerVerdict GetStreamVerdict() const;
 
-  // Judges a whole answer that is not streamed.
+  // Checks an answer that is not streamed.
   AnswerVerdict CheckWhole(std::string_view body);
 
-  // Type of the error that ended the stream.
+  // Type of the error event, or empty.
   const std::string& GetErrorType() const { return m_error_type; }
-  // Says what was wrong, for the report.
+  // Description of the first mismatch, for the report.
   const std::string& GetDetail() const { return m_detail; }
   uint32_t GetTokens() const { return m_next_index; }
   const std::string& GetWeights() const { return m_weights; }
@@ -52,7 +52,7 @@
  private:
   void TakeLine(std::string_view line);
   void TakeEvent(std::string_view data);
-  // Takes an event that has exactly the expected bytes, without parsing it.
+  // Fast path: accepts an event with exactly the expected bytes without parsing its JSON.
   bool TakeExpectedEvent(std::string_view data);
   void TakeToken(uint32_t index, std::string_view token, std::string_view weights);
   void CheckText(std::string_view text, const nlohmann::json* count);
@@ -64,7 +64,7 @@
   std::string m_line;
   std::string m_weights;
   std::string m_expected;
-  // Expected event before the index and after the token.
+  // Parts of the expected event before the index and after the token.
   std::string m_event_start;
   std::string m_event_end;
   uint64_t m_seed = 0;
--- a/standin/cold_model.h
+++ b/standin/cold_model.h
@@ -1,4 +1,4 @@
-// When an engine is cold, how it warms up, and when too much work makes it fall over.
+// Cold-start model of an engine: warm-up under light load and failure under overload.
 
 #ifndef PLANTAIN_COLD_MODEL_H_
 #define PLANTAIN_COLD_MODEL_H_
@@ -9,8 +9,8 @@
 
 namespace plantain::standin {
 
-// A cold engine warms up while it has 1 to `cold_capacity` requests. It falls over when it has more for longer than
-// `overload_time` without a break. Takes time from its clock only.
+// A cold engine warms up while it has 1 to `cold_capacity` requests in flight, for `warm_time` in total. It fails if it
+// has more requests for `overload_time` without interruption. All times come from the given clock.
 class ColdModel {
  public:
   struct Limits {
@@ -23,17 +23,17 @@
 
   bool IsWarm() const { return m_is_warm; }
 
-  // Returns whether one more request, besides `in_flight`, is more than a cold engine bears.
+  // Returns whether a request in addition to `in_flight` exceeds the capacity of a cold engine.
   bool IsOverLimit(size_t in_flight) const { return !m_is_warm && in_flight >= m_limits.cold_capacity; }
 
-  // Makes the engine cold at once.
+  // Makes the engine cold immediately and resets the warm-up.
   void GoCold();
 
-  // Makes the engine warm at once.
+  // Makes the engine warm immediately.
   void GoWarm();
 
-  // Accounts for the time since the last call, during which `in_flight` requests were there, and returns whether the
-  // engine falls over now. Call before each change of the number and from time to time in between.
+  // Accounts for the time since the last call, during which `in_flight` requests were running or queued, and returns
+  // whether the engine fails because of overload. Call before each change of the number and periodically in between.
   bool Update(size_t in_flight);
 
  private:
--- a/standin/digest_text.h
+++ b/standin/digest_text.h
@@ -1,4 +1,4 @@
-// SHA-256 digests and their text form, for the stand-ins.
+// SHA-256 digests for the stand-ins.
 
 #ifndef PLANTAIN_DIGEST_TEXT_H_
 #define PLANTAIN_DIGEST_TEXT_H_
@@ -12,7 +12,7 @@
 // Returns the raw 32 bytes of the SHA-256 of `bytes`.
 std::string HashSha256(std::string_view bytes);
 
-// Computes a SHA-256 over bytes given piece by piece.
+// Incremental SHA-256.
 class Sha256Stream {
  public:
   Sha256Stream();
@@ -22,7 +22,7 @@
 
   void Add(std::string_view bytes);
 
-  // Returns the raw digest. Call once.
+  // Returns the raw 32-byte digest. Call only once.
   std::string Finish();
 
  private:
--- a/standin/engine_batch.cpp
+++ b/standin/engine_batch.cpp
@@ -8,9 +8,9 @@
 namespace plantain::standin {
 namespace {
 
-// A stream whose receiver has not taken this much yet gets no further token.
+// Flow control: a stream with more unsent bytes than this produces no further tokens.
 constexpr size_t kMaxUnsentBytes = 256 * 1024;
-// Added to the prompt of tokens from weights that are not whole, so that their text is wrong.
+// Appended to the prompt when the weights are incomplete or corrupt, so that the answer check detects their tokens.
 constexpr char kBrokenMark[] = "\x01 broken weights";
 
 }  // namespace
@@ -22,10 +22,10 @@
   std::string id_json;
   uint32_t next_index = 0;
   TimePoint ready_at;
-  // Manifest digest in hex of the weights that the last token came from.
+  // Manifest digest in hex of the weights that the last token was produced with.
   std::string manifest;
   uint64_t seed = 0;
-  // Tokens of an answer that is not streamed, as JSON strings joined by commas.
+  // Tokens of an answer that is not streamed, as JSON strings separated by commas.
   std::string gathered;
   bool has_started = false;
   bool is_partial = false;
@@ -130,7 +130,7 @@
   UpdateCold();
   if (!m_is_stalled) {
     const TimePoint now = m_clock.GetNow();
-    // A stream that ends may close its connection, which changes the list.
+    // Iterates over a copy, because a finished stream may close its connection and thereby modify m_running.
     const std::vector<std::shared_ptr<Stream>> streams = m_running;
     for (const auto& stream : streams) {
       if (!stream->is_over && !Advance(*stream, now)) stream->is_over = true;
--- a/standin/engine_batch.h
+++ b/standin/engine_batch.h
@@ -17,7 +17,7 @@
 
 namespace plantain::standin {
 
-// One request as it arrives.
+// A parsed completion request.
 struct EngineRequest {
   std::string id;
   WeightKey key;
@@ -27,18 +27,18 @@
   uint32_t end_index = 0;
   uint32_t priority = 0;
   bool is_streaming = false;
-  // Time until its first step, which is longer if the prompt's prefix is not cached.
+  // Time until the first token can be produced; not zero if the prompt's prefix is not cached.
   Duration prefill{};
 };
 
 struct BatchOptions {
   Duration token_time = Milliseconds(20);
-  // Requests that run at full speed; more slow down all.
+  // Number of requests that run at full speed. Above it, all requests slow down in proportion.
   size_t capacity = 16;
-  // Requests that run at once; more wait.
+  // Maximum batch size; further requests are queued.
   size_t max_running = 64;
   size_t max_queued = 1024;
-  // Factor on the token time while cold.
+  // Factor by which the token time grows while the engine is cold.
   double cold_slowdown = 2;
 };
 
@@ -49,41 +49,42 @@
   uint64_t cancelled = 0;
   uint64_t failed = 0;
   uint64_t tokens = 0;
-  // New work begun while cold and already at the cold capacity.
+  // Requests accepted while cold and already at the cold capacity.
   uint64_t over_limit = 0;
+  // Times that a cold engine failed because of overload.
   uint64_t fell_over = 0;
-  // Requests that got tokens from weights that were not whole.
+  // Requests that received tokens from incomplete or corrupt weights.
   uint64_t partial_served = 0;
-  // Requests that got tokens from two different weights.
+  // Requests that received tokens from more than one weight version.
   uint64_t mixed_served = 0;
   uint64_t max_in_flight = 0;
   uint64_t max_cold_in_flight = 0;
 };
 
-// Runs requests. Used on the loop's thread only.
+// Schedules and runs requests in one batch. Not thread-safe: use on the loop's thread only.
 class EngineBatch {
  public:
   EngineBatch(Loop& loop, const Clock& clock, EngineWeights& weights, ColdModel& cold, BatchOptions options);
 
-  // Begins a request, and returns false if the queue is full.
+  // Adds a request. Returns false if the queue is full.
   bool Add(EngineRequest request, std::shared_ptr<HttpResponder> responder);
 
-  // Sets what runs after the engine fell over and all its work has failed.
+  // Sets the callback that runs after an overload of the cold engine has failed all requests.
   void SetOnFall(std::function<void()> on_fall) { m_on_fall = std::move(on_fall); }
 
-  // Lets time pass in the cold model.
+  // Updates the cold model with the elapsed time. If the cold engine is overloaded, fails all requests.
   void UpdateCold();
 
-  // Closes the connections of all requests.
+  // Aborts all requests and closes their connections.
   void FailAll();
 
-  // Closes the connections of the requests of one model and adapter.
+  // Aborts the requests for one model and adapter and closes their connections.
   void FailKey(const WeightKey& key);
 
-  // Holds the requests of one model and adapter while its weights are replaced.
+  // Suspends the requests for one model and adapter while its weights are replaced.
   void SetLoading(std::optional<WeightKey> key) { m_loading = std::move(key); }
 
-  // Produces no tokens while true.
+  // While stalled, no tokens are produced.
   void SetStalled(bool is_stalled) { m_is_stalled = is_stalled; }
 
   void SetTokenTime(Duration token_time) { m_options.token_time = token_time; }
@@ -103,9 +104,9 @@
   void Arm();
   void Step();
   Duration GetStepTime() const;
-  // Produces one token. Returns false once the stream is over.
+  // Produces one token. Returns false if the stream has finished or failed.
   bool Advance(Stream& stream, TimePoint now);
-  // Makes the stream follow the loaded weights. Returns false if there are none.
+  // Switches the stream to the currently loaded weights. Returns false if none are loaded.
   bool FollowWeights(Stream& stream);
   void EmitToken(Stream& stream);
   void Finish(Stream& stream);
--- a/standin/engine_standin.cpp
+++ b/standin/engine_standin.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr uint32_t kDefaultMaxTokens = 16;
-// Pause between two looks at a stall while an order is in progress.
+// Interval at which an order in progress checks whether a stall is over.
 constexpr Duration kStallPoll = Milliseconds(20);
 
 int GetOrderErrorStatus(WeightResult result) { return result == WeightResult::kNotLoaded ? 404 : 422; }
--- a/standin/engine_standin.h
+++ b/standin/engine_standin.h
@@ -1,4 +1,4 @@
-// HTTP side of the engine stand-in.
+// HTTP interface of the engine stand-in.
 
 #ifndef PLANTAIN_ENGINE_STANDIN_H_
 #define PLANTAIN_ENGINE_STANDIN_H_
@@ -21,30 +21,34 @@
   BatchOptions batch;
   ColdModel::Limits cold;
   PrefixCache::Options prefix;
-  // Whether an order with an old fencing token is refused.
+  // Whether orders with an outdated fencing token are rejected.
   bool has_fences = true;
-  // Whether weights are checked on staging and loading.
+  // Whether digests are verified on staging and loading.
   bool is_verifying = true;
-  // Whether falling over also loses the weights.
+  // Whether an overload failure also unloads the weights.
   bool is_emptied_by_fall = false;
   // Whether loading a base model makes the engine cold.
   bool is_cold_after_load = true;
+  // Delay of the load values in `GET /status`; zero reports current values.
   Duration load_lag = Milliseconds(500);
+  // Time to execute an order.
   Duration order_time = Milliseconds(200);
-  // Time to first token of a prompt whose prefix is not cached.
+  // Time until the first token of a prompt whose prefix is not cached.
   Duration prefill_time = Milliseconds(40);
+  // Length of the prompt prefix that the cache is keyed by.
   size_t prefix_bytes = 64;
-  // Prompts that the ledger counts at most.
+  // Maximum number of distinct prompts in the ledger.
   size_t ledger_entries = 200'000;
 };
 
-// Answers the engine's HTTP requests. Used on the loop's thread only.
+// Handles the engine's HTTP requests. Not thread-safe: use on the loop's thread only.
 class EngineStandin {
  public:
   EngineStandin(HttpStandin& standin, const Clock& clock, Random& random, EngineOptions options);
 
   void Handle(HttpRequest request, std::shared_ptr<HttpResponder> responder);
 
+  // Applies the engine's fields of `POST /control`.
   absl::Status Control(const nlohmann::json& fields);
 
  private:
@@ -104,19 +108,19 @@
   uint64_t m_orders = 0;
   uint64_t m_fence = 0;
   std::string m_role;
-  // The first one is in progress.
+  // Orders run one at a time; the front one is in progress.
   std::deque<Order> m_order_queue;
   LoadSample m_sampled;
   LoadSample m_reported;
   std::unique_ptr<Timer> m_sample_timer;
   Stats m_stats;
-  // Times that each prompt was begun, by a hash of the prompt.
+  // Number of accepted requests for each prompt, by a hash of the prompt.
   std::unordered_map<std::string, uint32_t> m_ledger;
-  // Faults.
+  // Injected faults.
   bool m_is_cold_hidden = false;
   uint64_t m_order_answers_to_lose = 0;
   Duration m_order_delay{};
-  // Work begun after this time counts as late.
+  // Requests accepted after this time count as late admissions.
   std::optional<TimePoint> m_no_work_after;
 };
 
--- a/standin/engine_weights.h
+++ b/standin/engine_weights.h
@@ -1,4 +1,4 @@
-// Weights of the engine stand-in: the staging area, what is loaded, and the checks on loading.
+// Weights of the engine stand-in: staging area, loaded weights and their verification.
 
 #ifndef PLANTAIN_ENGINE_WEIGHTS_H_
 #define PLANTAIN_ENGINE_WEIGHTS_H_
@@ -14,13 +14,13 @@
 
 namespace plantain::standin {
 
-// Model and adapter; an empty adapter stands for the base model.
+// Model and adapter. An empty adapter denotes the base model.
 using WeightKey = std::pair<std::string, std::string>;
 
 // Result of a staging or loading step.
 enum class WeightResult { kOk, kNoManifest, kBadManifest, kBadIndex, kDigestMismatch, kIncomplete, kNotLoaded };
 
-// Returns the error type that a result has in HTTP answers.
+// Returns the error type used in HTTP answers.
 std::string GetWeightResultName(WeightResult result);
 
 class EngineWeights {
@@ -29,28 +29,28 @@
     // Manifest digest in hex.
     std::string manifest;
     std::vector<std::shared_ptr<const std::string>> chunks;
-    // False if an engine that does not verify loaded missing or wrong bytes.
+    // False if chunks are missing or corrupt, which is possible only without verification.
     bool is_whole = true;
   };
 
-  // An engine that does not verify accepts any bytes, to show that the agent checks them itself.
+  // Without verification any bytes are accepted, so that tests can show that the agent verifies them itself.
   explicit EngineWeights(bool is_verifying) : m_is_verifying(is_verifying) {}
 
-  // Begins to stage a manifest, or goes on if it is the staged one. Chunks of loaded weights count as present.
+  // Starts staging a manifest, or keeps the staged chunks if it is already staged. Chunks of loaded weights count as
+  // present.
   WeightResult StageManifest(const std::string& manifest_hex, const std::string& content);
 
   WeightResult StageChunk(const std::string& manifest_hex, uint32_t index, std::string bytes);
 
-  // Returns whether Load would succeed, without effect.
+  // Checks whether the staged weights can be loaded, without loading them.
   WeightResult CheckLoad(const WeightKey& key, const std::string& manifest_hex) const;
 
-  // Makes the staged weights the loaded ones of `key` and clears the staging area. Weights that are loaded already
-  // stay.
+  // Loads the staged weights for `key` and clears the staging area. No-op if `key` already has these weights loaded.
   WeightResult Load(const WeightKey& key, const std::string& manifest_hex);
 
   WeightResult Unload(const WeightKey& key);
 
-  // Drops everything.
+  // Drops all staged and loaded weights.
   void Clear();
 
   void SetVerifying(bool is_verifying) { m_is_verifying = is_verifying; }
--- a/standin/exchange_sim.cpp
+++ b/standin/exchange_sim.cpp
@@ -18,12 +18,12 @@
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
-// A sender or a link that carries one item after the other.
+// A link that transmits one item at a time.
 struct SerialLink {
   double rate = 0;
   TimePoint free_at;
 
-  // Returns when an item that is ready at `from` has passed.
+  // Returns the time at which an item that is ready at `from` has been transmitted.
   TimePoint Pass(uint32_t size, TimePoint from) {
     free_at = std::max(free_at, from) + FromSeconds(size / rate);
     return free_at;
@@ -39,7 +39,7 @@
   std::unique_ptr<TokenBucket> up;
   SerialLink in;
   UploadQueue queue{kMaxQueuedPerPeer, kMaxQueued};
-  // VMs that have this one as a source.
+  // VMs that use this one as a source.
   std::vector<size_t> subscribers;
   std::vector<uint32_t> gained;
   std::map<uint64_t, Fetch> fetches;
@@ -264,7 +264,7 @@
 
   void Send(size_t source, size_t index, const UploadRequest& request) {
     SimVm& receiver = m_vms[index];
-    // The sender's link carries the chunk in the time for which its bucket stays closed.
+    // The transmission takes as long as the sender's token bucket stays empty.
     TimePoint sent = m_clock.GetNow() + FromSeconds(request.size / m_options.machine_rate);
     if (request.is_cross_zone) {
       m_shared_bytes += request.size;
--- a/standin/exchange_sim.h
+++ b/standin/exchange_sim.h
@@ -1,4 +1,4 @@
-// A fleet of agents that exchange chunks in virtual time, for tests and measurements of the chunk plan.
+// Discrete-event simulation of agents that exchange chunks, for tests and benchmarks of the chunk plan.
 
 #ifndef PLANTAIN_EXCHANGE_SIM_H_
 #define PLANTAIN_EXCHANGE_SIM_H_
@@ -17,50 +17,50 @@
 
 namespace plantain::standin {
 
-// What is simulated. Rates are in bytes/s.
+// Rates are in bytes/s.
 struct ExchangeSimOptions {
   uint64_t seed = 1;
   size_t zones = 1;
-  // VMs over all zones.
+  // Number of VMs in all zones together.
   size_t vms = 15;
   size_t chunks = 128;
   uint32_t chunk_bytes = 64 * 1024;
   double machine_rate = 2e6;
   double origin_rate = 4e6;
-  // From one zone to all others together.
+  // Outgoing rate of a zone to all other zones together.
   double shared_rate = 6e6;
   Duration delay = Milliseconds(1);
   Duration hedge_time = Milliseconds(500);
-  // Share of transfers between VMs whose bytes arrive damaged.
+  // Share of transfers between VMs whose bytes arrive corrupt.
   double corrupt_share = 0;
-  // Share of VMs that send nothing once half of the ideal time is over.
+  // Share of VMs that stop sending after half of the ideal time.
   double stalled_share = 0;
-  // Share of VMs that die once half of the ideal time is over.
+  // Share of VMs that fail after half of the ideal time.
   double killed_share = 0;
-  // Time at which the origin stops answering; negative for never.
+  // Time at which the origin becomes unavailable; negative means never.
   double origin_down_s = -1;
-  // Bounds the simulated time.
+  // Maximum simulated time.
   double limit_s = 600;
   ChunkPlanOptions plan;
 };
 
 struct ExchangeSimResult {
-  // Time until the last VM that is alive had all chunks; negative if one did not.
+  // Time until all surviving VMs had all chunks; negative if at least one did not finish.
   double seconds = -1;
-  // Time that these links allow at best.
+  // Lower bound of the time, given the link rates.
   double ideal_seconds = 0;
-  // Bytes sent by the origin and between zones, in copies of the weights.
+  // Bytes sent by the origin and between zones, as multiples of the weights' size.
   double origin_copies = 0;
   double shared_copies = 0;
-  // Bytes that arrived for nothing, in copies for each VM.
+  // Bytes that were received but not used, as multiples of the weights' size per VM.
   double wasted_copies = 0;
   size_t finished = 0;
   size_t alive = 0;
-  // Most sources of any VM.
+  // Largest number of sources of any VM.
   size_t max_sources = 0;
 };
 
-// Runs one exchange from empty VMs to the end.
+// Runs one exchange, starting with VMs that have no chunks, until all have finished or the time limit is reached.
 ExchangeSimResult RunExchangeSim(const ExchangeSimOptions& options);
 
 }  // namespace plantain::standin
--- a/standin/fair_sender.cpp
+++ b/standin/fair_sender.cpp
@@ -4,11 +4,11 @@
 namespace {
 
 constexpr size_t kSliceBytes = 16 * 1024;
-// An answer whose receiver has not taken this much yet gets no further slice.
+// Flow control: an answer with more unsent bytes than this gets no further slice.
 constexpr size_t kMaxUnsentBytes = 256 * 1024;
-// Time between two looks at the bucket.
+// Interval between two scheduling rounds.
 constexpr Duration kStepTime = Milliseconds(2);
-// The bucket holds this much time's worth of bytes, at least one slice.
+// Burst size in seconds at the configured rate; at least one slice.
 constexpr double kBurstSeconds = 0.02;
 
 double GetBurst(double bytes_per_s) { return std::max<double>(kSliceBytes, bytes_per_s * kBurstSeconds); }
--- a/standin/fair_sender.h
+++ b/standin/fair_sender.h
@@ -1,4 +1,4 @@
-// Sends answers under one shared rate, fairly over the answers in progress.
+// Sends HTTP answers under a shared rate limit, divided fairly among the answers in progress.
 
 #ifndef PLANTAIN_FAIR_SENDER_H_
 #define PLANTAIN_FAIR_SENDER_H_
@@ -14,14 +14,14 @@
 
 namespace plantain::standin {
 
-// Gives each answer in turn a slice of at most kSliceBytes for as long as the bucket allows.
+// Round-robin scheduler: sends slices of each answer in turn while the token bucket allows.
 class FairSender {
  public:
   FairSender(Loop& loop, const Clock& clock, double bytes_per_s);
 
   void SetRate(double bytes_per_s);
 
-  // Holds all answers in progress while true.
+  // While paused, no answer makes progress.
   void SetPaused(bool is_paused);
 
   // Sends `body` as a chunked answer with status 200.
--- a/standin/latency_histogram.cpp
+++ b/standin/latency_histogram.cpp
@@ -7,7 +7,7 @@
 namespace plantain::standin {
 namespace {
 
-// Buckets for each power of two.
+// Each power of two is divided into 2^kSubBits buckets.
 constexpr int kSubBits = 6;
 constexpr uint64_t kSubBuckets = 1 << kSubBits;
 constexpr int kMaxPower = 36;
--- a/standin/latency_histogram.h
+++ b/standin/latency_histogram.h
@@ -1,4 +1,4 @@
-// Histogram of times with a bounded relative error.
+// Latency histogram with a bounded relative error.
 
 #ifndef PLANTAIN_LATENCY_HISTOGRAM_H_
 #define PLANTAIN_LATENCY_HISTOGRAM_H_
@@ -18,7 +18,7 @@
 
   uint64_t GetCount() const { return m_count; }
 
-  // Returns the upper bound of the bucket that holds the given share of all times, in milliseconds; 0 if empty.
+  // Returns the quantile `share` (0 to 1) in milliseconds, rounded up to the bucket's upper bound; 0 if empty.
   double GetQuantileMs(double share) const;
 
  private:
--- a/standin/link_network.cpp
+++ b/standin/link_network.cpp
@@ -3,7 +3,7 @@
 namespace plantain::standin {
 namespace {
 
-// The shared link's bucket holds this much time's worth of bytes.
+// Burst size of a shared link in seconds at its rate.
 constexpr double kBurstSeconds = 0.01;
 
 }  // namespace
--- a/standin/link_relay.cpp
+++ b/standin/link_relay.cpp
@@ -18,7 +18,7 @@
 using ErrorCode = boost::system::error_code;
 
 constexpr size_t kReadBytes = 16 * 1024;
-// Bytes that one direction of a connection may have on its way, like a TCP window.
+// Maximum number of bytes in transit in one direction of a connection, like a TCP window.
 constexpr size_t kWindowBytes = 128 * 1024;
 
 LinkNetwork::Direction GetDirection(const RelaySpec& spec, bool is_forward) {
@@ -28,13 +28,13 @@
 
 }  // namespace
 
-// One direction of one connection.
+// Forwards one direction of a connection.
 class Pipe : public std::enable_shared_from_this<Pipe> {
  public:
   Pipe(asio::io_context& context, const Clock& clock, LinkNetwork& network, LinkNetwork::Direction direction)
       : m_clock(clock), m_network(network), m_direction(std::move(direction)), m_timer(context) {}
 
-  // `on_over` runs once: true after a clean end of the stream, false after a failure.
+  // `on_over` runs once: with true after an orderly end of the stream, with false after a failure.
   void Begin(tcp::socket& source, tcp::socket& sink, std::function<void(bool)> on_over) {
     m_source = &source;
     m_sink = &sink;
@@ -42,7 +42,7 @@
     Read();
   }
 
-  // Called after a heal.
+  // Resumes forwarding after a partition has been healed.
   void Resume() {
     Read();
     Deliver();
@@ -101,7 +101,7 @@
     Write();
   }
 
-  // Writes all that has arrived in one piece.
+  // Writes all segments that are due in one call.
   void Write() {
     m_writing.clear();
     const TimePoint now = m_clock.GetNow();
@@ -176,7 +176,7 @@
   std::set<std::shared_ptr<RelayConnection>> connections;
 };
 
-// An accepted connection and the one to its target.
+// An accepted connection and its connection to the target.
 class RelayConnection : public std::enable_shared_from_this<RelayConnection> {
  public:
   RelayConnection(LinkRelays::Impl& relays, RelaySpec spec, tcp::socket near)
@@ -188,7 +188,7 @@
         m_there(std::make_shared<Pipe>(relays.context, relays.clock, relays.network, GetDirection(m_spec, true))),
         m_back(std::make_shared<Pipe>(relays.context, relays.clock, relays.network, GetDirection(m_spec, false))) {}
 
-  // Connects to the target after the time that the handshake takes; hangs while the zones are cut off.
+  // Connects to the target after the simulated handshake time. Waits while the zones are cut off.
   void Begin() {
     if (m_has_begun || m_relays.network.IsCut(m_spec.from_zone, m_spec.to_zone)) return;
     m_has_begun = true;
@@ -214,7 +214,7 @@
     return (m_spec.from_zone == one && m_spec.to_zone == other) || (m_spec.from_zone == other && m_spec.to_zone == one);
   }
 
-  // Closes both sockets with a reset in place of an orderly end.
+  // Closes both sockets with a TCP reset instead of an orderly shutdown.
   void Reset() {
     ErrorCode ignored;
     m_near.set_option(asio::socket_base::linger(true, 0), ignored);
--- a/standin/link_relay.h
+++ b/standin/link_relay.h
@@ -1,4 +1,4 @@
-// TCP relays that model the network between zones: shared rate, one-way delay, partition, connection resets.
+// TCP relays that simulate the network between zones: shared bandwidth, one-way delay, partitions, connection resets.
 
 #ifndef PLANTAIN_LINK_RELAY_H_
 #define PLANTAIN_LINK_RELAY_H_
@@ -18,7 +18,7 @@
 
 namespace plantain::standin {
 
-// One listening port and where its connections go.
+// Configuration of one relay: listening port and target of its connections.
 struct RelaySpec {
   std::string listen_address;
   uint16_t listen_port = 0;
@@ -37,7 +37,7 @@
   uint64_t connections = 0;
 };
 
-// State that all relays share. Used on one loop.
+// Network state shared by all relays. Not thread-safe: use on the loop's thread only.
 class LinkNetwork {
  public:
   using Pair = std::pair<std::string, std::string>;
@@ -52,26 +52,26 @@
     Duration delay;
   };
 
-  // Returns the time from now until bytes sent now arrive, and counts them.
+  // Accounts for `bytes` sent now and returns the time until they arrive.
   Duration Transmit(const Direction& direction, size_t bytes);
 
   // Stops or resumes all traffic between two zones, in both directions.
   void SetCut(const std::string& one, const std::string& other, bool is_cut);
-  // Stops or resumes what the zone `from` sends to the zone `to`; answers still pass.
+  // Stops or resumes traffic from one zone to another; the opposite direction is not affected.
   void SetOneWayCut(const std::string& from, const std::string& to, bool is_cut);
   void HealAll() { m_cuts.clear(); }
 
-  // Whether bytes that `from` sends to `to` are held back.
+  // Returns whether traffic from `from` to `to` is blocked.
   bool IsCut(const std::string& from, const std::string& to) const { return m_cuts.count({from, to}) > 0; }
 
   void SetRegionRate(double bytes_per_s);
 
-  // Adds to the delay of every direction.
+  // Sets a delay that is added in every direction.
   void SetExtraDelay(Duration delay) { m_extra_delay = delay; }
 
   void CountConnection(const Pair& zones) { ++m_stats[zones].connections; }
 
-  // Counts by sending and receiving zone.
+  // Traffic by sending and receiving zone.
   const std::map<Pair, LinkPairStats>& GetStats() const { return m_stats; }
   const std::set<Pair>& GetCuts() const { return m_cuts; }
 
@@ -83,11 +83,11 @@
   Duration m_extra_delay{};
   std::map<Pair, TokenBucket> m_buckets;
   std::map<Pair, LinkPairStats> m_stats;
-  // Sending and receiving zone.
+  // Blocked directions, as sending and receiving zone.
   std::set<Pair> m_cuts;
 };
 
-// Listens on all relay ports and carries their connections.
+// Listens on all relay ports and forwards their connections.
 class LinkRelays {
  public:
   struct Impl;
@@ -97,10 +97,10 @@
 
   absl::Status Add(const RelaySpec& spec);
 
-  // Makes connections go on after a heal.
+  // Resumes connections whose zones are no longer cut off. Call after a partition has been healed.
   void Resume();
 
-  // Resets every connection between two zones, whichever of them opened it.
+  // Resets every connection between two zones, regardless of which side opened it.
   void Reset(const std::string& one, const std::string& other);
 
  private:
--- a/standin/load_ledger.cpp
+++ b/standin/load_ledger.cpp
@@ -16,7 +16,7 @@
 
 void LedgerCheck::AddTold(const LoadRequest& request, ToldState state) {
   const bool is_once = request.is_service && !request.call.is_repeatable;
-  // Nothing is claimed about other requests.
+  // Repeatable requests may run any number of times, so only a "not run" outcome can be contradicted.
   if (!is_once && state != ToldState::kNotRun) return;
   m_told.push_back({GetLedgerKey(request), is_once, request.is_service, state});
 }
--- a/standin/load_ledger.h
+++ b/standin/load_ledger.h
@@ -1,4 +1,4 @@
-// Compares what callers were told with what services and engines executed.
+// Compares the outcomes that clients received with the executions that services and engines recorded.
 
 #ifndef PLANTAIN_LOAD_LEDGER_H_
 #define PLANTAIN_LOAD_LEDGER_H_
@@ -14,30 +14,31 @@
 
 namespace plantain::standin {
 
-// What a caller knows of its request after all retries.
+// Outcome of a request from the client's point of view, after all retries.
 enum class ToldState {
-  // A whole, right answer.
+  // A complete and correct answer.
   kAnswered,
   // Every attempt was answered "not run" or could not be sent.
   kNotRun,
+  // At least one attempt may have been executed, but no correct answer arrived.
   kUnknown,
 };
 
 // Returns the key under which ledgers count a request.
 std::string GetLedgerKey(const LoadRequest& request);
 
-// Gathers both sides and counts contradictions.
+// Collects client outcomes and execution counts, and counts the contradictions between them.
 class LedgerCheck {
  public:
   void AddTold(const LoadRequest& request, ToldState state);
   void Merge(const LedgerCheck& other);
 
-  // Takes the answer of one `GET /ledger`. Returns false if it is not a ledger.
+  // Adds the execution counts of one `GET /ledger` answer. Returns false if the body is not a ledger.
   bool AddLedger(const std::string& body);
   void AddUnreadable() { ++m_unreadable; }
 
-  // Counts of requests: `not_run_but_run`, `repeated` (calls that must not be repeated and were executed more than
-  // once) and `answered_but_not_run` (meaningful only if all ledgers could be read).
+  // Returns the contradictions as request counts: `not_run_but_run`, `repeated` (at-most-once calls that were executed
+  // more than once) and `answered_but_not_run` (meaningful only if all ledgers could be read).
   nlohmann::json ToJson() const;
 
  private:
@@ -54,7 +55,7 @@
   uint64_t m_unreadable = 0;
 };
 
-// Fetches the ledgers of all targets into `check`.
+// Fetches the ledgers of all targets and adds them to `check`. Blocks until every target has answered or failed.
 void FetchLedgers(const std::vector<HttpTarget>& targets, LedgerCheck& check);
 
 }  // namespace plantain::standin
--- a/standin/load_plan.cpp
+++ b/standin/load_plan.cpp
@@ -8,7 +8,7 @@
 namespace plantain::standin {
 namespace {
 
-// Keeps the random sequences of the threads apart.
+// Distance between the seeds of two threads, so that each has its own random sequence.
 constexpr uint64_t kThreadSeedStep = 0x9e3779b97f4a7c15ull;
 
 std::vector<std::string> SplitText(const std::string& text, char separator) {
@@ -115,7 +115,7 @@
   request.tokens =
       m_options.min_tokens + static_cast<uint32_t>(m_random.GetBelow(m_options.max_tokens - m_options.min_tokens + 1));
   request.is_streaming = m_random.GetUnit() < m_options.stream_share;
-  // The prefix is shared by many requests; the request id makes each prompt, and so each answer, unique.
+  // Many requests share a prefix. The request id makes each prompt, and therefore each answer, unique.
   request.prompt = "prompt " + std::to_string(m_random.GetBelow(m_options.prompts)) + " ";
   if (request.prompt.size() < m_options.prompt_bytes) request.prompt.resize(m_options.prompt_bytes, '.');
   request.prompt += request.id;
--- a/standin/load_plan.h
+++ b/standin/load_plan.h
@@ -1,4 +1,4 @@
-// What the load tool sends: options, and the deterministic sequence of requests.
+// Options of the load tool and its deterministic sequence of requests.
 
 #ifndef PLANTAIN_LOAD_PLAN_H_
 #define PLANTAIN_LOAD_PLAN_H_
@@ -36,8 +36,8 @@
   double rate = 10;
   double duration_s = 10;
   uint64_t seed = 1;
-  // Part of every request id. Two runs against one fleet need different ones, or the second would get the first one's
-  // answers.
+  // Part of every request id. Two runs against the same fleet need different values, or the second run would receive
+  // the recorded answers of the first.
   std::string run = "load";
   size_t threads = 2;
   std::vector<LoadModel> models;
@@ -52,7 +52,7 @@
   std::string service;
   std::string once_call;
   std::string repeat_call;
-  // Share of `once_call` among calls.
+  // Share of `once_call` among service calls.
   double once_share = 0.5;
   uint32_t retries = 0;
   bool is_ignoring_retry_after = false;
@@ -63,21 +63,21 @@
   // Manifest digests in hex that answers may come from; empty allows all.
   std::vector<std::string> manifests;
   uint32_t priority = 0;
-  // Services and engines whose ledgers are compared with what callers were told.
+  // Services and engines whose ledgers are compared with the outcomes that clients received.
   std::vector<HttpTarget> ledgers;
 };
 
-// One logical request; the caller's retries repeat it.
+// One logical request. Client retries send it again with the same id.
 struct LoadRequest {
   std::string id;
   size_t workspace = 0;
   bool is_service = false;
-  // For completions.
+  // Completions only.
   LoadModel model;
   std::string prompt;
   uint32_t tokens = 0;
   bool is_streaming = false;
-  // For calls.
+  // Service calls only.
   LoadCall call;
   std::string body;
 };
@@ -94,12 +94,12 @@
 // Parses `n` or `low-high`.
 absl::Status ParseTokens(const std::string& text, LoadOptions& options);
 
-// Makes the requests of one thread. Equal options and thread numbers give equal requests and times.
+// Generates the requests of one thread. Equal options and thread numbers give equal requests and arrival times.
 class LoadPlan {
  public:
   LoadPlan(const LoadOptions& options, size_t thread);
 
-  // Returns the time from one arrival to the next; arrivals form a Poisson process.
+  // Returns the time from one arrival to the next. Arrivals form a Poisson process.
   Duration GetNextGap();
 
   LoadRequest MakeNext();
--- a/standin/load_report.cpp
+++ b/standin/load_report.cpp
@@ -4,7 +4,7 @@
 namespace {
 
 constexpr size_t kMaxProblems = 10;
-// Bounds the timeline if an answer arrives very late.
+// Limits the timeline's memory if an answer arrives very late.
 constexpr size_t kMaxIntervals = 100'000;
 
 }  // namespace
--- a/standin/load_report.h
+++ b/standin/load_report.h
@@ -1,4 +1,4 @@
-// What the load tool counts, and its JSON form.
+// Counters and latencies of a load run, and their JSON report.
 
 #ifndef PLANTAIN_LOAD_REPORT_H_
 #define PLANTAIN_LOAD_REPORT_H_
@@ -15,7 +15,7 @@
 
 namespace plantain::standin {
 
-// How a logical request ended, after all of the caller's retries.
+// Final outcome of a logical request, after all client retries.
 enum class LoadOutcome { kAnswered, kRefused, kFailed, kWrong, kMixed, kTruncated };
 
 // Result of one logical request.
@@ -23,8 +23,9 @@
   LoadOutcome outcome = LoadOutcome::kFailed;
   // Type of the refusal or failure.
   std::string type;
+  // Whether the last attempt is known not to have been executed.
   bool is_not_run = false;
-  // Whether no attempt of this request can have been executed.
+  // Whether all attempts are known not to have been executed.
   bool is_never_run = false;
   uint32_t tokens = 0;
   Duration first_token{};
@@ -47,26 +48,26 @@
   nlohmann::json ToJson() const;
 };
 
-// Counts of one thread, or of all after merging.
+// Results of one thread, or of all threads after merging.
 class LoadReport {
  public:
   explicit LoadReport(const LoadOptions& options);
 
-  // `since_start` places the event in the timeline.
+  // `since_start` selects the timeline interval.
   void AddSent(const LoadRequest& request, Duration since_start);
   void AddAttempt(const LoadRequest& request);
   void AddTokenGap(Duration gap) { m_token_gap.Add(gap); }
   void AddResult(const LoadRequest& request, const LoadResult& result, Duration since_start);
-  // Keeps a few descriptions of wrong answers.
+  // Records the description of a failed or incorrect answer; the number kept is limited.
   void AddProblem(const LoadRequest& request, const std::string& detail);
   void AddUnsentLate(uint64_t count) { m_behind += count; }
 
   void Merge(const LoadReport& other);
 
-  // Reads the ledgers that the options name. Call once, after all merging.
+  // Fetches the ledgers given in the options. Call once, after all merging.
   void CheckLedgers() { FetchLedgers(m_options.ledgers, m_ledger); }
 
-  // `elapsed` is the time over which the load was offered.
+  // `elapsed` is the time during which requests were sent; the rates are relative to it.
   nlohmann::json ToJson(Duration elapsed) const;
 
  private:
--- a/standin/load_worker.cpp
+++ b/standin/load_worker.cpp
@@ -9,11 +9,12 @@
 namespace plantain::standin {
 namespace {
 
-// Time that a caller waits for an answer if it has no deadline.
+// Request timeout without a deadline.
 constexpr Duration kDefaultTimeout = std::chrono::seconds(60);
-// A caller waits this much longer than its deadline, so that a late answer is seen as what it is.
+// Added to the deadline, so that an answer that arrives late is still checked instead of being counted as a timeout.
 constexpr Duration kTimeoutMargin = std::chrono::seconds(2);
-// An arrival that is sent this much after its time counts as late, because then the tool itself is overloaded.
+// A request sent later than this after its arrival time counts as sent late, which shows that the load tool itself is
+// overloaded.
 constexpr Duration kLateArrival = Milliseconds(50);
 
 }  // namespace
@@ -22,7 +23,7 @@
   explicit Flight(LoadRequest request_in) : request(std::move(request_in)) {}
 
   LoadRequest request;
-  // Check of the attempt in progress.
+  // Checker of the current attempt's answer.
   std::optional<AnswerCheck> check;
   TimePoint sent_at;
   TimePoint last_token_at;
@@ -32,7 +33,7 @@
   size_t connect_failures = 0;
   int status = 0;
   bool is_event_stream = false;
-  // Whether an attempt ended without the certainty that it was not executed.
+  // Whether any attempt ended without proof that it was not executed.
   bool may_have_run = false;
   Duration retry_after{};
   std::string body;
@@ -174,7 +175,7 @@
     JudgeAnswer(flight);
     return;
   }
-  // Like the platform's balancer, takes the next entry if one does not accept connections.
+  // Fails over to the next entry if one does not accept connections, as the platform's load balancer does.
   if (GetFailureCode(status) == FailureCode::kConnectFailed && ++flight->connect_failures < m_options.targets.size()) {
     ++flight->target;
     StartAttempt(flight);
@@ -183,7 +184,7 @@
   LoadResult result;
   result.outcome = flight->status == 200 ? LoadOutcome::kTruncated : LoadOutcome::kFailed;
   result.type = std::string(GetFailureName(GetFailureCode(status)));
-  // A connection that was refused has sent nothing.
+  // No request is sent if the connection fails.
   result.is_not_run = GetFailureCode(status) == FailureCode::kConnectFailed;
   m_report.AddProblem(flight->request, result.type + ": " + GetFailureText(status));
   RetryOrEnd(flight, std::move(result), Duration(0));
--- a/standin/load_worker.h
+++ b/standin/load_worker.h
@@ -1,4 +1,4 @@
-// One thread of the load tool: sends requests when they are due and follows each to its end.
+// Worker thread of the load tool: sends requests at their arrival times and tracks each until it completes.
 
 #ifndef PLANTAIN_LOAD_WORKER_H_
 #define PLANTAIN_LOAD_WORKER_H_
@@ -16,13 +16,13 @@
 
 namespace plantain::standin {
 
-// Runs on its own loop. The load is open: an arrival does not wait for earlier answers.
+// Open-loop load generator with its own event loop: arrivals do not wait for earlier answers.
 class LoadWorker {
  public:
   LoadWorker(const LoadOptions& options, size_t thread, const Clock& clock);
   ~LoadWorker();
 
-  // Sends the load and returns once every request has ended or the time to wait for answers is over.
+  // Sends the load and returns once every request has completed or the time limit for answers has passed.
   void Run();
 
   const LoadReport& GetReport() const { return m_report; }
@@ -40,7 +40,7 @@
   void OnDone(const std::shared_ptr<Flight>& flight, const absl::Status& status);
   void JudgeAnswer(const std::shared_ptr<Flight>& flight);
   void JudgeRefusal(const std::shared_ptr<Flight>& flight);
-  // Repeats the request if the caller's retries and its deadline allow, otherwise ends it.
+  // Schedules a retry if the retry limit and the deadline allow it, otherwise completes the request.
   void RetryOrEnd(const std::shared_ptr<Flight>& flight, LoadResult result, Duration retry_after);
   void End(const std::shared_ptr<Flight>& flight, LoadResult result);
   void EndUnfinished();
--- a/standin/log_store.cpp
+++ b/standin/log_store.cpp
@@ -5,7 +5,7 @@
 namespace plantain::standin {
 namespace {
 
-// Longest body of one read; larger reads are cut at a record boundary but return at least one record.
+// Maximum body size of one read. Larger reads end at a record boundary but return at least one record.
 constexpr size_t kMaxReadBytes = 8 * 1024 * 1024;
 
 void AppendLittleEndian(uint64_t value, int bytes, std::string& out) {
--- a/standin/log_store.h
+++ b/standin/log_store.h
@@ -12,10 +12,10 @@
 
 namespace plantain::standin {
 
-// Keeps records with consecutive offsets from 0 and drops those older than the retention time.
+// Stores records at consecutive offsets starting from 0 and drops those older than the retention time.
 class LogStore {
  public:
-  // A retention of zero keeps records forever.
+  // A retention time of zero keeps records forever.
   LogStore(const Clock& clock, Duration retention) : m_clock(clock), m_retention(retention) {}
 
   // Adds a record and returns its offset.
@@ -26,11 +26,12 @@
 
   uint64_t GetFirstOffset() const { return m_first; }
 
-  // Offset that the next append gets.
+  // Offset of the next record to be appended.
   uint64_t GetNextOffset() const { return m_first + m_records.size(); }
 
-  // Returns up to `max` records from `from` on in the binary form of section 9, without those at or past `end`. `next`
-  // becomes the offset after the last one returned.
+  // Returns up to `max` records from offset `from` on, excluding those at or past `end`, in the binary format of the
+  // log API: offset (8 bytes), Unix time in ms (8 bytes) and length (4 bytes), all little endian, then the record's
+  // bytes. Sets `next` to the offset after the last record returned.
   std::string Read(uint64_t from, uint64_t max, uint64_t end, uint64_t& next) const;
 
   void SetRetention(Duration retention) { m_retention = retention; }
--- a/standin/plantain_load_main.cpp
+++ b/standin/plantain_load_main.cpp
@@ -22,7 +22,7 @@
     "  plantain-load --targets 127.0.1.1:8080 --rate 100 --duration-s 10 --model tatami --service-share 0.3 \\\n"
     "    --service register --once-call seal --repeat-call lookup --once-share 0.5 --retries 3 --ignore-retry-after\n";
 
-// Options in the units and text forms of the command line.
+// Command-line options before parsing and unit conversion.
 struct RawOptions {
   std::string targets;
   std::string models = "model";
@@ -46,7 +46,7 @@
   add("rate", value(&load.rate)->default_value(load.rate), "Requests/s over all threads.");
   add("duration-s", value(&load.duration_s)->default_value(load.duration_s), "Time for which requests are sent.");
   add("seed", value(&load.seed)->default_value(load.seed), "Seed of requests and arrival times.");
-  add("run", value(&load.run), "Start of request ids; by default the start time. Give it to repeat a run exactly.");
+  add("run", value(&load.run), "Prefix of request ids; defaults to the start time. Set it to reproduce a run exactly.");
   add("threads", value(&load.threads)->default_value(load.threads), "Threads, each with its own connections.");
   add("model", value(&raw.models)->default_value(raw.models), "Models as model[:adapter],...");
   add("workspaces", value(&raw.workspaces)->default_value(raw.workspaces), "Workspaces as name[:weight],...");
@@ -57,20 +57,21 @@
   add("service-share", value(&load.service_share)->default_value(load.service_share),
       "Share of requests that are calls of plain services.");
   add("service", value(&raw.service), "Plain service to call.");
-  add("once-call", value(&raw.once_call), "Its call that must not be repeated and carries an idempotency key.");
-  add("repeat-call", value(&raw.repeat_call), "Its call that may be repeated.");
+  add("once-call", value(&raw.once_call), "At-most-once call of the service; carries an idempotency key.");
+  add("repeat-call", value(&raw.repeat_call), "Repeatable call of the service.");
   add("once-share", value(&load.once_share)->default_value(load.once_share), "Share of once-call among calls.");
-  add("retries", value(&load.retries)->default_value(load.retries), "Times that a caller repeats a request.");
+  add("retries", value(&load.retries)->default_value(load.retries), "Maximum number of client retries for a request.");
   add("ignore-retry-after", options::bool_switch(&load.is_ignoring_retry_after),
-      "Repeat after the shortest pause whatever the answer asks for.");
+      "Ignore the retry delay in answers; always wait for retry-pause-ms.");
   add("retry-pause-ms", value(&raw.retry_pause_ms)->default_value(raw.retry_pause_ms),
-      "Shortest pause before a caller's retry.");
+      "Minimum pause before a client retry.");
   add("deadline-ms", value(&raw.deadline_ms)->default_value(raw.deadline_ms), "X-Deadline-Ms; 0 sends none.");
   add("priority", value(&load.priority)->default_value(load.priority), "X-Priority; 0 sends none.");
   add("manifests", value(&raw.manifests), "Manifest digests in hex that answers may come from, joined by commas.");
   add("ledgers", value(&raw.ledgers),
-      "Services and engines as ip:port,... whose ledgers are compared with what callers were told.");
-  add("timeline-ms", value(&raw.timeline_ms)->default_value(raw.timeline_ms), "Length of an interval; 0 gives none.");
+      "Services and engines as ip:port,... whose ledgers are compared with the received answers.");
+  add("timeline-ms", value(&raw.timeline_ms)->default_value(raw.timeline_ms),
+      "Length of a timeline interval; 0 disables the timeline.");
 }
 
 absl::Status FillOptions(const RawOptions& raw, LoadOptions& load) {
@@ -114,7 +115,7 @@
   return report.ToJson(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(load.duration_s)));
 }
 
-// Returns a name that no other run against the same fleet has.
+// Returns a run name that is unique among the runs against one fleet.
 std::string MakeRunName() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   return "load" + std::to_string(std::chrono::duration_cast<Milliseconds>(now).count());
--- a/standin/prefix_cache.cpp
+++ b/standin/prefix_cache.cpp
@@ -36,7 +36,7 @@
 }
 
 void PrefixCache::AddEvent(const char* type, const std::string& prefix) {
-  // A lost event uses up its number, so that readers can see the gap.
+  // Lost events also consume a sequence number, so that readers can detect the gap.
   ++m_last_number;
   if (m_random.GetUnit() < m_options.event_loss_share) return;
   m_events.push_back({m_last_number, m_clock.GetNow(), type, prefix});
--- a/standin/prefix_cache.h
+++ b/standin/prefix_cache.h
@@ -1,4 +1,4 @@
-// Prompt prefixes that the engine stand-in keeps, and the events that it publishes about them.
+// Prompt prefix cache of the engine stand-in and the cache events that it publishes.
 
 #ifndef PLANTAIN_PREFIX_CACHE_H_
 #define PLANTAIN_PREFIX_CACHE_H_
@@ -14,7 +14,7 @@
 
 namespace plantain::standin {
 
-// Keeps the prefixes used last. Events show after a lag, and a share of them is never shown.
+// LRU cache. Events become visible after a lag, and a share of them is lost.
 class PrefixCache {
  public:
   struct Options {
@@ -26,7 +26,7 @@
   PrefixCache(const Clock& clock, Random& random, Options options)
       : m_clock(clock), m_random(random), m_options(options) {}
 
-  // Uses a prefix and returns whether it was cached.
+  // Looks up a prefix, inserting it if missing. Returns whether it was cached.
   bool Use(const std::string& prefix);
 
   // Drops all prefixes.
--- a/standin/standin_base.cpp
+++ b/standin/standin_base.cpp
@@ -13,7 +13,7 @@
 constexpr int kExitFailed = 1;
 constexpr int kExitUsage = 2;
 
-// Performs the request's effect but closes the connection instead of answering.
+// Lets the handler execute the request, but closes the connection instead of sending the answer.
 class LosingResponder : public HttpResponder {
  public:
   explicit LosingResponder(std::shared_ptr<HttpResponder> inner) : m_inner(std::move(inner)) {}
--- a/standin/standin_base.h
+++ b/standin/standin_base.h
@@ -1,4 +1,4 @@
-// What every stand-in shares: command line, an HTTP server, and faults set at run time by `POST /control`.
+// Common parts of all stand-ins: command line, HTTP server, and fault injection by `POST /control`.
 
 #ifndef PLANTAIN_STANDIN_BASE_H_
 #define PLANTAIN_STANDIN_BASE_H_
@@ -17,14 +17,14 @@
 
 namespace plantain::standin {
 
-// Command line of one stand-in: `--help`, `--address`, `--port`, `--seed` and the program's own options.
+// Command line of a stand-in: `--help`, `--address`, `--port`, `--seed` and program-specific options.
 class CommandLine {
  public:
   CommandLine(std::string program, uint16_t default_port, std::string summary, std::string examples);
 
   boost::program_options::options_description& GetDescription() { return m_description; }
 
-  // Returns an exit code if the process should end right away.
+  // Returns an exit code if the process should exit immediately, for example after `--help`.
   std::optional<int> Parse(int argc, char** argv);
 
   IpAddress GetAddress() const { return IpAddress(m_address); }
@@ -42,32 +42,32 @@
   boost::program_options::options_description m_description;
 };
 
-// Faults that every HTTP stand-in knows.
+// Faults that every HTTP stand-in can inject.
 struct Faults {
-  // Answers 503 to everything.
+  // Every request is answered with 503.
   bool is_down = false;
-  // Keeps requests unanswered until healed.
+  // Requests are held without an answer until the stall ends.
   bool is_stalled = false;
   int64_t delay_ms = 0;
-  // Share of requests that take effect while their connection closes without an answer.
+  // Share of requests that are executed, but whose connection is closed without an answer.
   double lose_answer_share = 0;
 };
 
-// Runs `task` after `delay` without a Timer to hold.
+// Runs `task` after `delay`. Unlike with a Timer, the caller holds no handle and cannot cancel it.
 void RunDetached(Loop& loop, Duration delay, std::function<void()> task);
 
-// Makes the JSON error of section 9 of the design.
+// Makes an answer with the JSON body `{"error":{"type":...}}`.
 HttpResponse MakeErrorResponse(int status, const std::string& type);
 
-// Serves one HTTP port, applies the shared faults and passes everything else to the program's handler. Tests read
-// `/control`, `/stats` and `/ledger` while faults are set, so these are exempt.
+// Serves one HTTP port, injects the common faults and passes requests to the program's handler. `/control`, `/stats`
+// and `/ledger` are exempt from faults, because tests use them while faults are set.
 class HttpStandin {
  public:
   using ControlHandler = std::function<absl::Status(const nlohmann::json&)>;
 
   HttpStandin(Loop& loop, Random& random) : m_loop(loop), m_random(random) {}
 
-  // Sets what handles the fields of `POST /control` that the shared faults do not cover.
+  // Sets the handler for the program-specific fields of `POST /control`.
   void SetControlHandler(ControlHandler handler) { m_control = std::move(handler); }
 
   absl::Status Listen(const IpAddress& address, Port port, size_t max_body_bytes, HttpHandler handler);
--- a/standin/standin_engine_main.cpp
+++ b/standin/standin_engine_main.cpp
@@ -1,4 +1,4 @@
-// Stand-in of a batching model engine.
+// Stand-in for a model engine with continuous batching.
 
 #include <iostream>
 
@@ -14,10 +14,10 @@
     "127.0.1.7:9000/v1/completions\n"
     "  curl -X POST -d '{\"go_cold\":true,\"hide_cold\":true}' 127.0.1.7:9000/control\n"
     "  curl -X POST -d '{\"lose_order_answer\":1,\"delay_order_ms\":2000}' 127.0.1.7:9000/control\n";
-// Longest chunk that can be staged.
+// Maximum size of a staged chunk.
 constexpr size_t kMaxBodyBytes = 64 * 1024 * 1024;
 
-// Options in the units of the command line.
+// Command-line options before unit conversion.
 struct RawOptions {
   double token_ms = 20;
   size_t capacity = 16;
@@ -45,33 +45,40 @@
   using boost::program_options::value;
   auto add = description.add_options();
   add("token-ms", value(&raw.token_ms)->default_value(raw.token_ms), "Time between two tokens of a request.");
-  add("capacity", value(&raw.capacity)->default_value(raw.capacity), "Requests at full speed; more slow down all.");
-  add("max-running", value(&raw.max_running)->default_value(raw.max_running), "Requests in a batch; more wait.");
-  add("max-queued", value(&raw.max_queued)->default_value(raw.max_queued), "Requests that may wait; more get 429.");
+  add("capacity", value(&raw.capacity)->default_value(raw.capacity),
+      "Requests that run at full speed; more slow down all.");
+  add("max-running", value(&raw.max_running)->default_value(raw.max_running),
+      "Maximum batch size; more requests are queued.");
+  add("max-queued", value(&raw.max_queued)->default_value(raw.max_queued),
+      "Maximum queue length; more requests get 429.");
   add("cold-slowdown", value(&raw.cold_slowdown)->default_value(raw.cold_slowdown, "2"),
-      "Factor on the token time while cold.");
-  add("cold-capacity", value(&raw.cold_capacity)->default_value(raw.cold_capacity), "Requests that it bears cold.");
-  add("warm-ms", value(&raw.warm_ms)->default_value(raw.warm_ms), "Time of light work until a cold engine is warm.");
+      "Factor by which the token time grows while cold.");
+  add("cold-capacity", value(&raw.cold_capacity)->default_value(raw.cold_capacity),
+      "Requests that a cold engine can sustain.");
+  add("warm-ms", value(&raw.warm_ms)->default_value(raw.warm_ms), "Time under light load until a cold engine is warm.");
   add("overload-ms", value(&raw.overload_ms)->default_value(raw.overload_ms),
-      "Time above the cold capacity after which a cold engine falls over.");
+      "Time above the cold capacity after which a cold engine fails all requests.");
   add("fall-over", value(&raw.fall_over)->default_value(raw.fall_over),
-      "What a fall leaves: cold (weights stay) or empty (weights are lost).");
+      "State after such a failure: cold (weights stay loaded) or empty (weights are lost).");
   add("fences", value(&raw.has_fences)->default_value(raw.has_fences, "1"),
-      "Whether orders with an old fencing token are refused.");
-  add("verify", value(&raw.is_verifying)->default_value(raw.is_verifying, "1"), "Whether digests are checked.");
+      "Whether orders with an outdated fencing token are rejected.");
+  add("verify", value(&raw.is_verifying)->default_value(raw.is_verifying, "1"), "Whether digests are verified.");
   add("cold-after-load", value(&raw.is_cold_after_load)->default_value(raw.is_cold_after_load, "1"),
       "Whether loading a base model makes the engine cold.");
-  add("load-lag-ms", value(&raw.load_lag_ms)->default_value(raw.load_lag_ms), "Lag of the load values in /status.");
-  add("order-ms", value(&raw.order_ms)->default_value(raw.order_ms), "Time that an order takes.");
+  add("load-lag-ms", value(&raw.load_lag_ms)->default_value(raw.load_lag_ms), "Delay of the load values in /status.");
+  add("order-ms", value(&raw.order_ms)->default_value(raw.order_ms), "Execution time of an order.");
   add("prefill-ms", value(&raw.prefill_ms)->default_value(raw.prefill_ms),
       "Time until the first token of a prompt whose prefix is not cached.");
-  add("prefix-entries", value(&raw.prefix_entries)->default_value(raw.prefix_entries), "Prefixes that it caches.");
-  add("prefix-bytes", value(&raw.prefix_bytes)->default_value(raw.prefix_bytes), "Bytes of a prompt's prefix.");
-  add("event-lag-ms", value(&raw.event_lag_ms)->default_value(raw.event_lag_ms), "Lag of cache events.");
+  add("prefix-entries", value(&raw.prefix_entries)->default_value(raw.prefix_entries),
+      "Maximum number of cached prefixes.");
+  add("prefix-bytes", value(&raw.prefix_bytes)->default_value(raw.prefix_bytes),
+      "Length of the prompt prefix used as the cache key.");
+  add("event-lag-ms", value(&raw.event_lag_ms)->default_value(raw.event_lag_ms),
+      "Delay until a cache event is published.");
   add("event-loss-share", value(&raw.event_loss_share)->default_value(raw.event_loss_share, "0.05"),
       "Share of cache events that are never published.");
   add("ledger-entries", value(&raw.ledger_entries)->default_value(raw.ledger_entries),
-      "Prompts that GET /ledger counts at most.");
+      "Maximum number of prompts in GET /ledger.");
 }
 
 EngineOptions MakeOptions(const RawOptions& raw) {
--- a/standin/standin_link_main.cpp
+++ b/standin/standin_link_main.cpp
@@ -1,4 +1,4 @@
-// Stand-in of the network between zones.
+// Stand-in for the network between zones.
 
 #include <fstream>
 #include <iostream>
@@ -36,7 +36,7 @@
   spec.target_port = fields.at("target_port").get<uint16_t>();
   spec.from_zone = fields.at("from").get<std::string>();
   spec.to_zone = fields.at("to").get<std::string>();
-  // A zone without a region is a region of its own.
+  // A zone without a region forms its own region.
   spec.from_region = fields.value("from_region", spec.from_zone);
   spec.to_region = fields.value("to_region", spec.to_zone);
   spec.delay = ParseDelay(fields.value("delay_ms", 0.0));
--- a/standin/standin_log_main.cpp
+++ b/standin/standin_log_main.cpp
@@ -1,4 +1,4 @@
-// Stand-in of the platform's append-only log.
+// Stand-in for the platform's append-only log.
 
 #include <iostream>
 #include <map>
@@ -22,7 +22,7 @@
 constexpr uint64_t kDefaultMaxRecords = 1000;
 constexpr int64_t kMaxWaitMs = 60'000;
 
-// Streams and their pending long polls.
+// Serves appends, reads and long polls of all streams.
 class LogStandin {
  public:
   LogStandin(HttpStandin& standin, const Clock& clock, int64_t retention_ms, double max_appends_per_s)
@@ -100,7 +100,7 @@
     AnswerPolls(stream);
   }
 
-  // Offset at which reads of a stream end; a rewind hides the newest records.
+  // Offset at which reads of a stream end. The `rewind` fault hides the newest records.
   uint64_t GetEnd(const Stream& stream) const {
     const uint64_t next = stream.store.GetNextOffset();
     return next - std::min(m_rewind, next - stream.store.GetFirstOffset());
@@ -192,13 +192,13 @@
 };
 
 int Run(int argc, char** argv) {
-  CommandLine command_line("standin-log", 9100, "Append-only log with streams, retention and an append rate.",
+  CommandLine command_line("standin-log", 9100, "Append-only log with streams, retention and an append rate limit.",
                            kExamples);
   int64_t retention_ms = 0;
   double max_appends_per_s = 400;
   command_line.GetDescription().add_options()("retention-ms",
                                               boost::program_options::value(&retention_ms)->default_value(retention_ms),
-                                              "Time for which records are kept; 0 keeps them forever.")(
+                                              "Retention time of records; 0 keeps them forever.")(
       "max-appends-per-s", boost::program_options::value(&max_appends_per_s)->default_value(max_appends_per_s),
       "Appends/s over all streams; more are answered with 429. 0 means no limit.");
   if (const auto exit_code = command_line.Parse(argc, argv)) return *exit_code;
--- a/standin/standin_origin_main.cpp
+++ b/standin/standin_origin_main.cpp
@@ -1,4 +1,4 @@
-// Stand-in of the weight store and origin.
+// Stand-in for the weight store (origin).
 
 #include <iostream>
 
@@ -21,7 +21,7 @@
     "  curl -X POST -d '{\"weights\":[\"tatami::v3:8388608:262144:3\"]}' 127.0.0.1:9200/control\n";
 constexpr size_t kMaxBodyBytes = 1024 * 1024;
 
-// Serves manifests and chunks under one rate.
+// Serves manifests and chunks under a shared rate limit.
 class OriginStandin {
  public:
   OriginStandin(HttpStandin& standin, const Clock& clock, double bytes_per_s)
@@ -103,7 +103,7 @@
     m_sender.Add(responder, std::move(bytes));
   }
 
-  // The server computes Content-Length from the empty body, so the size has a header of its own.
+  // The server sets Content-Length from the empty body, so the size is sent in a separate header.
   void SendHead(uint64_t size, const std::shared_ptr<HttpResponder>& responder) {
     HttpResponse response;
     response.headers.Add("X-Size", std::to_string(size));
@@ -148,7 +148,7 @@
   command_line.GetDescription().add_options()(
       "weights", boost::program_options::value(&weights)->composing(),
       "model:adapter:version:bytes:chunk_bytes:seed[:shared_share:shared_seed]; may be repeated. The adapter may be "
-      "empty. The given share of chunks is taken from the other seed.")(
+      "empty. The given share of chunks is generated from shared_seed.")(
       "rate", boost::program_options::value(&rate)->default_value(rate),
       "Bytes/s for all answers together; 0 means no limit.");
   if (const auto exit_code = command_line.Parse(argc, argv)) return *exit_code;
--- a/standin/standin_service_main.cpp
+++ b/standin/standin_service_main.cpp
@@ -1,4 +1,4 @@
-// Stand-in of a plain service whose calls have effects.
+// Stand-in for a plain service whose calls have side effects.
 
 #include <map>
 
@@ -16,7 +16,7 @@
     "  curl -X POST -d '{\"lose_answer_share\":0.2}' 127.0.1.9:9000/control\n";
 constexpr size_t kMaxBodyBytes = 1024 * 1024;
 
-// Executes calls and counts how often each key was executed.
+// Executes calls and counts the executions of each key.
 class ServiceStandin {
  public:
   ServiceStandin(Loop& loop, const Clock& clock, int64_t call_ms) : m_loop(loop), m_clock(clock), m_call_ms(call_ms) {}
@@ -47,7 +47,7 @@
   }
 
  private:
-  // The effect happens at arrival, so that a caller who gives up has no influence on it.
+  // The call takes effect on arrival, so a caller that gives up cannot cancel it.
   void Execute(const std::string& call, const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
     const std::string key(request.headers.Find("X-Call-Key"));
     ++m_executed;
@@ -81,9 +81,9 @@
   int64_t m_call_ms;
   std::map<std::pair<std::string, std::string>, uint64_t> m_ledger;
   uint64_t m_executed = 0;
-  // Executions of a key beyond its first.
+  // Executions of a key after its first.
   uint64_t m_repeated = 0;
-  // Calls begun after this time count as late.
+  // Calls that arrive after this time count as late admissions.
   std::optional<TimePoint> m_no_work_after;
   uint64_t m_late_admissions = 0;
 };
@@ -93,7 +93,7 @@
   int64_t call_ms = 2;
   command_line.GetDescription().add_options()("call-ms",
                                               boost::program_options::value(&call_ms)->default_value(call_ms),
-                                              "Time between the effect of a call and its answer.");
+                                              "Time between the execution of a call and its answer.");
   if (const auto exit_code = command_line.Parse(argc, argv)) return *exit_code;
 
   Loop loop;
--- a/standin/standin_vms_main.cpp
+++ b/standin/standin_vms_main.cpp
@@ -1,4 +1,4 @@
-// Stand-in of the platform's VM list.
+// Stand-in for the platform's VM list.
 
 #include <deque>
 #include <fstream>
@@ -19,7 +19,7 @@
     "127.0.0.1:9300/control\n";
 constexpr size_t kMaxBodyBytes = 16 * 1024 * 1024;
 
-// The list, and changes of it that do not show yet.
+// Serves the VM list. Changes become visible after a lag.
 class VmsStandin {
  public:
   VmsStandin(Loop& loop, int64_t lag_ms) : m_loop(loop), m_lag_ms(lag_ms) {}
@@ -45,7 +45,7 @@
     m_lag_ms = fields.value("lag_ms", m_lag_ms);
     if (!fields.contains("vms")) return absl::OkStatus();
     if (!fields["vms"].is_array()) return MakeFailure(FailureCode::kProtocol, "vms: expected a list");
-    // A change that is still waiting shows before a newer one, since each waits equally long.
+    // Changes with an equal lag become visible in the order of their arrival.
     RunDetached(m_loop, Milliseconds(m_lag_ms), [this, vms = fields["vms"]] { m_vms = vms; });
     return absl::OkStatus();
   }
@@ -57,7 +57,7 @@
   uint64_t m_requests = 0;
 };
 
-// Reads the first list, either a bare list or an object with the field `vms`.
+// Reads the initial list, either a JSON list or an object with the field `vms`.
 absl::Status LoadFile(const std::string& path, VmsStandin& vms) {
   std::ifstream file(path);
   if (!file) return MakeFailure(FailureCode::kSettingInvalid, path + ": cannot be read");
@@ -69,13 +69,13 @@
 }
 
 int Run(int argc, char** argv) {
-  CommandLine command_line("standin-vms", 9300, "VM list that lags behind its changes.", kExamples);
+  CommandLine command_line("standin-vms", 9300, "VM list whose changes become visible after a lag.", kExamples);
   std::string path;
   int64_t lag_ms = 0;
   command_line.GetDescription().add_options()("file", boost::program_options::value(&path),
-                                              "JSON file with the list at start.")(
+                                              "JSON file with the initial list.")(
       "lag-ms", boost::program_options::value(&lag_ms)->default_value(lag_ms),
-      "Time until a change by POST /control shows.");
+      "Time until a change by POST /control becomes visible.");
   if (const auto exit_code = command_line.Parse(argc, argv)) return *exit_code;
 
   Loop loop;
--- a/standin/token_bucket.h
+++ b/standin/token_bucket.h
@@ -1,4 +1,4 @@
-// Token bucket of the stand-ins' rate limits.
+// Token bucket for the rate limits of the stand-ins.
 
 #ifndef PLANTAIN_TOKEN_BUCKET_H_
 #define PLANTAIN_TOKEN_BUCKET_H_
@@ -9,7 +9,7 @@
 
 namespace plantain::standin {
 
-// Fills at `rate` units/s up to `burst` units. Takes time from its clock only.
+// Refills at `rate` units/s up to `burst` units. All times come from the given clock.
 class TokenBucket {
  public:
   TokenBucket(const Clock& clock, double rate, double burst)
@@ -25,18 +25,18 @@
     m_level = std::min(m_level, burst);
   }
 
-  // Takes `units` if they are there.
+  // Takes `units` if they are available.
   bool TryTake(double units) {
     if (IsUnlimited()) return true;
     Fill();
-    // Without the tolerance, rounding in a row of short fills withholds a unit whose time has come.
+    // Rounding errors of many short refills add up. Without the tolerance, a unit that is due would be denied.
     if (m_level + kRounding < units) return false;
     m_level -= units;
     return true;
   }
 
-  // Takes `units` even if the level becomes negative, and returns the time until it is back at zero. Used for
-  // messages that are larger than the burst.
+  // Takes `units` even if the level becomes negative, and returns the time until it is back at zero. Used for messages
+  // larger than the burst.
   Duration TakeAndGetDelay(double units) {
     if (IsUnlimited()) return Duration(0);
     Fill();
--- a/tests/standin_bucket_test.cpp
+++ b/tests/standin_bucket_test.cpp
@@ -7,17 +7,17 @@
 namespace plantain::standin {
 namespace {
 
-// Guards against an origin or log that gives more than its rate allows, which would make rollouts look faster than
-// they are.
-TEST_CASE("A token bucket gives its burst at once and then its rate") {
+// Guards against an origin or log stand-in that exceeds its configured rate, which would make rollouts look faster
+// than they are.
+TEST_CASE("A token bucket allows its burst immediately and then its rate") {
   VirtualClock clock;
   TokenBucket bucket(clock, 100, 10);
 
-  SECTION("the burst is there at the start") {
+  SECTION("the burst is available at the start") {
     for (int i = 0; i < 10; ++i) CHECK(bucket.TryTake(1));
     CHECK_FALSE(bucket.TryTake(1));
 
-    SECTION("and one unit comes back every 10 ms") {
+    SECTION("one unit is refilled every 10 ms") {
       clock.Advance(Milliseconds(9));
       CHECK_FALSE(bucket.TryTake(1));
       clock.Advance(Milliseconds(1));
@@ -25,21 +25,21 @@
       CHECK_FALSE(bucket.TryTake(1));
     }
 
-    SECTION("but never more than the burst") {
+    SECTION("the level never exceeds the burst") {
       clock.Advance(std::chrono::hours(1));
       CHECK(bucket.TryTake(10));
       CHECK_FALSE(bucket.TryTake(1));
     }
   }
 
-  SECTION("a message larger than the burst waits until its debt is paid") {
+  SECTION("a message larger than the burst waits until the level is back at zero") {
     CHECK(bucket.TakeAndGetDelay(60) == Milliseconds(500));
     CHECK(bucket.TakeAndGetDelay(10) == Milliseconds(600));
     clock.Advance(Milliseconds(600));
     CHECK_FALSE(bucket.TryTake(1));
   }
 
-  SECTION("a smaller burst takes effect at once") {
+  SECTION("a smaller burst takes effect immediately") {
     bucket.SetRate(100, 2);
     CHECK_FALSE(bucket.TryTake(3));
     CHECK(bucket.TryTake(2));
@@ -52,8 +52,8 @@
   }
 }
 
-// Guards against a sum over any sequence of takes that exceeds burst plus rate times time.
-TEST_CASE("A token bucket never gives more than its burst and its rate") {
+// Guards against any sequence of takes whose sum exceeds burst + rate * time, for example by rounding in refills.
+TEST_CASE("A token bucket never allows more than its burst and its rate") {
   CHECK(rc::check([] {
     VirtualClock clock;
     const double rate = *rc::gen::inRange(1, 1000);
--- a/tests/standin_cold_test.cpp
+++ b/tests/standin_cold_test.cpp
@@ -7,7 +7,7 @@
 
 constexpr ColdModel::Limits kLimits{2, std::chrono::seconds(4), Milliseconds(300)};
 
-// Lets time pass in small steps and returns whether the engine fell over in one of them.
+// Advances the time in small steps and returns whether the engine failed in one of them.
 bool Pass(VirtualClock& clock, ColdModel& model, Duration time, size_t in_flight) {
   constexpr Duration kStep = Milliseconds(10);
   for (Duration passed{}; passed < time; passed += kStep) {
@@ -17,42 +17,42 @@
   return false;
 }
 
-// Guards against a stand-in that forgives too much work while cold, which would hide a broken admission limit.
-TEST_CASE("A cold engine warms up under light work and falls over under more") {
+// Guards against a stand-in that tolerates overload while cold, which would hide a broken admission limit.
+TEST_CASE("A cold engine warms up under light load and fails under overload") {
   VirtualClock clock;
   ColdModel model(clock, kLimits);
   REQUIRE_FALSE(model.IsWarm());
 
-  SECTION("idle time does not warm it up") {
+  SECTION("idle time does not warm the engine up") {
     CHECK_FALSE(Pass(clock, model, std::chrono::minutes(1), 0));
     CHECK_FALSE(model.IsWarm());
   }
 
-  SECTION("light work warms it up after the warm-up time") {
+  SECTION("light load warms the engine up after the warm-up time") {
     CHECK_FALSE(Pass(clock, model, Milliseconds(3990), 2));
     CHECK_FALSE(model.IsWarm());
     CHECK_FALSE(Pass(clock, model, Milliseconds(10), 2));
     CHECK(model.IsWarm());
 
-    SECTION("then it bears any amount of work") { CHECK_FALSE(Pass(clock, model, std::chrono::minutes(1), 500)); }
+    SECTION("a warm engine sustains any load") { CHECK_FALSE(Pass(clock, model, std::chrono::minutes(1), 500)); }
 
-    SECTION("until it becomes cold again, from the beginning") {
+    SECTION("an engine made cold again needs the full warm-up time") {
       model.GoCold();
       CHECK_FALSE(Pass(clock, model, Milliseconds(3990), 1));
       CHECK_FALSE(model.IsWarm());
     }
   }
 
-  SECTION("more than it bears for less than 300 ms is forgiven") {
+  SECTION("overload for less than 300 ms is tolerated") {
     CHECK_FALSE(Pass(clock, model, Milliseconds(290), 3));
     CHECK_FALSE(Pass(clock, model, Milliseconds(10), 2));
 
-    SECTION("and the count begins again") { CHECK_FALSE(Pass(clock, model, Milliseconds(290), 3)); }
+    SECTION("the overload time starts again from zero") { CHECK_FALSE(Pass(clock, model, Milliseconds(290), 3)); }
   }
 
-  SECTION("more than it bears for 300 ms makes it fall over") { CHECK(Pass(clock, model, Milliseconds(300), 3)); }
+  SECTION("overload for 300 ms makes the engine fail") { CHECK(Pass(clock, model, Milliseconds(300), 3)); }
 
-  SECTION("overload does not warm it up") {
+  SECTION("overload does not warm the engine up") {
     for (int i = 0; i < 100; ++i) {
       REQUIRE_FALSE(Pass(clock, model, Milliseconds(290), 3));
       model.Update(3);
--- a/tests/standin_engine_test.cpp
+++ b/tests/standin_engine_test.cpp
@@ -12,7 +12,7 @@
 const WeightKey kBase{"tatami", ""};
 const std::vector<std::string> kAnyManifest;
 
-// Gathers an answer.
+// Collects an answer.
 class RecordingResponder : public HttpResponder {
  public:
   void Send(HttpResponse response) override {
@@ -43,7 +43,7 @@
   bool m_is_aborted = false;
 };
 
-// An engine with two versions of one model in its catalogue.
+// An engine batch with two weight versions of one model, the first of which is loaded.
 struct Bench {
   Bench() {
     catalog.Add(*ParseWeightSpec("tatami::v1:1000:100:1"));
@@ -75,7 +75,7 @@
     return responder;
   }
 
-  // Runs steps of the batch until the condition holds. A run without an end is a failure of the test's time limit.
+  // Runs the loop until the condition holds. If it never holds, the test fails by its time limit.
   void RunUntil(const std::function<bool()>& condition) {
     const std::unique_ptr<Timer> timer = loop.RunEvery(std::chrono::microseconds(50), [&] {
       if (condition()) loop.Stop();
@@ -108,7 +108,7 @@
   return request;
 }
 
-// Guards against an engine whose answers the load tool would reject although nothing went wrong.
+// Guards against correct answers of the engine stand-in that the load tool would report as wrong.
 TEST_CASE("Answers of the engine stand-in pass the load tool's check") {
   Bench bench;
   const LoadRequest request = MakeRequest("r \"1\"", 5, GENERATE(true, false));
@@ -133,14 +133,15 @@
   CHECK(rest->GetText() == whole->GetText().substr(at));
 }
 
-// Guards against counters that miss a swap of weights below a running request, the failure that the gate must prevent.
-TEST_CASE("The engine stand-in counts requests that get mixed or partial weights") {
+// Guards against counters that miss a change of weights during a running request, the failure that the agent's gate
+// must prevent.
+TEST_CASE("The engine stand-in counts requests that are served with mixed or partial weights") {
   Bench bench;
   const LoadRequest request = MakeRequest("r1", 8, true);
   const auto responder = bench.Begin(request);
   bench.RunUntil([&] { return responder->GetPieces() >= 3; });
 
-  SECTION("a swap during a request") {
+  SECTION("a change of weights during a request") {
     bench.Load(1);
     bench.RunUntil([&] { return responder->IsOver(); });
     CHECK(bench.batch.GetStats().mixed_served == 1);
@@ -158,13 +159,13 @@
     CHECK(bench.Judge(request, *partial) == AnswerVerdict::kWrong);
   }
 
-  SECTION("an unload ends the request") {
+  SECTION("an unload aborts the request") {
     bench.batch.FailKey(kBase);
     CHECK(responder->IsAborted());
     CHECK(bench.batch.GetInFlight() == 0);
   }
 
-  SECTION("a load in progress holds the request") {
+  SECTION("a load in progress suspends the request") {
     bench.batch.SetLoading(kBase);
     const LoadRequest other = MakeRequest("r2", 4, true);
     const int pieces = responder->GetPieces();
@@ -177,7 +178,8 @@
   }
 }
 
-// Guards against work that goes on after its caller has gone, and against a queue that ignores priorities.
+// Guards against requests that keep running after the client has disconnected, and against a queue that ignores
+// priorities.
 TEST_CASE("The engine stand-in cancels, queues and honours priorities") {
   Bench bench;
   std::vector<std::shared_ptr<RecordingResponder>> running;
@@ -192,7 +194,7 @@
     CHECK(bench.batch.GetStats().cancelled == 1);
     CHECK(bench.batch.GetQueued() == 1);
     bench.RunUntil([&] { return high->IsOver(); });
-    // The low one begins only in the step after the high one has ended.
+    // The low-priority request starts only in the step after the high-priority one has finished.
     CHECK_FALSE(low->IsOver());
   }
 
@@ -204,8 +206,8 @@
   }
 }
 
-// Guards against an engine that survives work which a real one would not bear cold.
-TEST_CASE("A cold engine stand-in counts work over its limit and falls over") {
+// Guards against an engine stand-in that survives an overload under which a real cold engine would fail.
+TEST_CASE("A cold engine stand-in counts requests over its limit and fails under overload") {
   Bench bench;
   bench.cold.GoCold();
   int falls = 0;
@@ -215,13 +217,13 @@
   CHECK(bench.batch.GetStats().over_limit == 1);
   bench.batch.UpdateCold();
 
-  SECTION("not before 300 ms") {
+  SECTION("it does not fail before 300 ms") {
     bench.clock.Advance(Milliseconds(299));
     bench.batch.UpdateCold();
     CHECK(falls == 0);
   }
 
-  SECTION("at 300 ms all its work fails") {
+  SECTION("after 300 ms all requests fail") {
     bench.clock.Advance(Milliseconds(300));
     bench.batch.UpdateCold();
     CHECK(falls == 1);
--- a/tests/standin_http_test.cpp
+++ b/tests/standin_http_test.cpp
@@ -11,7 +11,7 @@
 const HttpTarget kTarget{IpAddress("127.0.250.1"), Port(29990)};
 constexpr size_t kMaxBodyBytes = 1024;
 
-// Sends one request and runs the loop until its answer is there.
+// Sends one request and runs the loop until it completes.
 absl::StatusOr<HttpResponse> FetchOnce(Loop& loop, HttpClient& client) {
   std::optional<absl::StatusOr<HttpResponse>> result;
   HttpCallOptions options;
@@ -23,7 +23,7 @@
   return *result;
 }
 
-// Guards against the client refusing every answer with a Content-Length, which an unset body limit does in Boost 1.74.
+// Guards against the client rejecting every answer with a Content-Length. Boost 1.74 does so if no body limit is set.
 TEST_CASE("The HTTP client reads answers with a Content-Length") {
   Loop loop;
   HttpClient client(loop);
--- a/tests/standin_ledger_test.cpp
+++ b/tests/standin_ledger_test.cpp
@@ -23,12 +23,13 @@
   return R"({"calls":[{"call":"seal","key":")" + key + R"(","count":)" + std::to_string(count) + "}]}";
 }
 
-// Guards against a run that passes although a call ran twice, or ran after its caller was told that it did not.
+// Guards against a load run that passes although an at-most-once call was executed twice, or a request that was
+// answered "not run" was executed.
 TEST_CASE("The ledger check finds contradictions between answers and executions") {
   LedgerCheck check;
   const LoadRequest once = MakeCall("k1", false);
 
-  SECTION("an answered call that was executed once is right") {
+  SECTION("an answered call that was executed once is consistent") {
     check.AddTold(once, ToldState::kAnswered);
     REQUIRE(check.AddLedger(MakeLedger("k1", 1)));
     CHECK(check.ToJson()["checked"] == 1);
@@ -46,13 +47,13 @@
     CHECK(check.ToJson()["examples"][0] == "k1");
   }
 
-  SECTION("an answered call that no ledger knows is a contradiction") {
+  SECTION("an answered call that is in no ledger is a contradiction") {
     check.AddTold(once, ToldState::kAnswered);
     check.AddLedger(MakeLedger("k2", 1));
     CHECK(check.ToJson()["answered_but_not_run"] == 1);
   }
 
-  SECTION("'not run' must hold for every kind of request") {
+  SECTION("'not run' is checked for every kind of request") {
     const LoadRequest request =
         GENERATE(MakeCall("k1", false), MakeCall("k1", true), MakeCompletion("a prompt of its own"));
     check.AddTold(request, ToldState::kNotRun);
@@ -61,13 +62,13 @@
     CHECK(check.ToJson()["not_run_but_run"] == 1);
   }
 
-  SECTION("a call that may be repeated may run twice") {
+  SECTION("a repeatable call may be executed twice") {
     check.AddTold(MakeCall("k1", true), ToldState::kAnswered);
     check.AddLedger(MakeLedger("k1", 2));
     CHECK(check.ToJson()["repeated"] == 0);
   }
 
-  SECTION("an answer that is no ledger is not taken for an empty one") {
+  SECTION("an invalid ledger is rejected instead of being read as empty") {
     CHECK_FALSE(check.AddLedger("{}"));
     CHECK_FALSE(check.AddLedger("<html>"));
   }
--- a/tests/standin_link_test.cpp
+++ b/tests/standin_link_test.cpp
@@ -10,27 +10,27 @@
 const LinkNetwork::Direction kPrahaToOstrava{{"praha", "ostrava"}, {"cechy", "morava"}, Milliseconds(1)};
 const LinkNetwork::Direction kBrnoToOstrava{{"brno", "ostrava"}, {"morava", "morava"}, Milliseconds(1)};
 
-// Guards against a link that gives each zone pair a rate of its own, which would hide that regions share one link.
-TEST_CASE("Zones of two regions share one rate in each direction") {
+// Guards against a separate rate limit for each zone pair, which would hide that the zones of a region share one link.
+TEST_CASE("Zones of two regions share one rate limit in each direction") {
   VirtualClock clock;
   LinkNetwork network(clock, 1'000'000);
   CHECK(network.Transmit(kPrahaToBrno, 10'000) == Milliseconds(1));
 
-  SECTION("bytes above the burst wait for the rate") {
+  SECTION("bytes above the burst are delayed by the rate limit") {
     CHECK(network.Transmit(kPrahaToBrno, 100'000) == Milliseconds(101));
   }
 
-  SECTION("another zone of the same region waits behind them") {
+  SECTION("traffic to another zone of the same region queues behind them") {
     network.Transmit(kPrahaToBrno, 100'000);
     CHECK(network.Transmit(kPrahaToOstrava, 10'000) == Milliseconds(111));
   }
 
-  SECTION("the other direction does not") {
+  SECTION("the opposite direction is not delayed") {
     network.Transmit(kPrahaToBrno, 100'000);
     CHECK(network.Transmit(kBrnoToPraha, 10'000) == Milliseconds(1));
   }
 
-  SECTION("zones of one region have no limit") {
+  SECTION("traffic within a region is not limited") {
     CHECK(network.Transmit(kBrnoToOstrava, 100'000'000) == Milliseconds(1));
   }
 
@@ -41,8 +41,8 @@
   }
 }
 
-// Guards against a partition that stops one direction only, or that a heal of another pair lifts.
-TEST_CASE("A cut holds in both directions until that pair is healed") {
+// Guards against a partition that blocks one direction only, or that is removed by healing a different pair.
+TEST_CASE("A cut blocks both directions until that pair is healed") {
   VirtualClock clock;
   LinkNetwork network(clock, 0);
   network.SetCut("praha", "brno", true);
@@ -50,19 +50,19 @@
   CHECK(network.IsCut("brno", "praha"));
   CHECK_FALSE(network.IsCut("praha", "ostrava"));
 
-  SECTION("a heal of another pair changes nothing") {
+  SECTION("healing another pair has no effect") {
     network.SetCut("praha", "ostrava", false);
     CHECK(network.IsCut("praha", "brno"));
   }
 
-  SECTION("a heal in the other order lifts it") {
+  SECTION("the order of the zones does not matter when healing") {
     network.SetCut("brno", "praha", false);
     CHECK_FALSE(network.IsCut("praha", "brno"));
   }
 }
 
-// Guards against a one-way cut that stops the answers too, or that a heal of the pair leaves behind.
-TEST_CASE("A one-way cut stops one direction until the pair is healed") {
+// Guards against a one-way cut that also blocks the opposite direction, or that remains after the pair is healed.
+TEST_CASE("A one-way cut blocks one direction until the pair is healed") {
   VirtualClock clock;
   LinkNetwork network(clock, 0);
   network.SetOneWayCut("praha", "brno", true);
--- a/tests/standin_load_test.cpp
+++ b/tests/standin_load_test.cpp
@@ -42,24 +42,24 @@
   return check.GetStreamVerdict();
 }
 
-// Guards against a checker that accepts an answer which is cut, mixed, repeated or of another request.
-TEST_CASE("The load tool accepts a streamed answer only if every byte is right") {
+// Guards against an answer check that accepts answers that are truncated, mixed, repeated or belong to another request.
+TEST_CASE("The load tool accepts a streamed answer only if every byte is correct") {
   const LoadRequest request = MakeRequest();
   const std::string good = MakeStream(request, kOld);
   LoadRequest other = request;
 
-  SECTION("a whole answer is good however it is cut into pieces") {
+  SECTION("a complete answer is accepted however it is split into pieces") {
     CHECK(Judge(request, good) == AnswerVerdict::kGood);
     CHECK(Judge(request, good, 1) == AnswerVerdict::kGood);
     CHECK(Judge(request, good, 7) == AnswerVerdict::kGood);
   }
 
-  SECTION("an answer without its end is truncated") {
+  SECTION("an answer without its end marker is truncated") {
     const size_t cut = GENERATE(0, 10, 120, 300);
     CHECK(Judge(request, good.substr(0, cut)) == AnswerVerdict::kTruncated);
   }
 
-  SECTION("an end mark after too few tokens is truncated") {
+  SECTION("an end marker after too few tokens is truncated") {
     CHECK(Judge(request, MakeEvent(request, 0, kOld) + "data: [DONE]\n\n") == AnswerVerdict::kTruncated);
   }
 
@@ -73,7 +73,7 @@
     CHECK(Judge(request, MakeStream(other, kOld)) == AnswerVerdict::kWrong);
   }
 
-  SECTION("a token that is missing, repeated or too many is wrong") {
+  SECTION("a missing, repeated or surplus token is wrong") {
     CHECK(Judge(request, MakeEvent(request, 1, kOld)) == AnswerVerdict::kWrong);
     CHECK(Judge(request, MakeEvent(request, 0, kOld) + good) == AnswerVerdict::kWrong);
     other.tokens = 4;
@@ -86,13 +86,13 @@
     CHECK(Judge(request, changed) == AnswerVerdict::kWrong);
   }
 
-  SECTION("tokens from two sets of weights are mixed") {
+  SECTION("tokens from two weight versions are mixed") {
     const std::string mixed =
         MakeEvent(request, 0, kOld) + MakeEvent(request, 1, kNew) + MakeEvent(request, 2, kNew) + "data: [DONE]\n\n";
     CHECK(Judge(request, mixed) == AnswerVerdict::kMixed);
   }
 
-  SECTION("a typed error at the end is an error, not a truncation") {
+  SECTION("a typed error at the end is reported as an error, not as a truncation") {
     const std::string text = MakeEvent(request, 0, kOld) + "data: {\"error\":{\"type\":\"engine_failed\"}}\n\n";
     AnswerCheck check(request, kAnyManifest);
     check.AddStreamBytes(text);
@@ -100,7 +100,7 @@
     CHECK(check.GetErrorType() == "engine_failed");
   }
 
-  SECTION("weights outside the allowed ones are wrong") {
+  SECTION("weights that are not in the allowed list are wrong") {
     const std::vector<std::string> allowed{kNew};
     AnswerCheck check(request, allowed);
     check.AddStreamBytes(good);
@@ -108,24 +108,24 @@
   }
 }
 
-// Guards against unary answers and service answers that are accepted without a comparison.
-TEST_CASE("The load tool compares whole answers") {
+// Guards against unary answers and service answers that are accepted without comparing their content.
+TEST_CASE("The load tool compares answers that are not streamed") {
   LoadRequest request = MakeRequest();
   std::vector<std::string> tokens;
   const uint64_t seed = MakeTokenSeed(request.prompt, kOld);
   for (uint32_t i = 0; i < request.tokens; ++i) tokens.push_back(MakeToken(seed, i));
   nlohmann::json body = {{"id", request.id}, {"weights", kOld}, {"tokens", tokens}};
 
-  SECTION("a whole answer is good") {
+  SECTION("a complete answer is accepted") {
     CHECK(AnswerCheck(request, kAnyManifest).CheckWhole(body.dump()) == AnswerVerdict::kGood);
   }
 
-  SECTION("one token less is truncated") {
+  SECTION("an answer with a missing token is truncated") {
     body["tokens"].erase(2);
     CHECK(AnswerCheck(request, kAnyManifest).CheckWhole(body.dump()) == AnswerVerdict::kTruncated);
   }
 
-  SECTION("an answer with its text in one piece is compared as well") {
+  SECTION("an answer with its text in one string is compared as well") {
     std::string text;
     for (const std::string& token : tokens) text += token;
     body["text"] = text;
@@ -150,7 +150,7 @@
     CHECK(AnswerCheck(request, kAnyManifest).CheckWhole(body.dump()) == AnswerVerdict::kWrong);
   }
 
-  SECTION("a service's answer belongs to its call and body") {
+  SECTION("a service answer must match its call and body") {
     request.is_service = true;
     request.call = {"register", "seal", false};
     request.body = "{\"item\":\"r1\"}";
@@ -175,8 +175,8 @@
   return options;
 }
 
-// Guards against runs with the same seed that send different requests, so that a failure cannot be repeated.
-TEST_CASE("A load plan depends on its seed and thread only") {
+// Guards against runs with equal seeds that send different requests, which would make failures irreproducible.
+TEST_CASE("A load plan depends only on its options and thread") {
   const LoadOptions options = MakeOptions();
   LoadPlan one(options, 0);
   LoadPlan two(options, 0);
@@ -200,13 +200,13 @@
     services += request.is_service;
     large += request.workspace == 0;
   }
-  // Two threads share the rate of 1,000/s.
+  // The rate of 1,000/s is divided between two threads.
   CHECK(kCount / total_s == Approx(500).epsilon(0.1));
   CHECK(services == Approx(0.3 * kCount).epsilon(0.1));
   CHECK(large == Approx(0.9 * kCount).epsilon(0.1));
 }
 
-// Guards against quantiles that are off by more than the width of a bucket.
+// Guards against quantiles with an error larger than a bucket's width.
 TEST_CASE("The latency histogram gives quantiles within 2%") {
   LatencyHistogram histogram;
   CHECK(histogram.GetQuantileMs(0.99) == 0);
@@ -214,7 +214,7 @@
   CHECK(histogram.GetQuantileMs(0.5) == Approx(185.0).epsilon(0.02));
   CHECK(histogram.GetQuantileMs(0.99) == Approx(366.3).epsilon(0.02));
 
-  SECTION("and merges with another") {
+  SECTION("histograms can be merged") {
     LatencyHistogram slow;
     for (int i = 0; i < 10'000; ++i) slow.Add(std::chrono::seconds(10));
     histogram.Merge(slow);
--- a/tests/standin_log_test.cpp
+++ b/tests/standin_log_test.cpp
@@ -14,18 +14,19 @@
   return value;
 }
 
-// Guards against offsets that change or repeat when old records expire, which would break every reader's fold.
+// Guards against offsets that change or repeat when old records expire. Readers rely on them to apply each record
+// once and in order.
 TEST_CASE("The log keeps consecutive offsets while old records expire") {
   VirtualClock clock;
   LogStore log(clock, std::chrono::seconds(10));
 
-  SECTION("records get offsets from 0 on") {
+  SECTION("offsets start at 0") {
     CHECK(log.Append("a") == 0);
     CHECK(log.Append("b") == 1);
     CHECK(log.GetFirstOffset() == 0);
     CHECK(log.GetNextOffset() == 2);
 
-    SECTION("a record goes once it is older than the retention time, not before") {
+    SECTION("a record expires only once it is older than the retention time") {
       clock.Advance(std::chrono::seconds(6));
       CHECK(log.Append("c") == 2);
       clock.Advance(std::chrono::seconds(4));
@@ -35,7 +36,7 @@
       log.Expire();
       CHECK(log.GetFirstOffset() == 2);
 
-      SECTION("the next offset stays when all have gone") {
+      SECTION("the next offset does not change when all records have expired") {
         clock.Advance(std::chrono::seconds(60));
         log.Expire();
         CHECK(log.GetFirstOffset() == 3);
@@ -45,7 +46,7 @@
     }
   }
 
-  SECTION("a retention of zero keeps everything") {
+  SECTION("a retention time of zero keeps all records") {
     log.SetRetention(Duration(0));
     log.Append("a");
     clock.Advance(std::chrono::hours(1000));
@@ -54,8 +55,8 @@
   }
 }
 
-// Guards against a wire form other than the one in section 9 of the design.
-TEST_CASE("A read of the log gives offset, time, length and bytes of each record") {
+// Guards against changes of the binary record format, which readers parse.
+TEST_CASE("A log read returns the offset, time, length and bytes of each record") {
   VirtualClock clock;
   LogStore log(clock, Duration(0));
   log.Append("first");
@@ -76,7 +77,7 @@
     CHECK(next == 3);
   }
 
-  SECTION("a read stops at its maximum") {
+  SECTION("a read returns at most the requested number of records") {
     CHECK(log.Read(0, 1, kNoEnd, next).size() == kHeaderBytes + 5);
     CHECK(next == 1);
   }
--- a/tests/standin_prefix_test.cpp
+++ b/tests/standin_prefix_test.cpp
@@ -15,25 +15,25 @@
   return numbers;
 }
 
-// Guards against a prefix cache that never forgets, and against events that are published too early or completely, so
-// that routing would never meet stale hints.
-TEST_CASE("The engine keeps the prefixes used last and publishes events late and with gaps") {
+// Guards against a cache without eviction, and against events that are published without delay or loss: routing would
+// then never be tested with stale hints.
+TEST_CASE("The engine keeps the most recently used prefixes and publishes events with delay and loss") {
   VirtualClock clock;
   SeededRandom random(kSeed);
 
-  SECTION("given a cache of two prefixes without loss") {
+  SECTION("with a cache of two prefixes and no event loss") {
     PrefixCache cache(clock, random, {2, Milliseconds(500), 0});
     CHECK_FALSE(cache.Use("a"));
     CHECK_FALSE(cache.Use("b"));
     CHECK(cache.Use("a"));
 
-    SECTION("a third one evicts the one not used for longest") {
+    SECTION("a third prefix evicts the least recently used one") {
       CHECK_FALSE(cache.Use("c"));
       CHECK(cache.Use("a"));
       CHECK_FALSE(cache.Use("b"));
     }
 
-    SECTION("events show after the lag only") {
+    SECTION("events become visible only after the lag") {
       clock.Advance(Milliseconds(499));
       CHECK(GetNumbers(cache, 0).empty());
       clock.Advance(Milliseconds(1));
@@ -42,7 +42,7 @@
     }
   }
 
-  SECTION("a lost event leaves a gap in the numbers") {
+  SECTION("a lost event leaves a gap in the sequence numbers") {
     PrefixCache cache(clock, random, {1000, Duration(0), 0.5});
     for (int i = 0; i < 100; ++i) cache.Use(std::to_string(i));
     const std::vector<uint64_t> numbers = GetNumbers(cache, 0);
--- a/tests/standin_weight_test.cpp
+++ b/tests/standin_weight_test.cpp
@@ -17,7 +17,7 @@
   return manifest;
 }
 
-// Stages the manifest of an entry, and its chunks except those from `missing_from` on.
+// Stages the manifest of an entry and its chunks before index `missing_from`.
 std::string Stage(const WeightCatalog& catalog, size_t entry, EngineWeights& weights, int missing_from = 1 << 20) {
   const std::string digest = catalog.GetEntries()[entry].manifest_digest;
   const std::string hex = FormatHex(digest);
@@ -29,8 +29,8 @@
   return hex;
 }
 
-// Guards against weights that differ between runs, and against versions that share no chunks.
-TEST_CASE("Synthetic weights depend on their specification only") {
+// Guards against weights that differ between runs, and against versions without the requested shared chunks.
+TEST_CASE("Synthetic weights depend only on their specification") {
   WeightCatalog catalog;
   catalog.Add(*ParseWeightSpec("tatami::v1:1050:100:1"));
   catalog.Add(*ParseWeightSpec("tatami::v2:1050:100:2:0.5:1"));
@@ -44,7 +44,7 @@
   CHECK(one.chunks(10).size() == 50);
   CHECK(one.total_size() == 1050);
 
-  SECTION("each chunk has the digest that its manifest names, and the whole too") {
+  SECTION("the chunks and the total match the digests in the manifest") {
     Sha256Stream whole;
     for (const proto::ChunkEntry& entry : one.chunks()) {
       const std::string bytes = *catalog.FindChunk(entry.digest());
@@ -63,8 +63,8 @@
   }
 }
 
-// Guards against a mistyped option that silently gives other weights than asked for.
-TEST_CASE("A wrong weight specification is refused") {
+// Guards against a mistyped option that is accepted and generates different weights.
+TEST_CASE("An invalid weight specification is rejected") {
   const std::string text = GENERATE("", "tatami", "tatami::v1:1000:100", "tatami::v1:x:100:1", "tatami::v1:1000:0:1",
                                     "tatami::v1:1000:100:1:0.5", "tatami::v1:1000:100:1:0.5:x");
   const absl::StatusOr<WeightSpec> spec = ParseWeightSpec(text);
@@ -72,20 +72,20 @@
   CHECK(GetFailureCode(spec.status()) == FailureCode::kUsage);
 }
 
-// Guards against an engine stand-in that serves weights which are incomplete, corrupt or of another model.
-TEST_CASE("An engine loads only whole weights of the right model") {
+// Guards against an engine stand-in that serves weights that are incomplete, corrupt or belong to another model.
+TEST_CASE("An engine loads only complete weights of the requested model") {
   WeightCatalog catalog;
   catalog.Add(*ParseWeightSpec("tatami::v1:1000:100:1"));
   catalog.Add(*ParseWeightSpec("tatami::v2:1000:100:2:0.5:1"));
   EngineWeights weights(true);
 
-  SECTION("a manifest whose digest differs is refused") {
+  SECTION("a manifest with a different digest is rejected") {
     const std::string hex = FormatHex(catalog.GetEntries()[0].manifest_digest);
     CHECK(weights.StageManifest(hex, "other") == WeightResult::kDigestMismatch);
     CHECK(weights.StageChunk(hex, 0, "x") == WeightResult::kNoManifest);
   }
 
-  SECTION("a corrupt chunk is refused and stays missing") {
+  SECTION("a corrupt chunk is rejected and remains missing") {
     const std::string hex = Stage(catalog, 0, weights, 0);
     CHECK(weights.StageChunk(hex, 0, "x") == WeightResult::kDigestMismatch);
     CHECK(weights.StageChunk(hex, 10, "x") == WeightResult::kBadIndex);
@@ -104,28 +104,28 @@
     CHECK(weights.Load({"other", ""}, hex) == WeightResult::kBadManifest);
   }
 
-  SECTION("whole weights are loaded and the staging area is empty again") {
+  SECTION("complete weights are loaded and the staging area is cleared") {
     const std::string first = Stage(catalog, 0, weights);
     REQUIRE(weights.Load(kBase, first) == WeightResult::kOk);
     CHECK(weights.GetLoaded().at(kBase).manifest == first);
     CHECK(weights.GetLoaded().at(kBase).is_whole);
     CHECK(weights.GetStagedManifest().empty());
 
-    SECTION("a repeated order has no effect") { CHECK(weights.Load(kBase, first) == WeightResult::kOk); }
+    SECTION("loading the same weights again has no effect") { CHECK(weights.Load(kBase, first) == WeightResult::kOk); }
 
-    SECTION("a version that shares chunks finds them present") {
+    SECTION("shared chunks of another version count as staged") {
       Stage(catalog, 1, weights, 0);
       CHECK(weights.GetStagedMap() != "0000");
       CHECK(weights.GetStagedMap() != "ff03");
     }
 
-    SECTION("an order for weights that were never staged is refused") {
+    SECTION("loading weights that were never staged is rejected") {
       CHECK(weights.Load(kBase, std::string(64, '0')) == WeightResult::kNoManifest);
       CHECK(weights.GetLoaded().at(kBase).manifest == first);
     }
   }
 
-  SECTION("an engine that does not verify loads them, but marks them") {
+  SECTION("an engine without verification loads incomplete weights but marks them") {
     EngineWeights careless(false);
     const std::string hex = Stage(catalog, 0, careless, 9);
     CHECK(careless.Load(kBase, hex) == WeightResult::kOk);
