--- a/standin/answer_check.cpp
+++ b/standin/answer_check.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::string_view kDataPrefix = "data: ";
-constexpr std::string_view kEndMark = "[DONE]";
+constexpr std::string_view kEndMarker = "[DONE]";
 
 }  // namespace
 
@@ -27,10 +27,10 @@
       break;
     }
     if (m_line.empty()) {
-      TakeLine(bytes.substr(0, end));
+      HandleLine(bytes.substr(0, end));
     } else {
       m_line += bytes.substr(0, end);
-      TakeLine(m_line);
+      HandleLine(m_line);
       m_line.clear();
     }
     bytes.remove_prefix(end + 1);
@@ -38,20 +38,20 @@
   return m_next_index - before;
 }
 
-void AnswerCheck::TakeLine(std::string_view line) {
+void AnswerCheck::HandleLine(std::string_view line) {
   if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
   if (line.substr(0, kDataPrefix.size()) != kDataPrefix) return;
   const std::string_view data = line.substr(kDataPrefix.size());
-  if (data == kEndMark) {
-    if (m_has_end_mark) SetWrong("duplicate end marker");
-    m_has_end_mark = true;
+  if (data == kEndMarker) {
+    if (m_has_end_marker) SetWrong("duplicate end marker");
+    m_has_end_marker = true;
     return;
   }
-  TakeEvent(data);
+  HandleEvent(data);
 }
 
-bool AnswerCheck::TakeExpectedEvent(std::string_view data) {
-  if (m_event_start.empty() || m_has_end_mark) return false;
+bool AnswerCheck::MatchExpectedEvent(std::string_view data) {
+  if (m_event_start.empty() || m_has_end_marker) return false;
   m_expected = m_event_start;
   m_expected += std::to_string(m_next_index);
   m_expected += ",\"token\":\"";
@@ -62,8 +62,8 @@
   return true;
 }
 
-void AnswerCheck::TakeEvent(std::string_view data) {
-  if (TakeExpectedEvent(data)) return;
+void AnswerCheck::HandleEvent(std::string_view data) {
+  if (MatchExpectedEvent(data)) return;
   const nlohmann::json event = nlohmann::json::parse(data, nullptr, false);
   if (!event.is_object()) {
     SetWrong("event is not a JSON object: " + std::string(data));
@@ -74,7 +74,7 @@
     m_error_type = error->is_object() ? error->value("type", "untyped") : "untyped";
     return;
   }
-  if (m_has_end_mark) SetWrong("token after the end marker");
+  if (m_has_end_marker) SetWrong("token after the end marker");
   const auto id = event.find("id");
   const auto index = event.find("index");
   const auto token = event.find("token");
@@ -85,10 +85,10 @@
   }
   if (id != event.end() && *id != m_request.id) SetWrong("token of request " + id->dump());
   const std::string weights_text = weights != event.end() && weights->is_string() ? weights->get<std::string>() : "";
-  TakeToken(index->get<uint32_t>(), token->get_ref<const std::string&>(), weights_text);
+  CheckToken(index->get<uint32_t>(), token->get_ref<const std::string&>(), weights_text);
 }
 
-bool AnswerCheck::TakeWeights(std::string_view weights) {
+bool AnswerCheck::UpdateWeights(std::string_view weights) {
   if (weights.empty() || weights == m_weights) return !m_weights.empty();
   if (!m_weights.empty()) {
     m_is_mixed = true;
@@ -104,8 +104,8 @@
   return true;
 }
 
-void AnswerCheck::TakeToken(uint32_t index, std::string_view token, std::string_view weights) {
-  if (!TakeWeights(weights)) {
+void AnswerCheck::CheckToken(uint32_t index, std::string_view token, std::string_view weights) {
+  if (!UpdateWeights(weights)) {
     SetWrong("token without a weights digest");
     return;
   }
@@ -123,7 +123,7 @@
   if (m_is_wrong || m_next_index > m_request.tokens) return AnswerVerdict::kWrong;
   if (m_is_mixed) return AnswerVerdict::kMixed;
   if (!m_error_type.empty()) return AnswerVerdict::kError;
-  return m_has_end_mark && m_next_index == m_request.tokens ? AnswerVerdict::kGood : AnswerVerdict::kTruncated;
+  return m_has_end_marker && m_next_index == m_request.tokens ? AnswerVerdict::kCorrect : AnswerVerdict::kTruncated;
 }
 
 void AnswerCheck::CheckText(std::string_view text, const nlohmann::json* count) {
@@ -134,14 +134,14 @@
     if (i == 0) token_bytes = expected.size();
   }
   m_next_index = static_cast<uint32_t>(text.size() / token_bytes);
-  const bool is_start = expected.compare(0, text.size(), text) == 0;
-  if (!is_start) SetWrong("text differs from the expected tokens");
+  const bool is_prefix = expected.compare(0, text.size(), text) == 0;
+  if (!is_prefix) SetWrong("text differs from the expected tokens");
   if (count != nullptr && *count != m_next_index) SetWrong("token count " + count->dump());
 }
 
-AnswerVerdict AnswerCheck::CheckWhole(std::string_view body) {
+AnswerVerdict AnswerCheck::CheckUnary(std::string_view body) {
   if (m_request.is_service) {
-    if (body == MakeServiceAnswer(m_request.call.call, m_request.body)) return AnswerVerdict::kGood;
+    if (body == MakeServiceAnswer(m_request.call.call, m_request.body)) return AnswerVerdict::kCorrect;
     SetWrong("answer " + std::string(body.substr(0, 200)));
     return AnswerVerdict::kWrong;
   }
@@ -155,14 +155,14 @@
   const auto text = answer.find("text");
   if (tokens != answer.end() && tokens->is_array()) {
     for (const auto& token : *tokens) {
-      TakeToken(m_next_index, token.is_string() ? token.get<std::string>() : "", weights_text);
+      CheckToken(m_next_index, token.is_string() ? token.get<std::string>() : "", weights_text);
     }
-  } else if (text != answer.end() && text->is_string() && TakeWeights(weights_text)) {
+  } else if (text != answer.end() && text->is_string() && UpdateWeights(weights_text)) {
     CheckText(text->get_ref<const std::string&>(), tokens == answer.end() ? nullptr : &*tokens);
   } else {
     SetWrong("answer without tokens or weights");
   }
-  m_has_end_mark = true;
+  m_has_end_marker = true;
   return GetStreamVerdict();
 }
 
--- a/standin/answer_check.h
+++ b/standin/answer_check.h
@@ -15,7 +15,7 @@
 
 enum class AnswerVerdict {
   // Complete and correct, from one weight version.
-  kGood,
+  kCorrect,
   // The end marker or tokens are missing.
   kTruncated,
   // Contains bytes that differ from the expected answer.
@@ -40,7 +40,7 @@
   AnswerVerdict GetStreamVerdict() const;
 
   // Checks an answer that is not streamed.
-  AnswerVerdict CheckWhole(std::string_view body);
+  AnswerVerdict CheckUnary(std::string_view body);
 
   // Type of the error event, or empty.
   const std::string& GetErrorType() const { return m_error_type; }
@@ -50,13 +50,13 @@
   const std::string& GetWeights() const { return m_weights; }
 
  private:
-  void TakeLine(std::string_view line);
-  void TakeEvent(std::string_view data);
+  void HandleLine(std::string_view line);
+  void HandleEvent(std::string_view data);
   // Fast path: accepts an event with exactly the expected bytes without parsing its JSON.
-  bool TakeExpectedEvent(std::string_view data);
-  void TakeToken(uint32_t index, std::string_view token, std::string_view weights);
+  bool MatchExpectedEvent(std::string_view data);
+  void CheckToken(uint32_t index, std::string_view token, std::string_view weights);
   void CheckText(std::string_view text, const nlohmann::json* count);
-  bool TakeWeights(std::string_view weights);
+  bool UpdateWeights(std::string_view weights);
   void SetWrong(std::string detail);
 
   const LoadRequest& m_request;
@@ -69,7 +69,7 @@
   std::string m_event_end;
   uint64_t m_seed = 0;
   uint32_t m_next_index = 0;
-  bool m_has_end_mark = false;
+  bool m_has_end_marker = false;
   bool m_is_wrong = false;
   bool m_is_mixed = false;
   std::string m_error_type;
--- a/standin/cold_model.cpp
+++ b/standin/cold_model.cpp
@@ -2,15 +2,15 @@
 
 namespace plantain::standin {
 
-void ColdModel::GoCold() {
+void ColdModel::MakeCold() {
   m_is_warm = false;
-  m_light_time = Duration(0);
+  m_warming_time = Duration(0);
   m_overload_time = Duration(0);
   m_updated_at = m_clock.GetNow();
 }
 
-void ColdModel::GoWarm() {
-  GoCold();
+void ColdModel::MakeWarm() {
+  MakeCold();
   m_is_warm = true;
 }
 
@@ -24,8 +24,8 @@
     return m_overload_time >= m_limits.overload_time;
   }
   m_overload_time = Duration(0);
-  if (in_flight > 0) m_light_time += elapsed;
-  m_is_warm = m_light_time >= m_limits.warm_time;
+  if (in_flight > 0) m_warming_time += elapsed;
+  m_is_warm = m_warming_time >= m_limits.warm_time;
   return false;
 }
 
--- a/standin/cold_model.h
+++ b/standin/cold_model.h
@@ -27,10 +27,10 @@
   bool IsOverLimit(size_t in_flight) const { return !m_is_warm && in_flight >= m_limits.cold_capacity; }
 
   // Makes the engine cold immediately and resets the warm-up.
-  void GoCold();
+  void MakeCold();
 
   // Makes the engine warm immediately.
-  void GoWarm();
+  void MakeWarm();
 
   // Accounts for the time since the last call, during which `in_flight` requests were running or queued, and returns
   // whether the engine fails because of overload. Call before each change of the number and periodically in between.
@@ -41,7 +41,7 @@
   const Limits m_limits;
   bool m_is_warm = false;
   TimePoint m_updated_at;
-  Duration m_light_time{};
+  Duration m_warming_time{};
   Duration m_overload_time{};
 };
 
--- a/standin/engine_batch.cpp
+++ b/standin/engine_batch.cpp
@@ -11,7 +11,7 @@
 // Flow control: a stream with more unsent bytes than this produces no further tokens.
 constexpr size_t kMaxUnsentBytes = 256 * 1024;
 // Appended to the prompt when the weights are incomplete or corrupt, so that the answer check detects their tokens.
-constexpr char kBrokenMark[] = "\x01 broken weights";
+constexpr char kInvalidWeightsSuffix[] = "\x01 broken weights";
 
 }  // namespace
 
@@ -26,11 +26,11 @@
   std::string manifest;
   uint64_t seed = 0;
   // Tokens of an answer that is not streamed, as JSON strings separated by commas.
-  std::string gathered;
+  std::string buffered_tokens;
   bool has_started = false;
   bool is_partial = false;
   bool is_mixed = false;
-  bool is_over = false;
+  bool is_done = false;
 };
 
 EngineBatch::EngineBatch(Loop& loop, const Clock& clock, EngineWeights& weights, ColdModel& cold, BatchOptions options)
@@ -49,23 +49,23 @@
   stream->responder->SetOnClosed([this, weak = std::weak_ptr<Stream>(stream)] {
     if (const auto closed = weak.lock()) Cancel(closed);
   });
-  const auto place = std::find_if(m_queued.begin(), m_queued.end(), [&](const std::shared_ptr<Stream>& other) {
+  const auto position = std::find_if(m_queued.begin(), m_queued.end(), [&](const std::shared_ptr<Stream>& other) {
     return other->request.priority < stream->request.priority;
   });
-  m_queued.insert(place, std::move(stream));
-  FillRunning();
+  m_queued.insert(position, std::move(stream));
+  StartQueued();
   m_stats.max_in_flight = std::max<uint64_t>(m_stats.max_in_flight, GetInFlight());
   if (!m_cold.IsWarm()) m_stats.max_cold_in_flight = std::max<uint64_t>(m_stats.max_cold_in_flight, GetInFlight());
-  Arm();
+  ScheduleStep();
   return true;
 }
 
-void EngineBatch::UpdateCold() {
+void EngineBatch::UpdateColdState() {
   if (!m_cold.Update(GetInFlight())) return;
-  ++m_stats.fell_over;
-  m_cold.GoCold();
+  ++m_stats.overload_failures;
+  m_cold.MakeCold();
   FailAll();
-  if (m_on_fall) m_on_fall();
+  if (m_on_overload_failure) m_on_overload_failure();
 }
 
 void EngineBatch::FailAll() {
@@ -79,30 +79,30 @@
 
 void EngineBatch::FailKey(const WeightKey& key) {
   std::vector<std::shared_ptr<Stream>> failed;
-  const auto take = [&](auto& streams) {
+  const auto remove_matching = [&](auto& streams) {
     std::erase_if(streams, [&](const std::shared_ptr<Stream>& stream) {
       if (stream->request.key != key) return false;
       failed.push_back(stream);
       return true;
     });
   };
-  UpdateCold();
-  take(m_running);
-  take(m_queued);
+  UpdateColdState();
+  remove_matching(m_running);
+  remove_matching(m_queued);
   for (const auto& stream : failed) Fail(*stream);
 }
 
 void EngineBatch::Cancel(const std::shared_ptr<Stream>& stream) {
-  if (stream->is_over) return;
-  stream->is_over = true;
+  if (stream->is_done) return;
+  stream->is_done = true;
   ++m_stats.cancelled;
-  UpdateCold();
+  UpdateColdState();
   std::erase(m_running, stream);
   std::erase(m_queued, stream);
-  FillRunning();
+  StartQueued();
 }
 
-void EngineBatch::FillRunning() {
+void EngineBatch::StartQueued() {
   while (!m_queued.empty() && m_running.size() < m_options.max_running) {
     m_running.push_back(std::move(m_queued.front()));
     m_queued.pop_front();
@@ -117,7 +117,7 @@
   return std::chrono::duration_cast<Duration>(m_options.token_time * factor);
 }
 
-void EngineBatch::Arm() {
+void EngineBatch::ScheduleStep() {
   if (m_timer != nullptr || m_running.empty()) return;
   m_timer = m_loop.RunAfter(GetStepTime(), [this] {
     m_timer.reset();
@@ -127,24 +127,24 @@
 
 void EngineBatch::Step() {
   ++m_stats.steps;
-  UpdateCold();
+  UpdateColdState();
   if (!m_is_stalled) {
     const TimePoint now = m_clock.GetNow();
     // Iterates over a copy, because a finished stream may close its connection and thereby modify m_running.
     const std::vector<std::shared_ptr<Stream>> streams = m_running;
     for (const auto& stream : streams) {
-      if (!stream->is_over && !Advance(*stream, now)) stream->is_over = true;
+      if (!stream->is_done && !Advance(*stream, now)) stream->is_done = true;
     }
-    std::erase_if(m_running, [](const std::shared_ptr<Stream>& stream) { return stream->is_over; });
-    FillRunning();
+    std::erase_if(m_running, [](const std::shared_ptr<Stream>& stream) { return stream->is_done; });
+    StartQueued();
   }
-  Arm();
+  ScheduleStep();
 }
 
 bool EngineBatch::Advance(Stream& stream, TimePoint now) {
   if (now < stream.ready_at || m_loading == stream.request.key) return true;
   if (stream.responder->GetUnsentBytes() > kMaxUnsentBytes) return true;
-  if (!FollowWeights(stream)) {
+  if (!UpdateWeights(stream)) {
     Fail(stream);
     return false;
   }
@@ -154,10 +154,10 @@
   return false;
 }
 
-bool EngineBatch::FollowWeights(Stream& stream) {
+bool EngineBatch::UpdateWeights(Stream& stream) {
   const auto loaded = m_weights.GetLoaded().find(stream.request.key);
   if (loaded == m_weights.GetLoaded().end()) return false;
-  if (!loaded->second.is_whole && !stream.is_partial) {
+  if (!loaded->second.is_valid && !stream.is_partial) {
     stream.is_partial = true;
     ++m_stats.partial_served;
   }
@@ -168,7 +168,7 @@
   }
   stream.manifest = loaded->second.manifest;
   std::string prompt = stream.request.prompt;
-  if (!loaded->second.is_whole) prompt += kBrokenMark;
+  if (!loaded->second.is_valid) prompt += kInvalidWeightsSuffix;
   stream.seed = MakeTokenSeed(prompt, stream.manifest);
   return true;
 }
@@ -177,10 +177,10 @@
   ++m_stats.tokens;
   const uint32_t index = stream.next_index++;
   if (!stream.request.is_streaming) {
-    if (!stream.gathered.empty()) stream.gathered += ',';
-    stream.gathered += '"';
-    AppendToken(stream.seed, index, stream.gathered);
-    stream.gathered += '"';
+    if (!stream.buffered_tokens.empty()) stream.buffered_tokens += ',';
+    stream.buffered_tokens += '"';
+    AppendToken(stream.seed, index, stream.buffered_tokens);
+    stream.buffered_tokens += '"';
     return;
   }
   if (!stream.has_started) {
@@ -219,13 +219,13 @@
   body += "\",\"first\":";
   body += std::to_string(stream.request.first_index);
   body += ",\"tokens\":[";
-  body += stream.gathered;
+  body += stream.buffered_tokens;
   body += "]}";
   stream.responder->Send(MakeJsonResponse(200, std::move(body)));
 }
 
 void EngineBatch::Fail(Stream& stream) {
-  stream.is_over = true;
+  stream.is_done = true;
   ++m_stats.failed;
   stream.responder->Abort();
 }
--- a/standin/engine_batch.h
+++ b/standin/engine_batch.h
@@ -52,7 +52,7 @@
   // Requests accepted while cold and already at the cold capacity.
   uint64_t over_limit = 0;
   // Times that a cold engine failed because of overload.
-  uint64_t fell_over = 0;
+  uint64_t overload_failures = 0;
   // Requests that received tokens from incomplete or corrupt weights.
   uint64_t partial_served = 0;
   // Requests that received tokens from more than one weight version.
@@ -70,10 +70,10 @@
   bool Add(EngineRequest request, std::shared_ptr<HttpResponder> responder);
 
   // Sets the callback that runs after an overload of the cold engine has failed all requests.
-  void SetOnFall(std::function<void()> on_fall) { m_on_fall = std::move(on_fall); }
+  void SetOnOverloadFailure(std::function<void()> callback) { m_on_overload_failure = std::move(callback); }
 
   // Updates the cold model with the elapsed time. If the cold engine is overloaded, fails all requests.
-  void UpdateCold();
+  void UpdateColdState();
 
   // Aborts all requests and closes their connections.
   void FailAll();
@@ -100,14 +100,14 @@
   struct Stream;
 
   void Cancel(const std::shared_ptr<Stream>& stream);
-  void FillRunning();
-  void Arm();
+  void StartQueued();
+  void ScheduleStep();
   void Step();
   Duration GetStepTime() const;
   // Produces one token. Returns false if the stream has finished or failed.
   bool Advance(Stream& stream, TimePoint now);
   // Switches the stream to the currently loaded weights. Returns false if none are loaded.
-  bool FollowWeights(Stream& stream);
+  bool UpdateWeights(Stream& stream);
   void EmitToken(Stream& stream);
   void Finish(Stream& stream);
   void Fail(Stream& stream);
@@ -123,7 +123,7 @@
   std::deque<std::shared_ptr<Stream>> m_queued;
   std::optional<WeightKey> m_loading;
   std::unique_ptr<Timer> m_timer;
-  std::function<void()> m_on_fall;
+  std::function<void()> m_on_overload_failure;
   bool m_is_stalled = false;
 };
 
--- a/standin/engine_standin.cpp
+++ b/standin/engine_standin.cpp
@@ -23,12 +23,12 @@
       m_prefixes(clock, random, options.prefix),
       m_batch(standin.GetLoop(), clock, m_weights, m_cold, options.batch) {
   m_incarnation = MakeIncarnation();
-  m_batch.SetOnFall([this] { HandleFall(); });
+  m_batch.SetOnOverloadFailure([this] { HandleOverloadFailure(); });
   if (m_options.load_lag <= Duration(0)) return;
   m_sample_timer = standin.GetLoop().RunEvery(m_options.load_lag, [this] {
-    m_reported = m_sampled;
-    m_sampled = {m_batch.GetRunning(), m_batch.GetQueued()};
-    m_batch.UpdateCold();
+    m_reported_load = m_sampled_load;
+    m_sampled_load = {m_batch.GetRunning(), m_batch.GetQueued()};
+    m_batch.UpdateColdState();
   });
 }
 
@@ -36,11 +36,11 @@
   const std::vector<std::string> parts = SplitPath(GetPath(request.target));
   const std::string first = parts.empty() ? "" : parts[0];
   if (first == "v1" && request.method == "POST") {
-    Complete(request, responder);
+    HandleCompletion(request, responder);
   } else if (first == "status") {
     responder->Send(MakeJsonResponse(200, GetStatus().dump()));
   } else if (first == "staging" && request.method == "PUT") {
-    Stage(parts, std::move(request), responder);
+    HandleStaging(parts, std::move(request), responder);
   } else if (first == "orders" && request.method == "POST") {
     AcceptOrder(request, responder);
   } else if (first == "events") {
@@ -55,44 +55,44 @@
   }
 }
 
-void EngineStandin::Complete(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
-  m_batch.UpdateCold();
+void EngineStandin::HandleCompletion(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
+  m_batch.UpdateColdState();
   const nlohmann::json fields = nlohmann::json::parse(request.body, nullptr, false);
-  EngineRequest work;
+  EngineRequest completion;
   try {
-    work.id = fields.value("id", "");
-    work.key = {fields.value("model", ""), fields.value("adapter", "")};
-    work.prompt = fields.value("prompt", "");
-    work.first_index = fields.value("resume_from", 0u);
-    work.end_index = fields.value("max_tokens", kDefaultMaxTokens);
-    work.priority = fields.value("priority", 0u);
-    work.is_streaming = fields.value("stream", false);
+    completion.id = fields.value("id", "");
+    completion.key = {fields.value("model", ""), fields.value("adapter", "")};
+    completion.prompt = fields.value("prompt", "");
+    completion.first_index = fields.value("resume_from", 0u);
+    completion.end_index = fields.value("max_tokens", kDefaultMaxTokens);
+    completion.priority = fields.value("priority", 0u);
+    completion.is_streaming = fields.value("stream", false);
   } catch (const nlohmann::json::exception&) {
     ++m_stats.refused;
     responder->Send(MakeErrorResponse(400, "bad_request"));
     return;
   }
-  const bool is_loading = !m_order_queue.empty() && m_order_queue.front().key == work.key;
+  const bool is_loading = !m_order_queue.empty() && m_order_queue.front().key == completion.key;
   if (is_loading) ++m_stats.begun_while_loading;
-  if (is_loading || m_weights.GetLoaded().count(work.key) == 0) {
+  if (is_loading || m_weights.GetLoaded().count(completion.key) == 0) {
     ++m_stats.refused;
     responder->Send(MakeErrorResponse(503, "not_loaded"));
     return;
   }
   CountLateAdmission();
-  const bool is_cached = m_prefixes.Use(MakePrefixName(work.prompt, m_options.prefix_bytes));
-  if (!is_cached) work.prefill = m_options.prefill_time;
-  const std::string prompt = work.prompt;
-  if (m_batch.Add(std::move(work), responder)) {
-    CountBegun(prompt);
+  const bool is_cached = m_prefixes.LookUpOrInsert(MakePrefixName(completion.prompt, m_options.prefix_bytes));
+  if (!is_cached) completion.prefill = m_options.prefill_time;
+  const std::string prompt = completion.prompt;
+  if (m_batch.Add(std::move(completion), responder)) {
+    CountStarted(prompt);
     return;
   }
   ++m_stats.refused;
   responder->Send(MakeErrorResponse(429, "queue_full"));
 }
 
-void EngineStandin::Stage(const std::vector<std::string>& parts, HttpRequest request,
-                          const std::shared_ptr<HttpResponder>& responder) {
+void EngineStandin::HandleStaging(const std::vector<std::string>& parts, HttpRequest request,
+                                  const std::shared_ptr<HttpResponder>& responder) {
   WeightResult result = WeightResult::kBadIndex;
   if (parts.size() == 2) {
     result = m_weights.StageManifest(parts[1], request.body);
@@ -115,7 +115,7 @@
   Order order;
   try {
     order.fence = fields.value("fence", uint64_t{0});
-    order.order = fields.value("order", "");
+    order.type = fields.value("order", "");
     order.key = {fields.value("model", ""), fields.value("adapter", "")};
     order.manifest = fields.value("manifest", "");
     order.role = fields.value("role", "");
@@ -123,7 +123,7 @@
     responder->Send(MakeErrorResponse(400, "bad_request"));
     return;
   }
-  if (order.order != "load" && order.order != "unload" && order.order != "role") {
+  if (order.type != "load" && order.type != "unload" && order.type != "role") {
     responder->Send(MakeErrorResponse(400, "bad_order"));
     return;
   }
@@ -141,7 +141,7 @@
 void EngineStandin::StartNextOrder() {
   if (m_order_queue.empty()) return;
   const Order& order = m_order_queue.front();
-  if (order.order == "load" && m_weights.CheckLoad(order.key, order.manifest) == WeightResult::kOk) {
+  if (order.type == "load" && m_weights.CheckLoad(order.key, order.manifest) == WeightResult::kOk) {
     m_batch.SetLoading(order.key);
   }
   RunDetached(m_standin.GetLoop(), m_options.order_time + m_order_delay,
@@ -163,16 +163,16 @@
 
 WeightResult EngineStandin::ExecuteOrder(const Order& order) {
   WeightResult result = WeightResult::kOk;
-  if (order.order == "load") {
+  if (order.type == "load") {
     const auto before = m_weights.GetLoaded().find(order.key);
     const bool is_same = before != m_weights.GetLoaded().end() && before->second.manifest == order.manifest;
     result = m_weights.Load(order.key, order.manifest);
     const bool is_base_change = result == WeightResult::kOk && !is_same && order.key.second.empty();
     if (is_base_change) {
       m_prefixes.Clear();
-      if (m_options.is_cold_after_load) m_cold.GoCold();
+      if (m_options.is_cold_after_load) m_cold.MakeCold();
     }
-  } else if (order.order == "unload") {
+  } else if (order.type == "unload") {
     m_batch.FailKey(order.key);
     result = m_weights.Unload(order.key);
   } else {
@@ -205,7 +205,7 @@
   m_order_queue.clear();
   m_weights.Clear();
   m_prefixes.Clear();
-  m_cold.GoCold();
+  m_cold.MakeCold();
   m_orders = 0;
   m_fence = 0;
   m_role.clear();
@@ -213,16 +213,16 @@
   for (const Order& order : orders) order.responder->Abort();
 }
 
-void EngineStandin::HandleFall() {
+void EngineStandin::HandleOverloadFailure() {
   m_prefixes.Clear();
-  if (m_options.is_emptied_by_fall) Crash();
+  if (m_options.is_unloaded_by_overload) Crash();
 }
 
 void EngineStandin::CountLateAdmission() {
   if (m_no_work_after.has_value() && m_clock.GetNow() > *m_no_work_after) ++m_stats.late_admissions;
 }
 
-void EngineStandin::CountBegun(const std::string& prompt) {
+void EngineStandin::CountStarted(const std::string& prompt) {
   const std::string key = MakePrefixName(prompt, prompt.size());
   const auto found = m_ledger.find(key);
   if (found != m_ledger.end()) {
@@ -250,10 +250,10 @@
   m_batch.SetStalled(m_standin.GetFaults().is_stalled);
   m_is_cold_hidden = fields.value("hide_cold", m_is_cold_hidden);
   if (fields.value("go_cold", false)) {
-    m_cold.GoCold();
+    m_cold.MakeCold();
     m_prefixes.Clear();
   }
-  if (fields.value("go_warm", false)) m_cold.GoWarm();
+  if (fields.value("go_warm", false)) m_cold.MakeWarm();
   if (fields.value("crash", false)) Crash();
   if (fields.contains("lose_order_answer")) {
     const nlohmann::json& count = fields["lose_order_answer"];
@@ -283,7 +283,7 @@
 
 nlohmann::json EngineStandin::GetStatus() const {
   const bool is_lagging = m_options.load_lag > Duration(0);
-  const LoadSample load = is_lagging ? m_reported : LoadSample{m_batch.GetRunning(), m_batch.GetQueued()};
+  const LoadSample load = is_lagging ? m_reported_load : LoadSample{m_batch.GetRunning(), m_batch.GetQueued()};
   nlohmann::json loaded = nlohmann::json::array();
   for (const auto& [key, weights] : m_weights.GetLoaded()) {
     loaded.push_back({{"model", key.first}, {"adapter", key.second}, {"manifest", weights.manifest}});
@@ -308,7 +308,7 @@
           {"failed", batch.failed},
           {"tokens", batch.tokens},
           {"over_limit", batch.over_limit},
-          {"fell_over", batch.fell_over},
+          {"fell_over", batch.overload_failures},
           {"partial_served", batch.partial_served},
           {"mixed_served", batch.mixed_served},
           {"max_in_flight", batch.max_in_flight},
--- a/standin/engine_standin.h
+++ b/standin/engine_standin.h
@@ -26,7 +26,7 @@
   // Whether digests are verified on staging and loading.
   bool is_verifying = true;
   // Whether an overload failure also unloads the weights.
-  bool is_emptied_by_fall = false;
+  bool is_unloaded_by_overload = false;
   // Whether loading a base model makes the engine cold.
   bool is_cold_after_load = true;
   // Delay of the load values in `GET /status`; zero reports current values.
@@ -54,7 +54,7 @@
  private:
   struct Order {
     uint64_t fence = 0;
-    std::string order;
+    std::string type;
     WeightKey key;
     std::string manifest;
     std::string role;
@@ -79,18 +79,18 @@
     uint64_t rejected_chunks = 0;
   };
 
-  void Complete(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
-  void Stage(const std::vector<std::string>& parts, HttpRequest request,
-             const std::shared_ptr<HttpResponder>& responder);
+  void HandleCompletion(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
+  void HandleStaging(const std::vector<std::string>& parts, HttpRequest request,
+                     const std::shared_ptr<HttpResponder>& responder);
   void AcceptOrder(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
   void StartNextOrder();
   void FinishOrder(uint64_t incarnation);
   WeightResult ExecuteOrder(const Order& order);
   void AnswerOrder(const Order& order, WeightResult result);
   void Crash();
-  void HandleFall();
+  void HandleOverloadFailure();
   void CountLateAdmission();
-  void CountBegun(const std::string& prompt);
+  void CountStarted(const std::string& prompt);
   std::string GetLedger() const;
   uint64_t MakeIncarnation();
   std::string GetState() const;
@@ -110,8 +110,8 @@
   std::string m_role;
   // Orders run one at a time; the front one is in progress.
   std::deque<Order> m_order_queue;
-  LoadSample m_sampled;
-  LoadSample m_reported;
+  LoadSample m_sampled_load;
+  LoadSample m_reported_load;
   std::unique_ptr<Timer> m_sample_timer;
   Stats m_stats;
   // Number of accepted requests for each prompt, by a hash of the prompt.
--- a/standin/engine_weights.cpp
+++ b/standin/engine_weights.cpp
@@ -63,12 +63,12 @@
 
 WeightResult EngineWeights::Verify(const WeightKey& key) const {
   if (m_staged.model() != key.first || m_staged.adapter() != key.second) return WeightResult::kBadManifest;
-  Sha256Stream whole;
+  Sha256Stream total_hash;
   for (const auto& chunk : m_staged_chunks) {
     if (chunk == nullptr) return WeightResult::kIncomplete;
-    whole.Add(*chunk);
+    total_hash.Add(*chunk);
   }
-  return whole.Finish() == m_staged.total_digest() ? WeightResult::kOk : WeightResult::kDigestMismatch;
+  return total_hash.Finish() == m_staged.total_digest() ? WeightResult::kOk : WeightResult::kDigestMismatch;
 }
 
 WeightResult EngineWeights::Load(const WeightKey& key, const std::string& manifest_hex) {
--- a/standin/engine_weights.h
+++ b/standin/engine_weights.h
@@ -30,7 +30,7 @@
     std::string manifest;
     std::vector<std::shared_ptr<const std::string>> chunks;
     // False if chunks are missing or corrupt, which is possible only without verification.
-    bool is_whole = true;
+    bool is_valid = true;
   };
 
   // Without verification any bytes are accepted, so that tests can show that the agent verifies them itself.
--- a/standin/exchange_sim.cpp
+++ b/standin/exchange_sim.cpp
@@ -8,7 +8,7 @@
 namespace plantain::standin {
 namespace {
 
-constexpr Duration kTick = Milliseconds(25);
+constexpr Duration kTickInterval = Milliseconds(25);
 constexpr Duration kDeltaDelay = Milliseconds(5);
 constexpr Duration kBurst = Milliseconds(20);
 constexpr size_t kMaxQueuedPerPeer = 8;
@@ -24,7 +24,7 @@
   TimePoint free_at;
 
   // Returns the time at which an item that is ready at `from` has been transmitted.
-  TimePoint Pass(uint32_t size, TimePoint from) {
+  TimePoint Transmit(uint32_t size, TimePoint from) {
     free_at = std::max(free_at, from) + FromSeconds(size / rate);
     return free_at;
   }
@@ -35,33 +35,33 @@
   size_t zone = 0;
   std::unique_ptr<SeededRandom> random;
   std::unique_ptr<ChunkPlan> plan;
-  std::unique_ptr<TokenBucket> down;
-  std::unique_ptr<TokenBucket> up;
-  SerialLink in;
+  std::unique_ptr<TokenBucket> download_bucket;
+  std::unique_ptr<TokenBucket> upload_bucket;
+  SerialLink downlink;
   UploadQueue queue{kMaxQueuedPerPeer, kMaxQueued};
   // VMs that use this one as a source.
   std::vector<size_t> subscribers;
-  std::vector<uint32_t> gained;
+  std::vector<uint32_t> new_chunks;
   std::map<uint64_t, Fetch> fetches;
-  std::vector<bool> has;
+  std::vector<bool> has_chunk;
   size_t count = 0;
-  bool is_dead = false;
+  bool has_failed = false;
   bool is_stalled = false;
-  bool is_pump_set = false;
-  bool is_upload_set = false;
+  bool is_fetch_timer_set = false;
+  bool is_upload_timer_set = false;
 };
 
 class ExchangeSim {
  public:
   explicit ExchangeSim(const ExchangeSimOptions& options) : m_options(options), m_random(options.seed) {
-    MakeManifestOf();
+    CreateManifest();
     MakeVms();
   }
 
   ExchangeSimResult Run() {
     const TimePoint start = m_clock.GetNow();
     m_result.ideal_seconds = GetIdealSeconds();
-    At(FromSeconds(m_result.ideal_seconds / 2), [this] { StrikeFaults(); });
+    ScheduleAfter(FromSeconds(m_result.ideal_seconds / 2), [this] { InjectFaults(); });
     for (size_t i = 0; i < m_vms.size(); ++i) Tick(i);
     while (!m_events.empty() && !IsFinished() && ToSeconds(m_clock.GetNow() - start) < m_options.limit_s) {
       const Event event = m_events.top();
@@ -75,8 +75,8 @@
     m_result.shared_copies = m_shared_bytes / bytes;
     m_result.wasted_copies = m_wasted_bytes / bytes / static_cast<double>(m_vms.size());
     for (const SimVm& vm : m_vms) {
-      m_result.alive += vm.is_dead ? 0 : 1;
-      m_result.finished += !vm.is_dead && vm.count == m_options.chunks ? 1 : 0;
+      m_result.alive += vm.has_failed ? 0 : 1;
+      m_result.finished += !vm.has_failed && vm.count == m_options.chunks ? 1 : 0;
       m_result.max_sources = std::max(m_result.max_sources, vm.plan->GetSources().size());
     }
     return m_result;
@@ -103,12 +103,12 @@
     return ideal;
   }
 
-  void At(Duration delay, std::function<void()> run) {
+  void ScheduleAfter(Duration delay, std::function<void()> run) {
     m_events.push({m_clock.GetNow() + delay, m_next_order++, std::move(run)});
   }
-  void AtTime(TimePoint time, std::function<void()> run) { m_events.push({time, m_next_order++, std::move(run)}); }
+  void ScheduleAt(TimePoint time, std::function<void()> run) { m_events.push({time, m_next_order++, std::move(run)}); }
 
-  void MakeManifestOf() {
+  void CreateManifest() {
     auto manifest = std::make_shared<Manifest>();
     manifest->digest = ComputeDigest("manifest " + std::to_string(m_options.seed));
     for (size_t i = 0; i < m_options.chunks; ++i) {
@@ -127,7 +127,7 @@
       m_vms[i].zone = zone;
       m_vms[i].peer = {VmId("vm-" + std::to_string(i)), ZoneName("zone-" + std::to_string(zone)), IpAddress("-")};
       peers.push_back(m_vms[i].peer);
-      m_places[m_vms[i].peer.vm] = i;
+      m_vm_index[m_vms[i].peer.vm] = i;
     }
     m_shared.assign(m_options.zones, SerialLink{m_options.shared_rate, m_clock.GetNow()});
     m_origin = {m_options.origin_rate, m_clock.GetNow()};
@@ -139,23 +139,23 @@
       plan.hedge_time = m_options.hedge_time;
       vm.random = std::make_unique<SeededRandom>(m_random.GetBits());
       vm.plan = std::make_unique<ChunkPlan>(m_clock, *vm.random, plan);
-      vm.down = std::make_unique<TokenBucket>(rate, kBurst, m_clock.GetNow());
-      vm.up = std::make_unique<TokenBucket>(rate, kBurst, m_clock.GetNow());
-      vm.in = {m_options.machine_rate, m_clock.GetNow()};
-      vm.has.assign(m_options.chunks, false);
+      vm.download_bucket = std::make_unique<TokenBucket>(rate, kBurst, m_clock.GetNow());
+      vm.upload_bucket = std::make_unique<TokenBucket>(rate, kBurst, m_clock.GetNow());
+      vm.downlink = {m_options.machine_rate, m_clock.GetNow()};
+      vm.has_chunk.assign(m_options.chunks, false);
       vm.plan->SetWants({{m_manifest, m_manifest->digest, peers, ZoneName("zone-0"), true}});
     }
     for (size_t i = 0; i < m_vms.size(); ++i) {
-      for (const WeightPeer& source : m_vms[i].plan->GetSources()) m_vms[m_places[source.vm]].subscribers.push_back(i);
+      for (const WeightPeer& peer : m_vms[i].plan->GetSources()) m_vms[m_vm_index[peer.vm]].subscribers.push_back(i);
     }
   }
 
-  void StrikeFaults() {
+  void InjectFaults() {
     std::vector<size_t> order;
     for (size_t i = 0; i < m_vms.size(); ++i) order.push_back(i);
     for (size_t i = order.size(); i > 1; --i) std::swap(order[i - 1], order[m_random.GetBelow(i)]);
     const auto count = [&](double share) { return static_cast<size_t>(share * static_cast<double>(m_vms.size())); };
-    for (size_t i = 0; i < count(m_options.killed_share); ++i) m_vms[order[i]].is_dead = true;
+    for (size_t i = 0; i < count(m_options.killed_share); ++i) m_vms[order[i]].has_failed = true;
     for (size_t i = 0; i < count(m_options.stalled_share); ++i) {
       m_vms[order[m_vms.size() - 1 - i]].is_stalled = true;
     }
@@ -163,7 +163,7 @@
 
   bool IsFinished() const {
     return std::all_of(m_vms.begin(), m_vms.end(),
-                       [&](const SimVm& vm) { return vm.is_dead || vm.count == m_options.chunks; });
+                       [&](const SimVm& vm) { return vm.has_failed || vm.count == m_options.chunks; });
   }
 
   bool IsOriginDown() const {
@@ -173,40 +173,40 @@
 
   void Tick(size_t index) {
     SimVm& vm = m_vms[index];
-    if (vm.is_dead) return;
+    if (vm.has_failed) return;
     for (const Fetch& fetch : vm.plan->ExpireStalledFetches()) Cancel(vm, fetch);
-    Pump(index);
-    At(kTick, [this, index] { Tick(index); });
+    StartFetches(index);
+    ScheduleAfter(kTickInterval, [this, index] { Tick(index); });
   }
 
-  void Pump(size_t index) {
+  void StartFetches(size_t index) {
     SimVm& vm = m_vms[index];
-    if (vm.is_pump_set || vm.is_dead) return;
+    if (vm.is_fetch_timer_set || vm.has_failed) return;
     while (true) {
-      const Duration delay = vm.down->GetDelay(m_clock.GetNow());
+      const Duration delay = vm.download_bucket->GetDelay(m_clock.GetNow());
       if (delay > Duration::zero()) {
-        vm.is_pump_set = true;
-        At(delay, [this, index] {
-          m_vms[index].is_pump_set = false;
-          Pump(index);
+        vm.is_fetch_timer_set = true;
+        ScheduleAfter(delay, [this, index] {
+          m_vms[index].is_fetch_timer_set = false;
+          StartFetches(index);
         });
         return;
       }
       const auto fetch = vm.plan->StartNextFetch({});
       if (!fetch.has_value()) return;
-      vm.down->Take(Bytes(fetch->size), m_clock.GetNow());
+      vm.download_bucket->Take(Bytes(fetch->size), m_clock.GetNow());
       vm.fetches[fetch->id.Get()] = *fetch;
-      Request(index, *fetch);
+      RequestChunk(index, *fetch);
     }
   }
 
-  void Request(size_t index, const Fetch& fetch) {
+  void RequestChunk(size_t index, const Fetch& fetch) {
     if (!fetch.peer.has_value()) {
-      At(m_options.delay, [this, index, fetch] { SendFromOrigin(index, fetch); });
+      ScheduleAfter(m_options.delay, [this, index, fetch] { SendFromOrigin(index, fetch); });
       return;
     }
-    const size_t source = m_places[*fetch.peer];
-    At(m_options.delay, [this, index, source, fetch] { Enqueue(source, index, fetch); });
+    const size_t source = m_vm_index[*fetch.peer];
+    ScheduleAfter(m_options.delay, [this, index, source, fetch] { Enqueue(source, index, fetch); });
   }
 
   void SendFromOrigin(size_t index, const Fetch& fetch) {
@@ -216,14 +216,15 @@
       return;
     }
     m_origin_bytes += fetch.size;
-    const TimePoint sent = m_origin.Pass(fetch.size, m_clock.GetNow());
-    Arrive(index, fetch, m_vms[index].in.Pass(fetch.size, sent - FromSeconds(fetch.size / m_options.machine_rate)),
-           false);
+    const TimePoint sent = m_origin.Transmit(fetch.size, m_clock.GetNow());
+    ScheduleArrival(index, fetch,
+                    m_vms[index].downlink.Transmit(fetch.size, sent - FromSeconds(fetch.size / m_options.machine_rate)),
+                    false);
   }
 
   void Enqueue(size_t source, size_t index, const Fetch& fetch) {
     SimVm& vm = m_vms[source];
-    if (vm.is_dead || vm.is_stalled) return;
+    if (vm.has_failed || vm.is_stalled) return;
     UploadRequest request;
     request.connection = std::to_string(index);
     request.id = fetch.id.Get();
@@ -231,89 +232,90 @@
     request.size = fetch.size;
     request.is_urgent = true;
     request.is_cross_zone = fetch.is_cross_zone;
-    if (!vm.has[m_index[fetch.chunk]] || !vm.queue.Add(request)) {
-      At(m_options.delay, [this, index, fetch] {
+    if (!vm.has_chunk[m_index[fetch.chunk]] || !vm.queue.Add(request)) {
+      ScheduleAfter(m_options.delay, [this, index, fetch] {
         SimVm& receiver = m_vms[index];
         if (receiver.fetches.erase(fetch.id.Get()) == 0) return;
-        receiver.down->Refund(Bytes(fetch.size));
+        receiver.download_bucket->Refund(Bytes(fetch.size));
         receiver.plan->OnFailed(fetch.id, FetchFailure::kBusy);
-        Pump(index);
+        StartFetches(index);
       });
       return;
     }
-    PumpUpload(source);
+    StartUploads(source);
   }
 
-  void PumpUpload(size_t index) {
+  void StartUploads(size_t index) {
     SimVm& vm = m_vms[index];
-    if (vm.is_upload_set || vm.is_dead || vm.is_stalled || vm.queue.IsEmpty()) return;
-    const Duration delay = vm.up->GetDelay(m_clock.GetNow());
+    if (vm.is_upload_timer_set || vm.has_failed || vm.is_stalled || vm.queue.IsEmpty()) return;
+    const Duration delay = vm.upload_bucket->GetDelay(m_clock.GetNow());
     if (delay > Duration::zero()) {
-      vm.is_upload_set = true;
-      At(delay, [this, index] {
-        m_vms[index].is_upload_set = false;
-        PumpUpload(index);
+      vm.is_upload_timer_set = true;
+      ScheduleAfter(delay, [this, index] {
+        m_vms[index].is_upload_timer_set = false;
+        StartUploads(index);
       });
       return;
     }
     const auto request = vm.queue.Take(true);
-    vm.up->Take(Bytes(request->size), m_clock.GetNow());
-    Send(index, static_cast<size_t>(std::stoul(request->connection)), *request);
-    PumpUpload(index);
+    vm.upload_bucket->Take(Bytes(request->size), m_clock.GetNow());
+    SendChunk(index, static_cast<size_t>(std::stoul(request->connection)), *request);
+    StartUploads(index);
   }
 
-  void Send(size_t source, size_t index, const UploadRequest& request) {
+  void SendChunk(size_t source, size_t index, const UploadRequest& request) {
     SimVm& receiver = m_vms[index];
     // The transmission takes as long as the sender's token bucket stays empty.
     TimePoint sent = m_clock.GetNow() + FromSeconds(request.size / m_options.machine_rate);
     if (request.is_cross_zone) {
       m_shared_bytes += request.size;
-      sent = std::max(sent, m_shared[m_vms[source].zone].Pass(request.size, m_clock.GetNow()));
+      sent = std::max(sent, m_shared[m_vms[source].zone].Transmit(request.size, m_clock.GetNow()));
     }
     Fetch fetch;
     fetch.id = FetchId(request.id);
     fetch.chunk = request.chunk;
     fetch.size = request.size;
     fetch.peer = m_vms[source].peer.vm;
-    const TimePoint begun = sent - FromSeconds(request.size / m_options.machine_rate);
-    Arrive(index, fetch, receiver.in.Pass(request.size, begun), m_random.GetUnit() < m_options.corrupt_share);
+    const TimePoint starts_at = sent - FromSeconds(request.size / m_options.machine_rate);
+    ScheduleArrival(index, fetch, receiver.downlink.Transmit(request.size, starts_at),
+                    m_random.GetUnit() < m_options.corrupt_share);
   }
 
-  void Arrive(size_t index, const Fetch& fetch, TimePoint time, bool is_corrupt) {
-    AtTime(time + m_options.delay, [this, index, fetch, is_corrupt] {
+  void ScheduleArrival(size_t index, const Fetch& fetch, TimePoint time, bool is_corrupt) {
+    ScheduleAt(time + m_options.delay, [this, index, fetch, is_corrupt] {
       SimVm& vm = m_vms[index];
-      if (vm.is_dead) return;
+      if (vm.has_failed) return;
       if (vm.fetches.erase(fetch.id.Get()) == 0 || is_corrupt) m_wasted_bytes += fetch.size;
       if (is_corrupt) {
         vm.plan->OnFailed(fetch.id, FetchFailure::kCorrupt);
       } else {
-        Store(index, fetch);
+        StoreChunk(index, fetch);
       }
-      Pump(index);
+      StartFetches(index);
     });
   }
 
-  void Store(size_t index, const Fetch& fetch) {
+  void StoreChunk(size_t index, const Fetch& fetch) {
     SimVm& vm = m_vms[index];
     for (const Fetch& other : vm.plan->OnVerified(fetch.id)) Cancel(vm, other);
     const uint32_t chunk = m_index[fetch.chunk];
-    if (vm.has[chunk]) return;
+    if (vm.has_chunk[chunk]) return;
     vm.plan->MarkAvailable(fetch.chunk);
-    vm.has[chunk] = true;
+    vm.has_chunk[chunk] = true;
     ++vm.count;
-    if (vm.gained.empty()) At(kDeltaDelay, [this, index] { Announce(index); });
-    vm.gained.push_back(chunk);
+    if (vm.new_chunks.empty()) ScheduleAfter(kDeltaDelay, [this, index] { AnnounceChunks(index); });
+    vm.new_chunks.push_back(chunk);
   }
 
-  void Announce(size_t index) {
+  void AnnounceChunks(size_t index) {
     SimVm& vm = m_vms[index];
-    const std::vector<uint32_t> gained = std::exchange(vm.gained, {});
-    if (vm.is_dead || vm.is_stalled) return;
-    At(m_options.delay, [this, index, gained] {
+    const std::vector<uint32_t> new_chunks = std::exchange(vm.new_chunks, {});
+    if (vm.has_failed || vm.is_stalled) return;
+    ScheduleAfter(m_options.delay, [this, index, new_chunks] {
       for (const size_t subscriber : m_vms[index].subscribers) {
-        if (m_vms[subscriber].is_dead) continue;
-        m_vms[subscriber].plan->OnHaveDelta(m_vms[index].peer.vm, m_manifest->digest, gained);
-        Pump(subscriber);
+        if (m_vms[subscriber].has_failed) continue;
+        m_vms[subscriber].plan->OnHaveDelta(m_vms[index].peer.vm, m_manifest->digest, new_chunks);
+        StartFetches(subscriber);
       }
     });
   }
@@ -321,10 +323,11 @@
   void Cancel(SimVm& vm, const Fetch& fetch) {
     vm.fetches.erase(fetch.id.Get());
     if (!fetch.peer.has_value()) return;
-    const size_t receiver = m_places[vm.peer.vm];
-    const size_t source = m_places[*fetch.peer];
-    At(m_options.delay,
-       [this, source, receiver, fetch] { m_vms[source].queue.Cancel(std::to_string(receiver), fetch.id.Get()); });
+    const size_t receiver = m_vm_index[vm.peer.vm];
+    const size_t source = m_vm_index[*fetch.peer];
+    ScheduleAfter(m_options.delay, [this, source, receiver, fetch] {
+      m_vms[source].queue.Cancel(std::to_string(receiver), fetch.id.Get());
+    });
   }
 
   const ExchangeSimOptions m_options;
@@ -335,7 +338,7 @@
   std::shared_ptr<const Manifest> m_manifest;
   std::map<Digest, uint32_t> m_index;
   std::vector<SimVm> m_vms;
-  std::map<VmId, size_t> m_places;
+  std::map<VmId, size_t> m_vm_index;
   std::vector<SerialLink> m_shared;
   SerialLink m_origin;
   double m_origin_bytes = 0;
--- a/standin/fair_sender.cpp
+++ b/standin/fair_sender.cpp
@@ -11,18 +11,18 @@
 // Burst size in seconds at the configured rate; at least one slice.
 constexpr double kBurstSeconds = 0.02;
 
-double GetBurst(double bytes_per_s) { return std::max<double>(kSliceBytes, bytes_per_s * kBurstSeconds); }
+double GetBurstBytes(double bytes_per_s) { return std::max<double>(kSliceBytes, bytes_per_s * kBurstSeconds); }
 
 }  // namespace
 
 FairSender::FairSender(Loop& loop, const Clock& clock, double bytes_per_s)
-    : m_loop(loop), m_bucket(clock, bytes_per_s, GetBurst(bytes_per_s)) {}
+    : m_loop(loop), m_bucket(clock, bytes_per_s, GetBurstBytes(bytes_per_s)) {}
 
-void FairSender::SetRate(double bytes_per_s) { m_bucket.SetRate(bytes_per_s, GetBurst(bytes_per_s)); }
+void FairSender::SetRate(double bytes_per_s) { m_bucket.SetRate(bytes_per_s, GetBurstBytes(bytes_per_s)); }
 
 void FairSender::SetPaused(bool is_paused) {
   m_is_paused = is_paused;
-  Arm();
+  ScheduleStep();
 }
 
 void FairSender::Add(std::shared_ptr<HttpResponder> responder, std::string body) {
@@ -34,7 +34,7 @@
   transfer->body = std::move(body);
   transfer->responder->SetOnClosed([transfer] { transfer->is_closed = true; });
   m_transfers.push_back(std::move(transfer));
-  Arm();
+  ScheduleStep();
 }
 
 void FairSender::AbortAll() {
@@ -43,7 +43,7 @@
   for (const auto& transfer : transfers) transfer->responder->Abort();
 }
 
-void FairSender::Arm() {
+void FairSender::ScheduleStep() {
   if (m_timer != nullptr || m_transfers.empty() || m_is_paused) return;
   m_timer = m_loop.RunAfter(kStepTime, [this] {
     m_timer.reset();
@@ -75,7 +75,7 @@
       transfer->responder->EndStream();
     }
   }
-  Arm();
+  ScheduleStep();
 }
 
 }  // namespace plantain::standin
--- a/standin/fair_sender.h
+++ b/standin/fair_sender.h
@@ -41,7 +41,7 @@
   };
 
   void Step();
-  void Arm();
+  void ScheduleStep();
   // Returns whether a slice was sent.
   bool SendSlice(Transfer& transfer);
 
--- a/standin/link_network.cpp
+++ b/standin/link_network.cpp
@@ -22,9 +22,9 @@
   return delay + GetBucket(direction.regions).TakeAndGetDelay(static_cast<double>(bytes));
 }
 
-void LinkNetwork::SetCut(const std::string& one, const std::string& other, bool is_cut) {
-  SetOneWayCut(one, other, is_cut);
-  SetOneWayCut(other, one, is_cut);
+void LinkNetwork::SetCut(const std::string& zone_a, const std::string& zone_b, bool is_cut) {
+  SetOneWayCut(zone_a, zone_b, is_cut);
+  SetOneWayCut(zone_b, zone_a, is_cut);
 }
 
 void LinkNetwork::SetOneWayCut(const std::string& from, const std::string& to, bool is_cut) {
--- a/standin/link_relay.cpp
+++ b/standin/link_relay.cpp
@@ -35,10 +35,10 @@
       : m_clock(clock), m_network(network), m_direction(std::move(direction)), m_timer(context) {}
 
   // `on_over` runs once: with true after an orderly end of the stream, with false after a failure.
-  void Begin(tcp::socket& source, tcp::socket& sink, std::function<void(bool)> on_over) {
+  void Start(tcp::socket& source, tcp::socket& sink, std::function<void(bool)> on_closed) {
     m_source = &source;
     m_sink = &sink;
-    m_on_over = std::move(on_over);
+    m_on_closed = std::move(on_closed);
     Read();
   }
 
@@ -49,13 +49,13 @@
   }
 
   void Stop() {
-    m_is_over = true;
+    m_is_closed = true;
     m_timer.cancel();
-    m_on_over = nullptr;
+    m_on_closed = nullptr;
   }
 
  private:
-  struct Piece {
+  struct Segment {
     std::string bytes;
     TimePoint arrives_at;
   };
@@ -63,7 +63,7 @@
   bool IsCut() const { return m_network.IsCut(m_direction.zones.first, m_direction.zones.second); }
 
   void Read() {
-    if (m_is_over || m_is_reading || m_is_ended || m_on_way >= kWindowBytes || IsCut()) return;
+    if (m_is_closed || m_is_reading || m_is_eof || m_bytes_in_transit >= kWindowBytes || IsCut()) return;
     m_is_reading = true;
     m_source->async_read_some(asio::buffer(m_buffer), [self = shared_from_this()](const ErrorCode& error, size_t size) {
       self->OnRead(error, size);
@@ -72,28 +72,28 @@
 
   void OnRead(const ErrorCode& error, size_t size) {
     m_is_reading = false;
-    if (m_is_over) return;
+    if (m_is_closed) return;
     if (error && error != asio::error::eof) {
       Finish(false);
       return;
     }
-    m_is_ended = error == asio::error::eof;
+    m_is_eof = error == asio::error::eof;
     const TimePoint arrives_at = m_clock.GetNow() + m_network.Transmit(m_direction, size);
-    m_on_way += size;
-    m_pieces.push_back({std::string(m_buffer.data(), size), arrives_at});
+    m_bytes_in_transit += size;
+    m_segments.push_back({std::string(m_buffer.data(), size), arrives_at});
     Deliver();
     Read();
   }
 
   void Deliver() {
-    if (m_is_over || m_is_writing || m_pieces.empty() || IsCut()) return;
-    const TimePoint arrives_at = m_pieces.front().arrives_at;
+    if (m_is_closed || m_is_writing || m_segments.empty() || IsCut()) return;
+    const TimePoint arrives_at = m_segments.front().arrives_at;
     if (m_clock.GetNow() < arrives_at) {
-      if (m_is_waiting) return;
-      m_is_waiting = true;
+      if (m_is_timer_set) return;
+      m_is_timer_set = true;
       m_timer.expires_at(arrives_at);
       m_timer.async_wait([self = shared_from_this()](const ErrorCode& error) {
-        self->m_is_waiting = false;
+        self->m_is_timer_set = false;
         if (!error) self->Deliver();
       });
       return;
@@ -103,31 +103,32 @@
 
   // Writes all segments that are due in one call.
   void Write() {
-    m_writing.clear();
+    m_write_buffer.clear();
     const TimePoint now = m_clock.GetNow();
-    while (!m_pieces.empty() && m_pieces.front().arrives_at <= now) {
-      m_writing += m_pieces.front().bytes;
-      m_pieces.pop_front();
+    while (!m_segments.empty() && m_segments.front().arrives_at <= now) {
+      m_write_buffer += m_segments.front().bytes;
+      m_segments.pop_front();
     }
-    if (m_writing.empty()) {
+    if (m_write_buffer.empty()) {
       OnWritten({});
       return;
     }
     m_is_writing = true;
-    asio::async_write(*m_sink, asio::buffer(m_writing), [self = shared_from_this()](const ErrorCode& error, size_t) {
-      self->m_is_writing = false;
-      self->OnWritten(error);
-    });
+    asio::async_write(*m_sink, asio::buffer(m_write_buffer),
+                      [self = shared_from_this()](const ErrorCode& error, size_t) {
+                        self->m_is_writing = false;
+                        self->OnWritten(error);
+                      });
   }
 
   void OnWritten(const ErrorCode& error) {
-    if (m_is_over) return;
+    if (m_is_closed) return;
     if (error) {
       Finish(false);
       return;
     }
-    m_on_way -= m_writing.size();
-    if (m_is_ended && m_pieces.empty()) {
+    m_bytes_in_transit -= m_write_buffer.size();
+    if (m_is_eof && m_segments.empty()) {
       ErrorCode ignored;
       m_sink->shutdown(tcp::socket::shutdown_send, ignored);
       Finish(true);
@@ -138,11 +139,11 @@
   }
 
   void Finish(bool is_clean) {
-    m_is_over = true;
+    m_is_closed = true;
     m_timer.cancel();
-    const auto on_over = std::move(m_on_over);
-    m_on_over = nullptr;
-    if (on_over) on_over(is_clean);
+    const auto on_closed = std::move(m_on_closed);
+    m_on_closed = nullptr;
+    if (on_closed) on_closed(is_clean);
   }
 
   const Clock& m_clock;
@@ -151,16 +152,16 @@
   asio::steady_timer m_timer;
   tcp::socket* m_source = nullptr;
   tcp::socket* m_sink = nullptr;
-  std::function<void(bool)> m_on_over;
+  std::function<void(bool)> m_on_closed;
   std::array<char, kReadBytes> m_buffer;
-  std::deque<Piece> m_pieces;
-  std::string m_writing;
-  size_t m_on_way = 0;
+  std::deque<Segment> m_segments;
+  std::string m_write_buffer;
+  size_t m_bytes_in_transit = 0;
   bool m_is_reading = false;
   bool m_is_writing = false;
-  bool m_is_waiting = false;
-  bool m_is_ended = false;
-  bool m_is_over = false;
+  bool m_is_timer_set = false;
+  bool m_is_eof = false;
+  bool m_is_closed = false;
 };
 
 class RelayConnection;
@@ -179,19 +180,21 @@
 // An accepted connection and its connection to the target.
 class RelayConnection : public std::enable_shared_from_this<RelayConnection> {
  public:
-  RelayConnection(LinkRelays::Impl& relays, RelaySpec spec, tcp::socket near)
+  RelayConnection(LinkRelays::Impl& relays, RelaySpec spec, tcp::socket client_socket)
       : m_relays(relays),
         m_spec(std::move(spec)),
-        m_near(std::move(near)),
-        m_far(relays.context),
+        m_client_socket(std::move(client_socket)),
+        m_target_socket(relays.context),
         m_timer(relays.context),
-        m_there(std::make_shared<Pipe>(relays.context, relays.clock, relays.network, GetDirection(m_spec, true))),
-        m_back(std::make_shared<Pipe>(relays.context, relays.clock, relays.network, GetDirection(m_spec, false))) {}
+        m_forward_pipe(
+            std::make_shared<Pipe>(relays.context, relays.clock, relays.network, GetDirection(m_spec, true))),
+        m_backward_pipe(
+            std::make_shared<Pipe>(relays.context, relays.clock, relays.network, GetDirection(m_spec, false))) {}
 
   // Connects to the target after the simulated handshake time. Waits while the zones are cut off.
-  void Begin() {
-    if (m_has_begun || m_relays.network.IsCut(m_spec.from_zone, m_spec.to_zone)) return;
-    m_has_begun = true;
+  void Start() {
+    if (m_is_started || m_relays.network.IsCut(m_spec.from_zone, m_spec.to_zone)) return;
+    m_is_started = true;
     m_relays.network.CountConnection({m_spec.from_zone, m_spec.to_zone});
     m_timer.expires_after(2 * m_relays.network.Transmit(GetDirection(m_spec, true), 0));
     m_timer.async_wait([self = shared_from_this()](const ErrorCode& error) {
@@ -202,32 +205,33 @@
   void Close() {
     const auto self = shared_from_this();
     m_timer.cancel();
-    m_there->Stop();
-    m_back->Stop();
+    m_forward_pipe->Stop();
+    m_backward_pipe->Stop();
     ErrorCode ignored;
-    m_near.close(ignored);
-    m_far.close(ignored);
+    m_client_socket.close(ignored);
+    m_target_socket.close(ignored);
     m_relays.connections.erase(self);
   }
 
-  bool IsBetween(const std::string& one, const std::string& other) const {
-    return (m_spec.from_zone == one && m_spec.to_zone == other) || (m_spec.from_zone == other && m_spec.to_zone == one);
+  bool IsBetween(const std::string& zone_a, const std::string& zone_b) const {
+    return (m_spec.from_zone == zone_a && m_spec.to_zone == zone_b) ||
+           (m_spec.from_zone == zone_b && m_spec.to_zone == zone_a);
   }
 
   // Closes both sockets with a TCP reset instead of an orderly shutdown.
   void Reset() {
     ErrorCode ignored;
-    m_near.set_option(asio::socket_base::linger(true, 0), ignored);
-    m_far.set_option(asio::socket_base::linger(true, 0), ignored);
+    m_client_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    m_target_socket.set_option(asio::socket_base::linger(true, 0), ignored);
     Close();
   }
 
   void Resume() {
-    if (!m_has_begun) {
-      Begin();
+    if (!m_is_started) {
+      Start();
     } else if (m_is_connected) {
-      m_there->Resume();
-      m_back->Resume();
+      m_forward_pipe->Resume();
+      m_backward_pipe->Resume();
     }
   }
 
@@ -239,40 +243,40 @@
       Close();
       return;
     }
-    m_far.async_connect(tcp::endpoint(address, m_spec.target_port),
-                        [self = shared_from_this()](const ErrorCode& connect_error) {
-                          if (connect_error) {
-                            self->Close();
-                          } else {
-                            self->Carry();
-                          }
-                        });
+    m_target_socket.async_connect(tcp::endpoint(address, m_spec.target_port),
+                                  [self = shared_from_this()](const ErrorCode& connect_error) {
+                                    if (connect_error) {
+                                      self->Close();
+                                    } else {
+                                      self->StartPipes();
+                                    }
+                                  });
   }
 
-  void Carry() {
+  void StartPipes() {
     m_is_connected = true;
     ErrorCode ignored;
-    m_near.set_option(tcp::no_delay(true), ignored);
-    m_far.set_option(tcp::no_delay(true), ignored);
-    const auto on_over = [self = shared_from_this()](bool is_clean) { self->OnPipeOver(is_clean); };
-    m_there->Begin(m_near, m_far, on_over);
-    m_back->Begin(m_far, m_near, on_over);
+    m_client_socket.set_option(tcp::no_delay(true), ignored);
+    m_target_socket.set_option(tcp::no_delay(true), ignored);
+    const auto on_closed = [self = shared_from_this()](bool is_clean) { self->OnPipeClosed(is_clean); };
+    m_forward_pipe->Start(m_client_socket, m_target_socket, on_closed);
+    m_backward_pipe->Start(m_target_socket, m_client_socket, on_closed);
   }
 
-  void OnPipeOver(bool is_clean) {
-    ++m_pipes_over;
-    if (!is_clean || m_pipes_over == 2) Close();
+  void OnPipeClosed(bool is_clean) {
+    ++m_closed_pipes;
+    if (!is_clean || m_closed_pipes == 2) Close();
   }
 
   LinkRelays::Impl& m_relays;
   const RelaySpec m_spec;
-  tcp::socket m_near;
-  tcp::socket m_far;
+  tcp::socket m_client_socket;
+  tcp::socket m_target_socket;
   asio::steady_timer m_timer;
-  std::shared_ptr<Pipe> m_there;
-  std::shared_ptr<Pipe> m_back;
-  int m_pipes_over = 0;
-  bool m_has_begun = false;
+  std::shared_ptr<Pipe> m_forward_pipe;
+  std::shared_ptr<Pipe> m_backward_pipe;
+  int m_closed_pipes = 0;
+  bool m_is_started = false;
   bool m_is_connected = false;
 };
 
@@ -285,7 +289,7 @@
     if (!error) {
       const auto connection = std::make_shared<RelayConnection>(*relays, spec, std::move(socket));
       relays->connections.insert(connection);
-      connection->Begin();
+      connection->Start();
     }
     Accept(relays, acceptor, spec);
   });
@@ -323,10 +327,10 @@
   for (const auto& connection : connections) connection->Resume();
 }
 
-void LinkRelays::Reset(const std::string& one, const std::string& other) {
+void LinkRelays::Reset(const std::string& zone_a, const std::string& zone_b) {
   const auto connections = m_impl->connections;
   for (const auto& connection : connections) {
-    if (connection->IsBetween(one, other)) connection->Reset();
+    if (connection->IsBetween(zone_a, zone_b)) connection->Reset();
   }
 }
 
--- a/standin/link_relay.h
+++ b/standin/link_relay.h
@@ -56,7 +56,7 @@
   Duration Transmit(const Direction& direction, size_t bytes);
 
   // Stops or resumes all traffic between two zones, in both directions.
-  void SetCut(const std::string& one, const std::string& other, bool is_cut);
+  void SetCut(const std::string& zone_a, const std::string& zone_b, bool is_cut);
   // Stops or resumes traffic from one zone to another; the opposite direction is not affected.
   void SetOneWayCut(const std::string& from, const std::string& to, bool is_cut);
   void HealAll() { m_cuts.clear(); }
@@ -101,7 +101,7 @@
   void Resume();
 
   // Resets every connection between two zones, regardless of which side opened it.
-  void Reset(const std::string& one, const std::string& other);
+  void Reset(const std::string& zone_a, const std::string& zone_b);
 
  private:
   std::shared_ptr<Impl> m_impl;
--- a/standin/load_ledger.cpp
+++ b/standin/load_ledger.cpp
@@ -14,24 +14,24 @@
   return request.is_service ? request.id : MakePrefixName(request.prompt, request.prompt.size());
 }
 
-void LedgerCheck::AddTold(const LoadRequest& request, ToldState state) {
-  const bool is_once = request.is_service && !request.call.is_repeatable;
+void LedgerCheck::AddRequest(const LoadRequest& request, ClientOutcome outcome) {
+  const bool is_at_most_once = request.is_service && !request.call.is_repeatable;
   // Repeatable requests may run any number of times, so only a "not run" outcome can be contradicted.
-  if (!is_once && state != ToldState::kNotRun) return;
-  m_told.push_back({GetLedgerKey(request), is_once, request.is_service, state});
+  if (!is_at_most_once && outcome != ClientOutcome::kNotRun) return;
+  m_requests.push_back({GetLedgerKey(request), is_at_most_once, request.is_service, outcome});
 }
 
 void LedgerCheck::Merge(const LedgerCheck& other) {
-  m_told.insert(m_told.end(), other.m_told.begin(), other.m_told.end());
+  m_requests.insert(m_requests.end(), other.m_requests.begin(), other.m_requests.end());
 }
 
 bool LedgerCheck::AddLedger(const std::string& body) {
   const nlohmann::json ledger = nlohmann::json::parse(body, nullptr, false);
   if (!ledger.is_object() || !ledger.contains("calls") || !ledger["calls"].is_array()) return false;
   for (const nlohmann::json& call : ledger["calls"]) {
-    m_executed[call.value("key", "")] += call.value("count", uint64_t{0});
+    m_execution_counts[call.value("key", "")] += call.value("count", uint64_t{0});
   }
-  ++m_read;
+  ++m_ledgers_read;
   return true;
 }
 
@@ -40,38 +40,35 @@
   uint64_t repeated = 0;
   uint64_t answered_but_not_run = 0;
   nlohmann::json examples = nlohmann::json::array();
-  for (const Told& told : m_told) {
-    const auto found = m_executed.find(told.key);
-    const uint64_t count = found == m_executed.end() ? 0 : found->second;
-    const bool is_false_refusal = told.state == ToldState::kNotRun && count > 0;
-    const bool is_repeated = told.is_once && count > 1;
-    const bool is_missing = told.is_once && told.state == ToldState::kAnswered && count == 0;
+  for (const CheckedRequest& request : m_requests) {
+    const auto found = m_execution_counts.find(request.key);
+    const uint64_t count = found == m_execution_counts.end() ? 0 : found->second;
+    const bool is_false_refusal = request.outcome == ClientOutcome::kNotRun && count > 0;
+    const bool is_repeated = request.is_at_most_once && count > 1;
+    const bool is_missing = request.is_at_most_once && request.outcome == ClientOutcome::kAnswered && count == 0;
     not_run_but_run += is_false_refusal;
     repeated += is_repeated;
     answered_but_not_run += is_missing;
     const bool is_contradiction = is_false_refusal || is_repeated || is_missing;
-    if (is_contradiction && examples.size() < kMaxExamples) examples.push_back(told.key);
+    if (is_contradiction && examples.size() < kMaxExamples) examples.push_back(request.key);
   }
-  return {{"read", m_read},
-          {"unreadable", m_unreadable},
-          {"checked", m_told.size()},
-          {"not_run_but_run", not_run_but_run},
-          {"repeated", repeated},
-          {"answered_but_not_run", answered_but_not_run},
+  return {{"read", m_ledgers_read},         {"unreadable", m_ledgers_unreadable},
+          {"checked", m_requests.size()},   {"not_run_but_run", not_run_but_run},
+          {"repeated", repeated},           {"answered_but_not_run", answered_but_not_run},
           {"examples", std::move(examples)}};
 }
 
 void FetchLedgers(const std::vector<HttpTarget>& targets, LedgerCheck& check) {
   Loop loop;
   HttpClient client(loop);
-  size_t waiting = targets.size();
-  if (waiting == 0) return;
+  size_t pending = targets.size();
+  if (pending == 0) return;
   for (const HttpTarget& target : targets) {
     client.Fetch(target, HttpRequest{"GET", "/ledger", {}, ""}, HttpCallOptions{},
                  [&](const absl::StatusOr<HttpResponse>& response) {
                    const bool is_read = response.ok() && response->status == 200 && check.AddLedger(response->body);
                    if (!is_read) check.AddUnreadable();
-                   if (--waiting == 0) loop.Stop();
+                   if (--pending == 0) loop.Stop();
                  });
   }
   loop.Run();
--- a/standin/load_ledger.h
+++ b/standin/load_ledger.h
@@ -15,7 +15,7 @@
 namespace plantain::standin {
 
 // Outcome of a request from the client's point of view, after all retries.
-enum class ToldState {
+enum class ClientOutcome {
   // A complete and correct answer.
   kAnswered,
   // Every attempt was answered "not run" or could not be sent.
@@ -30,29 +30,29 @@
 // Collects client outcomes and execution counts, and counts the contradictions between them.
 class LedgerCheck {
  public:
-  void AddTold(const LoadRequest& request, ToldState state);
+  void AddRequest(const LoadRequest& request, ClientOutcome outcome);
   void Merge(const LedgerCheck& other);
 
   // Adds the execution counts of one `GET /ledger` answer. Returns false if the body is not a ledger.
   bool AddLedger(const std::string& body);
-  void AddUnreadable() { ++m_unreadable; }
+  void AddUnreadable() { ++m_ledgers_unreadable; }
 
   // Returns the contradictions as request counts: `not_run_but_run`, `repeated` (at-most-once calls that were executed
   // more than once) and `answered_but_not_run` (meaningful only if all ledgers could be read).
   nlohmann::json ToJson() const;
 
  private:
-  struct Told {
+  struct CheckedRequest {
     std::string key;
-    bool is_once;
+    bool is_at_most_once;
     bool is_service;
-    ToldState state;
+    ClientOutcome outcome;
   };
 
-  std::vector<Told> m_told;
-  std::unordered_map<std::string, uint64_t> m_executed;
-  uint64_t m_read = 0;
-  uint64_t m_unreadable = 0;
+  std::vector<CheckedRequest> m_requests;
+  std::unordered_map<std::string, uint64_t> m_execution_counts;
+  uint64_t m_ledgers_read = 0;
+  uint64_t m_ledgers_unreadable = 0;
 };
 
 // Fetches the ledgers of all targets and adds them to `check`. Blocks until every target has answered or failed.
--- a/standin/load_plan.cpp
+++ b/standin/load_plan.cpp
@@ -70,9 +70,9 @@
 
 absl::Status ParseTokens(const std::string& text, LoadOptions& options) {
   const size_t dash = text.find('-');
-  const std::string low = text.substr(0, dash);
-  const std::string high = dash == std::string::npos ? low : text.substr(dash + 1);
-  if (!ParseNumber(low, options.min_tokens) || !ParseNumber(high, options.max_tokens) ||
+  const std::string min_text = text.substr(0, dash);
+  const std::string max_text = dash == std::string::npos ? min_text : text.substr(dash + 1);
+  if (!ParseNumber(min_text, options.min_tokens) || !ParseNumber(max_text, options.max_tokens) ||
       options.min_tokens > options.max_tokens || options.min_tokens == 0) {
     return MakeUsageFailure("max-tokens", text, "a number or low-high");
   }
@@ -84,10 +84,10 @@
   for (const LoadWorkspace& workspace : options.workspaces) m_total_weight += workspace.weight;
 }
 
-Duration LoadPlan::GetNextGap() {
+Duration LoadPlan::GetNextInterarrivalTime() {
   const double rate = m_options.rate / static_cast<double>(m_options.threads);
-  const double gap_s = -std::log(1 - m_random.GetUnit()) / rate;
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap_s));
+  const double interval_s = -std::log(1 - m_random.GetUnit()) / rate;
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(interval_s));
 }
 
 size_t LoadPlan::ChooseWorkspace() {
@@ -99,15 +99,15 @@
   return m_options.workspaces.size() - 1;
 }
 
-LoadRequest LoadPlan::MakeNext() {
+LoadRequest LoadPlan::MakeNextRequest() {
   LoadRequest request;
   request.id = m_options.run + "-" + std::to_string(m_options.seed) + "-" + std::to_string(m_thread) + "-" +
                std::to_string(++m_count);
   request.workspace = ChooseWorkspace();
   request.is_service = m_random.GetUnit() < m_options.service_share;
   if (request.is_service) {
-    const bool is_once = m_random.GetUnit() < m_options.once_share;
-    request.call = {m_options.service, is_once ? m_options.once_call : m_options.repeat_call, !is_once};
+    const bool is_at_most_once = m_random.GetUnit() < m_options.once_share;
+    request.call = {m_options.service, is_at_most_once ? m_options.once_call : m_options.repeat_call, !is_at_most_once};
     request.body = R"({"item":")" + request.id + R"("})";
     return request;
   }
--- a/standin/load_plan.h
+++ b/standin/load_plan.h
@@ -100,9 +100,9 @@
   LoadPlan(const LoadOptions& options, size_t thread);
 
   // Returns the time from one arrival to the next. Arrivals form a Poisson process.
-  Duration GetNextGap();
+  Duration GetNextInterarrivalTime();
 
-  LoadRequest MakeNext();
+  LoadRequest MakeNextRequest();
 
  private:
   size_t ChooseWorkspace();
--- a/standin/load_report.cpp
+++ b/standin/load_report.cpp
@@ -80,8 +80,8 @@
   }
   if (!m_options.ledgers.empty()) {
     const bool is_answered = result.outcome == LoadOutcome::kAnswered;
-    const ToldState unanswered = result.is_never_run ? ToldState::kNotRun : ToldState::kUnknown;
-    m_ledger.AddTold(request, is_answered ? ToldState::kAnswered : unanswered);
+    const ClientOutcome unanswered = result.is_never_run ? ClientOutcome::kNotRun : ClientOutcome::kUnknown;
+    m_ledger.AddRequest(request, is_answered ? ClientOutcome::kAnswered : unanswered);
   }
   if (result.outcome == LoadOutcome::kRefused) {
     ++m_refused_types[result.type];
@@ -110,7 +110,7 @@
   for (const auto& [type, count] : other.m_refused_types) m_refused_types[type] += count;
   for (const auto& [type, count] : other.m_failed_types) m_failed_types[type] += count;
   m_refused_not_run += other.m_refused_not_run;
-  m_behind += other.m_behind;
+  m_sent_late += other.m_sent_late;
   m_ledger.Merge(other.m_ledger);
   m_first_token.Merge(other.m_first_token);
   m_token_gap.Merge(other.m_token_gap);
@@ -138,7 +138,7 @@
   json["refused_by_type"] = m_refused_types;
   json["refused_not_run"] = m_refused_not_run;
   json["failed_by_type"] = m_failed_types;
-  json["sent_late"] = m_behind;
+  json["sent_late"] = m_sent_late;
   json["first_token_ms"] = MakeQuantiles(m_first_token);
   json["token_gap_ms"] = MakeQuantiles(m_token_gap);
   json["total_ms"] = MakeQuantiles(m_total);
--- a/standin/load_report.h
+++ b/standin/load_report.h
@@ -60,7 +60,7 @@
   void AddResult(const LoadRequest& request, const LoadResult& result, Duration since_start);
   // Records the description of a failed or incorrect answer; the number kept is limited.
   void AddProblem(const LoadRequest& request, const std::string& detail);
-  void AddUnsentLate(uint64_t count) { m_behind += count; }
+  void AddSentLate(uint64_t count) { m_sent_late += count; }
 
   void Merge(const LoadReport& other);
 
@@ -86,7 +86,7 @@
   std::map<std::string, uint64_t> m_refused_types;
   std::map<std::string, uint64_t> m_failed_types;
   uint64_t m_refused_not_run = 0;
-  uint64_t m_behind = 0;
+  uint64_t m_sent_late = 0;
   LatencyHistogram m_first_token;
   LatencyHistogram m_token_gap;
   LatencyHistogram m_total;
--- a/standin/load_worker.h
+++ b/standin/load_worker.h
@@ -28,24 +28,24 @@
   const LoadReport& GetReport() const { return m_report; }
 
  private:
-  struct Flight;
+  struct PendingRequest;
 
-  void SendDue();
-  void ArmNextArrival();
-  void StartAttempt(const std::shared_ptr<Flight>& flight);
-  HttpRequest MakeHttpRequest(const Flight& flight) const;
-  const HttpTarget& ChooseTarget(const Flight& flight) const;
-  void OnHead(const std::shared_ptr<Flight>& flight, int status, const HttpHeaders& headers);
-  void OnData(const std::shared_ptr<Flight>& flight, std::string_view data);
-  void OnDone(const std::shared_ptr<Flight>& flight, const absl::Status& status);
-  void JudgeAnswer(const std::shared_ptr<Flight>& flight);
-  void JudgeRefusal(const std::shared_ptr<Flight>& flight);
+  void SendDueRequests();
+  void ScheduleNextArrival();
+  void StartAttempt(const std::shared_ptr<PendingRequest>& pending);
+  HttpRequest MakeHttpRequest(const PendingRequest& pending) const;
+  const HttpTarget& ChooseTarget(const PendingRequest& pending) const;
+  void OnHead(const std::shared_ptr<PendingRequest>& pending, int status, const HttpHeaders& headers);
+  void OnData(const std::shared_ptr<PendingRequest>& pending, std::string_view data);
+  void OnDone(const std::shared_ptr<PendingRequest>& pending, const absl::Status& status);
+  void HandleAnswer(const std::shared_ptr<PendingRequest>& pending);
+  void HandleRefusal(const std::shared_ptr<PendingRequest>& pending);
   // Schedules a retry if the retry limit and the deadline allow it, otherwise completes the request.
-  void RetryOrEnd(const std::shared_ptr<Flight>& flight, LoadResult result, Duration retry_after);
-  void End(const std::shared_ptr<Flight>& flight, LoadResult result);
-  void EndUnfinished();
+  void RetryOrFinish(const std::shared_ptr<PendingRequest>& pending, LoadResult result, Duration retry_after);
+  void FinishRequest(const std::shared_ptr<PendingRequest>& pending, LoadResult result);
+  void FailUnfinished();
   Duration GetSinceStart() const { return m_clock.GetNow() - m_started_at; }
-  void StopIfOver();
+  void StopIfDone();
 
   const LoadOptions& m_options;
   const Clock& m_clock;
@@ -55,10 +55,10 @@
   LoadReport m_report;
   TimePoint m_started_at;
   TimePoint m_next_at;
-  TimePoint m_ends_at;
+  TimePoint m_sending_ends_at;
   bool m_is_sending = true;
   size_t m_next_target;
-  std::unordered_set<std::shared_ptr<Flight>> m_flights;
+  std::unordered_set<std::shared_ptr<PendingRequest>> m_pending_requests;
   std::unique_ptr<Timer> m_arrival_timer;
   std::unique_ptr<Timer> m_end_timer;
 };
--- a/standin/prefix_cache.cpp
+++ b/standin/prefix_cache.cpp
@@ -10,20 +10,20 @@
 
 }  // namespace
 
-bool PrefixCache::Use(const std::string& prefix) {
+bool PrefixCache::LookUpOrInsert(const std::string& prefix) {
   const auto found = m_entries.find(prefix);
   if (found != m_entries.end()) {
-    m_by_use.splice(m_by_use.begin(), m_by_use, found->second);
+    m_lru_list.splice(m_lru_list.begin(), m_lru_list, found->second);
     return true;
   }
   if (m_options.max_entries == 0) return false;
   if (m_entries.size() >= m_options.max_entries) {
-    AddEvent("evicted", m_by_use.back());
-    m_entries.erase(m_by_use.back());
-    m_by_use.pop_back();
+    AddEvent("evicted", m_lru_list.back());
+    m_entries.erase(m_lru_list.back());
+    m_lru_list.pop_back();
   }
-  m_by_use.push_front(prefix);
-  m_entries[prefix] = m_by_use.begin();
+  m_lru_list.push_front(prefix);
+  m_entries[prefix] = m_lru_list.begin();
   AddEvent("stored", prefix);
   return false;
 }
@@ -31,15 +31,15 @@
 void PrefixCache::Clear() {
   if (m_entries.empty()) return;
   m_entries.clear();
-  m_by_use.clear();
+  m_lru_list.clear();
   AddEvent("cleared", "");
 }
 
 void PrefixCache::AddEvent(const char* type, const std::string& prefix) {
   // Lost events also consume a sequence number, so that readers can detect the gap.
-  ++m_last_number;
+  ++m_last_event_number;
   if (m_random.GetUnit() < m_options.event_loss_share) return;
-  m_events.push_back({m_last_number, m_clock.GetNow(), type, prefix});
+  m_events.push_back({m_last_event_number, m_clock.GetNow(), type, prefix});
   if (m_events.size() > kMaxEvents) m_events.pop_front();
 }
 
--- a/standin/prefix_cache.h
+++ b/standin/prefix_cache.h
@@ -27,7 +27,7 @@
       : m_clock(clock), m_random(random), m_options(options) {}
 
   // Looks up a prefix, inserting it if missing. Returns whether it was cached.
-  bool Use(const std::string& prefix);
+  bool LookUpOrInsert(const std::string& prefix);
 
   // Drops all prefixes.
   void Clear();
@@ -48,10 +48,10 @@
   const Clock& m_clock;
   Random& m_random;
   const Options m_options;
-  std::list<std::string> m_by_use;
+  std::list<std::string> m_lru_list;
   std::unordered_map<std::string, std::list<std::string>::iterator> m_entries;
   std::deque<Event> m_events;
-  uint64_t m_last_number = 0;
+  uint64_t m_last_event_number = 0;
 };
 
 }  // namespace plantain::standin
--- a/standin/standin_base.cpp
+++ b/standin/standin_base.cpp
@@ -14,9 +14,9 @@
 constexpr int kExitUsage = 2;
 
 // Lets the handler execute the request, but closes the connection instead of sending the answer.
-class LosingResponder : public HttpResponder {
+class DroppingResponder : public HttpResponder {
  public:
-  explicit LosingResponder(std::shared_ptr<HttpResponder> inner) : m_inner(std::move(inner)) {}
+  explicit DroppingResponder(std::shared_ptr<HttpResponder> inner) : m_inner(std::move(inner)) {}
 
   void Send(HttpResponse) override { m_inner->Abort(); }
   void StartStream(int, const HttpHeaders&) override { m_inner->Abort(); }
@@ -91,24 +91,24 @@
     return;
   }
   if (m_faults.delay_ms > 0) {
-    auto shared = std::make_shared<HttpRequest>(std::move(request));
+    auto shared_request = std::make_shared<HttpRequest>(std::move(request));
     RunDetached(m_loop, Milliseconds(m_faults.delay_ms),
-                [this, shared, responder] { Deliver(std::move(*shared), responder); });
+                [this, shared_request, responder] { Dispatch(std::move(*shared_request), responder); });
     return;
   }
-  Deliver(std::move(request), std::move(responder));
+  Dispatch(std::move(request), std::move(responder));
 }
 
-void HttpStandin::Deliver(HttpRequest request, std::shared_ptr<HttpResponder> responder) {
+void HttpStandin::Dispatch(HttpRequest request, std::shared_ptr<HttpResponder> responder) {
   if (m_faults.is_stalled) {
-    m_waiting.push_back({std::move(request), std::move(responder)});
+    m_stalled_requests.push_back({std::move(request), std::move(responder)});
     return;
   }
   if (m_faults.is_down) {
     responder->Send(MakeErrorResponse(503, "down"));
     return;
   }
-  if (IsHit(m_faults.lose_answer_share)) responder = std::make_shared<LosingResponder>(std::move(responder));
+  if (ShouldInject(m_faults.lose_answer_share)) responder = std::make_shared<DroppingResponder>(std::move(responder));
   m_handler(std::move(request), std::move(responder));
 }
 
@@ -138,18 +138,18 @@
   faults.is_stalled = fields.value("stall", faults.is_stalled);
   faults.delay_ms = fields.value("delay_ms", faults.delay_ms);
   faults.lose_answer_share = fields.value("lose_answer_share", faults.lose_answer_share);
-  const bool is_released = m_faults.is_stalled && !faults.is_stalled;
+  const bool is_stall_over = m_faults.is_stalled && !faults.is_stalled;
   m_faults = faults;
   absl::Status status = absl::OkStatus();
-  if (m_control) status = m_control(fields);
-  if (is_released) ReleaseWaiting();
+  if (m_control_handler) status = m_control_handler(fields);
+  if (is_stall_over) DispatchStalled();
   return status;
 }
 
-void HttpStandin::ReleaseWaiting() {
-  std::vector<Waiting> waiting = std::move(m_waiting);
-  m_waiting.clear();
-  for (Waiting& entry : waiting) Deliver(std::move(entry.request), std::move(entry.responder));
+void HttpStandin::DispatchStalled() {
+  std::vector<StalledRequest> stalled_requests = std::move(m_stalled_requests);
+  m_stalled_requests.clear();
+  for (StalledRequest& stalled : stalled_requests) Dispatch(std::move(stalled.request), std::move(stalled.responder));
 }
 
 int RunUntilTerminated(Loop& loop, const std::string& program, const absl::Status& started) {
--- a/standin/standin_base.h
+++ b/standin/standin_base.h
@@ -68,7 +68,7 @@
   HttpStandin(Loop& loop, Random& random) : m_loop(loop), m_random(random) {}
 
   // Sets the handler for the program-specific fields of `POST /control`.
-  void SetControlHandler(ControlHandler handler) { m_control = std::move(handler); }
+  void SetControlHandler(ControlHandler handler) { m_control_handler = std::move(handler); }
 
   absl::Status Listen(const IpAddress& address, Port port, size_t max_body_bytes, HttpHandler handler);
 
@@ -76,26 +76,26 @@
   Loop& GetLoop() { return m_loop; }
 
   // Returns true with the probability `share`.
-  bool IsHit(double share) { return share > 0 && m_random.GetUnit() < share; }
+  bool ShouldInject(double share) { return share > 0 && m_random.GetUnit() < share; }
 
  private:
-  struct Waiting {
+  struct StalledRequest {
     HttpRequest request;
     std::shared_ptr<HttpResponder> responder;
   };
 
   void Handle(HttpRequest request, std::shared_ptr<HttpResponder> responder);
-  void Deliver(HttpRequest request, std::shared_ptr<HttpResponder> responder);
+  void Dispatch(HttpRequest request, std::shared_ptr<HttpResponder> responder);
   HttpResponse AnswerControl(const HttpRequest& request);
   absl::Status ApplyControl(const nlohmann::json& fields);
-  void ReleaseWaiting();
+  void DispatchStalled();
 
   Loop& m_loop;
   Random& m_random;
   Faults m_faults;
-  ControlHandler m_control;
+  ControlHandler m_control_handler;
   HttpHandler m_handler;
-  std::vector<Waiting> m_waiting;
+  std::vector<StalledRequest> m_stalled_requests;
   std::unique_ptr<HttpServer> m_server;
 };
 
--- a/standin/standin_engine_main.cpp
+++ b/standin/standin_engine_main.cpp
@@ -95,7 +95,7 @@
   options.has_fences = raw.has_fences;
   options.is_verifying = raw.is_verifying;
   options.is_cold_after_load = raw.is_cold_after_load;
-  options.is_emptied_by_fall = raw.fall_over == "empty";
+  options.is_unloaded_by_overload = raw.fall_over == "empty";
   options.load_lag = Milliseconds(raw.load_lag_ms);
   options.order_time = Milliseconds(raw.order_ms);
   options.prefill_time = Milliseconds(raw.prefill_ms);
--- a/standin/standin_log_main.cpp
+++ b/standin/standin_log_main.cpp
@@ -29,7 +29,7 @@
       : m_standin(standin),
         m_clock(clock),
         m_retention_ms(retention_ms),
-        m_appends(clock, max_appends_per_s, max_appends_per_s) {}
+        m_append_limiter(clock, max_appends_per_s, max_appends_per_s) {}
 
   void Handle(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
     const std::vector<std::string> parts = SplitPath(GetPath(request.target));
@@ -42,7 +42,7 @@
     } else if (request.method == "POST") {
       Append(parts[1], request, responder);
     } else if (request.method == "GET") {
-      BeginRead(parts[1], request, responder);
+      HandleRead(parts[1], request, responder);
     } else {
       responder->Send(MakeErrorResponse(405, "method"));
     }
@@ -54,7 +54,7 @@
     m_retention_ms = fields.value("retention_ms", m_retention_ms);
     if (fields.contains("max_appends_per_s")) {
       const double rate = fields["max_appends_per_s"].get<double>();
-      m_appends.SetRate(rate, rate);
+      m_append_limiter.SetRate(rate, rate);
     }
     for (auto& [name, stream] : m_streams) stream.store.SetRetention(Milliseconds(m_retention_ms));
     for (auto& [name, stream] : m_streams) {
@@ -86,7 +86,7 @@
   }
 
   void Append(const std::string& name, const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
-    if (!m_appends.TryTake(1)) {
+    if (!m_append_limiter.TryTake(1)) {
       ++m_refused;
       HttpResponse response = MakeErrorResponse(429, "append_rate");
       response.headers.Add("Retry-After", "1");
@@ -106,7 +106,8 @@
     return next - std::min(m_rewind, next - stream.store.GetFirstOffset());
   }
 
-  void BeginRead(const std::string& name, const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
+  void HandleRead(const std::string& name, const HttpRequest& request,
+                  const std::shared_ptr<HttpResponder>& responder) {
     const std::string max_text = GetQueryValue(request.target, "max");
     Poll poll{strtoull(GetQueryValue(request.target, "from").c_str(), nullptr, 10),
               max_text.empty() ? kDefaultMaxRecords : strtoull(max_text.c_str(), nullptr, 10), responder};
@@ -181,7 +182,7 @@
   HttpStandin& m_standin;
   const Clock& m_clock;
   int64_t m_retention_ms;
-  TokenBucket m_appends;
+  TokenBucket m_append_limiter;
   uint64_t m_rewind = 0;
   bool m_is_duplicating = false;
   std::map<std::string, Stream> m_streams;
--- a/standin/standin_origin_main.cpp
+++ b/standin/standin_origin_main.cpp
@@ -96,7 +96,7 @@
     }
     ++m_chunk_requests;
     std::string bytes = *m_catalog.FindChunk(digest);
-    if (m_standin.IsHit(m_corrupt_share)) {
+    if (m_standin.ShouldInject(m_corrupt_share)) {
       ++m_corrupted;
       bytes[bytes.size() / 2] ^= 0x40;
     }
--- a/standin/standin_vms_main.cpp
+++ b/standin/standin_vms_main.cpp
@@ -24,7 +24,7 @@
  public:
   VmsStandin(Loop& loop, int64_t lag_ms) : m_loop(loop), m_lag_ms(lag_ms) {}
 
-  void SetNow(nlohmann::json vms) { m_vms = std::move(vms); }
+  void SetList(nlohmann::json vms) { m_vms = std::move(vms); }
 
   HttpResponse Answer(const HttpRequest& request) {
     const std::string_view path = GetPath(request.target);
@@ -34,8 +34,8 @@
     const std::string zone = GetQueryValue(request.target, "zone");
     nlohmann::json vms = m_vms;
     for (nlohmann::json& vm : vms) {
-      const nlohmann::json seen_from = vm.value("address_from", nlohmann::json::object());
-      if (seen_from.contains(zone)) vm["address"] = seen_from[zone];
+      const nlohmann::json address_by_zone = vm.value("address_from", nlohmann::json::object());
+      if (address_by_zone.contains(zone)) vm["address"] = address_by_zone[zone];
       vm.erase("address_from");
     }
     return MakeJsonResponse(200, nlohmann::json{{"vms", std::move(vms)}}.dump());
@@ -64,7 +64,7 @@
   nlohmann::json content = nlohmann::json::parse(file, nullptr, false);
   if (content.is_object()) content = content.value("vms", nlohmann::json());
   if (!content.is_array()) return MakeFailure(FailureCode::kSettingInvalid, path + ": expected a JSON list of VMs");
-  vms.SetNow(std::move(content));
+  vms.SetList(std::move(content));
   return absl::OkStatus();
 }
 
--- a/standin/token_bucket.h
+++ b/standin/token_bucket.h
@@ -13,13 +13,13 @@
 class TokenBucket {
  public:
   TokenBucket(const Clock& clock, double rate, double burst)
-      : m_clock(clock), m_rate(rate), m_burst(burst), m_level(burst), m_filled_at(clock.GetNow()) {}
+      : m_clock(clock), m_rate(rate), m_burst(burst), m_level(burst), m_refilled_at(clock.GetNow()) {}
 
   // A rate of zero or less means no limit.
   bool IsUnlimited() const { return m_rate <= 0; }
 
   void SetRate(double rate, double burst) {
-    Fill();
+    Refill();
     m_rate = rate;
     m_burst = burst;
     m_level = std::min(m_level, burst);
@@ -28,9 +28,9 @@
   // Takes `units` if they are available.
   bool TryTake(double units) {
     if (IsUnlimited()) return true;
-    Fill();
+    Refill();
     // Rounding errors of many short refills add up. Without the tolerance, a unit that is due would be denied.
-    if (m_level + kRounding < units) return false;
+    if (m_level + kRoundingTolerance < units) return false;
     m_level -= units;
     return true;
   }
@@ -39,19 +39,19 @@
   // larger than the burst.
   Duration TakeAndGetDelay(double units) {
     if (IsUnlimited()) return Duration(0);
-    Fill();
+    Refill();
     m_level -= units;
     if (m_level >= 0) return Duration(0);
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(-m_level / m_rate));
   }
 
  private:
-  static constexpr double kRounding = 1e-9;
+  static constexpr double kRoundingTolerance = 1e-9;
 
-  void Fill() {
+  void Refill() {
     const TimePoint now = m_clock.GetNow();
-    const double elapsed = std::chrono::duration<double>(now - m_filled_at).count();
-    m_filled_at = now;
+    const double elapsed = std::chrono::duration<double>(now - m_refilled_at).count();
+    m_refilled_at = now;
     m_level = std::min(m_burst, m_level + elapsed * m_rate);
   }
 
@@ -59,7 +59,7 @@
   double m_rate;
   double m_burst;
   double m_level;
-  TimePoint m_filled_at;
+  TimePoint m_refilled_at;
 };
 
 }  // namespace plantain::standin
--- a/standin/weight_maker.cpp
+++ b/standin/weight_maker.cpp
@@ -13,8 +13,8 @@
 namespace plantain::standin {
 namespace {
 
-constexpr size_t kRequiredFields = 6;
-constexpr size_t kAllFields = 8;
+constexpr size_t kMinFields = 6;
+constexpr size_t kMaxFields = 8;
 
 std::vector<std::string> SplitFields(const std::string& text) {
   std::vector<std::string> fields(1);
@@ -57,11 +57,11 @@
                                            ": expected model:adapter:version:bytes:chunk_bytes:seed"
                                            "[:shared_share:shared_seed]");
   const std::vector<std::string> fields = SplitFields(text);
-  if (fields.size() != kRequiredFields && fields.size() != kAllFields) return failure;
+  if (fields.size() != kMinFields && fields.size() != kMaxFields) return failure;
   WeightSpec spec{fields[0], fields[1], fields[2]};
   if (!ParseNumber(fields[3], spec.bytes) || !ParseNumber(fields[4], spec.chunk_bytes)) return failure;
   if (!ParseNumber(fields[5], spec.seed) || spec.chunk_bytes == 0) return failure;
-  if (fields.size() == kAllFields) {
+  if (fields.size() == kMaxFields) {
     spec.shared_share = strtod(fields[6].c_str(), nullptr);
     if (!ParseNumber(fields[7], spec.shared_seed)) return failure;
   }
@@ -87,19 +87,19 @@
   manifest.set_adapter(spec.adapter);
   manifest.set_version(spec.version);
   manifest.set_total_size(spec.bytes);
-  Sha256Stream whole;
+  Sha256Stream total_hash;
   uint32_t index = 0;
   for (uint64_t at = 0; at < spec.bytes; at += spec.chunk_bytes, ++index) {
     const ChunkSource source{ChooseSeed(spec, index), index, std::min(spec.chunk_bytes, spec.bytes - at)};
     const std::string bytes = MakeChunk(source.seed, source.index, source.size);
     const std::string digest = HashSha256(bytes);
-    whole.Add(bytes);
+    total_hash.Add(bytes);
     proto::ChunkEntry* entry = manifest.add_chunks();
     entry->set_size(static_cast<uint32_t>(source.size));
     entry->set_digest(digest);
     m_chunks.emplace(digest, source);
   }
-  manifest.set_total_digest(whole.Finish());
+  manifest.set_total_digest(total_hash.Finish());
   const std::string content = manifest.SerializeAsString();
   const std::string manifest_digest = HashSha256(content);
   m_manifests.emplace(manifest_digest, content);
--- a/tests/standin_engine_test.cpp
+++ b/tests/standin_engine_test.cpp
@@ -32,7 +32,7 @@
   void Close() { m_on_closed(); }
   const std::string& GetText() const { return m_text; }
   int GetPieces() const { return m_pieces; }
-  bool IsOver() const { return m_is_ended || m_is_aborted; }
+  bool IsDone() const { return m_is_ended || m_is_aborted; }
   bool IsAborted() const { return m_is_aborted; }
 
  private:
@@ -44,11 +44,11 @@
 };
 
 // An engine batch with two weight versions of one model, the first of which is loaded.
-struct Bench {
-  Bench() {
+struct EngineFixture {
+  EngineFixture() {
     catalog.Add(*ParseWeightSpec("tatami::v1:1000:100:1"));
     catalog.Add(*ParseWeightSpec("tatami::v2:1000:100:2"));
-    cold.GoWarm();
+    cold.MakeWarm();
     Load(0);
   }
 
@@ -65,12 +65,12 @@
     return hex;
   }
 
-  std::shared_ptr<RecordingResponder> Begin(const LoadRequest& request, uint32_t first_index = 0,
+  std::shared_ptr<RecordingResponder> Start(const LoadRequest& request, uint32_t first_index = 0,
                                             uint32_t priority = 0) {
     auto responder = std::make_shared<RecordingResponder>();
-    EngineRequest work{request.id,     kBase,    request.prompt,       first_index,
-                       request.tokens, priority, request.is_streaming, {}};
-    const bool is_added = batch.Add(std::move(work), responder);
+    EngineRequest completion{request.id,     kBase,    request.prompt,       first_index,
+                             request.tokens, priority, request.is_streaming, {}};
+    const bool is_added = batch.Add(std::move(completion), responder);
     REQUIRE(is_added);
     return responder;
   }
@@ -84,9 +84,9 @@
     loop.Restart();
   }
 
-  AnswerVerdict Judge(const LoadRequest& request, const RecordingResponder& responder) {
+  AnswerVerdict GetVerdict(const LoadRequest& request, const RecordingResponder& responder) {
     AnswerCheck check(request, kAnyManifest);
-    if (!request.is_streaming) return check.CheckWhole(responder.GetText());
+    if (!request.is_streaming) return check.CheckUnary(responder.GetText());
     check.AddStreamBytes(responder.GetText());
     return check.GetStreamVerdict();
   }
@@ -110,127 +110,127 @@
 
 // Guards against correct answers of the engine stand-in that the load tool would report as wrong.
 TEST_CASE("Answers of the engine stand-in pass the load tool's check") {
-  Bench bench;
+  EngineFixture fixture;
   const LoadRequest request = MakeRequest("r \"1\"", 5, GENERATE(true, false));
-  const auto responder = bench.Begin(request);
-  bench.RunUntil([&] { return responder->IsOver(); });
-  CHECK(bench.Judge(request, *responder) == AnswerVerdict::kGood);
-  CHECK(bench.batch.GetStats().finished == 1);
-  CHECK(bench.batch.GetStats().tokens == 5);
-  CHECK(bench.batch.GetStats().mixed_served == 0);
-  CHECK(bench.batch.GetInFlight() == 0);
+  const auto responder = fixture.Start(request);
+  fixture.RunUntil([&] { return responder->IsDone(); });
+  CHECK(fixture.GetVerdict(request, *responder) == AnswerVerdict::kCorrect);
+  CHECK(fixture.batch.GetStats().finished == 1);
+  CHECK(fixture.batch.GetStats().tokens == 5);
+  CHECK(fixture.batch.GetStats().mixed_served == 0);
+  CHECK(fixture.batch.GetInFlight() == 0);
 }
 
 // Guards against a resumed stream that repeats or skips tokens.
 TEST_CASE("The engine stand-in resumes a stream at the asked index") {
-  Bench bench;
+  EngineFixture fixture;
   const LoadRequest request = MakeRequest("r1", 6, true);
-  const auto whole = bench.Begin(request);
-  const auto rest = bench.Begin(request, 4);
-  bench.RunUntil([&] { return whole->IsOver() && rest->IsOver(); });
-  const size_t at = whole->GetText().find("data: {\"id\":\"r1\",\"index\":4,");
+  const auto full_stream = fixture.Start(request);
+  const auto resumed_stream = fixture.Start(request, 4);
+  fixture.RunUntil([&] { return full_stream->IsDone() && resumed_stream->IsDone(); });
+  const size_t at = full_stream->GetText().find("data: {\"id\":\"r1\",\"index\":4,");
   REQUIRE(at != std::string::npos);
-  CHECK(rest->GetText() == whole->GetText().substr(at));
+  CHECK(resumed_stream->GetText() == full_stream->GetText().substr(at));
 }
 
 // Guards against counters that miss a change of weights during a running request, the failure that the agent's gate
 // must prevent.
 TEST_CASE("The engine stand-in counts requests that are served with mixed or partial weights") {
-  Bench bench;
+  EngineFixture fixture;
   const LoadRequest request = MakeRequest("r1", 8, true);
-  const auto responder = bench.Begin(request);
-  bench.RunUntil([&] { return responder->GetPieces() >= 3; });
+  const auto responder = fixture.Start(request);
+  fixture.RunUntil([&] { return responder->GetPieces() >= 3; });
 
   SECTION("a change of weights during a request") {
-    bench.Load(1);
-    bench.RunUntil([&] { return responder->IsOver(); });
-    CHECK(bench.batch.GetStats().mixed_served == 1);
-    CHECK(bench.batch.GetStats().partial_served == 0);
-    CHECK(bench.Judge(request, *responder) == AnswerVerdict::kMixed);
+    fixture.Load(1);
+    fixture.RunUntil([&] { return responder->IsDone(); });
+    CHECK(fixture.batch.GetStats().mixed_served == 1);
+    CHECK(fixture.batch.GetStats().partial_served == 0);
+    CHECK(fixture.GetVerdict(request, *responder) == AnswerVerdict::kMixed);
   }
 
   SECTION("weights with missing chunks") {
-    bench.RunUntil([&] { return responder->IsOver(); });
-    bench.Load(1, 5);
-    const auto partial = bench.Begin(request);
-    bench.RunUntil([&] { return partial->IsOver(); });
-    CHECK(bench.batch.GetStats().partial_served == 1);
-    CHECK(bench.batch.GetStats().mixed_served == 0);
-    CHECK(bench.Judge(request, *partial) == AnswerVerdict::kWrong);
+    fixture.RunUntil([&] { return responder->IsDone(); });
+    fixture.Load(1, 5);
+    const auto partial = fixture.Start(request);
+    fixture.RunUntil([&] { return partial->IsDone(); });
+    CHECK(fixture.batch.GetStats().partial_served == 1);
+    CHECK(fixture.batch.GetStats().mixed_served == 0);
+    CHECK(fixture.GetVerdict(request, *partial) == AnswerVerdict::kWrong);
   }
 
   SECTION("an unload aborts the request") {
-    bench.batch.FailKey(kBase);
+    fixture.batch.FailKey(kBase);
     CHECK(responder->IsAborted());
-    CHECK(bench.batch.GetInFlight() == 0);
+    CHECK(fixture.batch.GetInFlight() == 0);
   }
 
   SECTION("a load in progress suspends the request") {
-    bench.batch.SetLoading(kBase);
+    fixture.batch.SetLoading(kBase);
     const LoadRequest other = MakeRequest("r2", 4, true);
     const int pieces = responder->GetPieces();
-    const uint64_t steps = bench.batch.GetStats().steps;
-    bench.RunUntil([&] { return bench.batch.GetStats().steps >= steps + 3; });
+    const uint64_t steps = fixture.batch.GetStats().steps;
+    fixture.RunUntil([&] { return fixture.batch.GetStats().steps >= steps + 3; });
     CHECK(responder->GetPieces() == pieces);
-    bench.batch.SetLoading(std::nullopt);
-    bench.RunUntil([&] { return responder->IsOver(); });
-    CHECK(bench.Judge(request, *responder) == AnswerVerdict::kGood);
+    fixture.batch.SetLoading(std::nullopt);
+    fixture.RunUntil([&] { return responder->IsDone(); });
+    CHECK(fixture.GetVerdict(request, *responder) == AnswerVerdict::kCorrect);
   }
 }
 
 // Guards against requests that keep running after the client has disconnected, and against a queue that ignores
 // priorities.
 TEST_CASE("The engine stand-in cancels, queues and honours priorities") {
-  Bench bench;
+  EngineFixture fixture;
   std::vector<std::shared_ptr<RecordingResponder>> running;
-  for (int i = 0; i < 8; ++i) running.push_back(bench.Begin(MakeRequest("run" + std::to_string(i), 1000, true)));
-  CHECK(bench.batch.GetRunning() == 8);
-  const auto low = bench.Begin(MakeRequest("low", 1, true));
-  const auto high = bench.Begin(MakeRequest("high", 1, true), 0, 5);
-  CHECK(bench.batch.GetQueued() == 2);
+  for (int i = 0; i < 8; ++i) running.push_back(fixture.Start(MakeRequest("run" + std::to_string(i), 1000, true)));
+  CHECK(fixture.batch.GetRunning() == 8);
+  const auto low_priority = fixture.Start(MakeRequest("low", 1, true));
+  const auto high_priority = fixture.Start(MakeRequest("high", 1, true), 0, 5);
+  CHECK(fixture.batch.GetQueued() == 2);
 
   SECTION("the queued request of higher priority takes the place of a cancelled one") {
     running[3]->Close();
-    CHECK(bench.batch.GetStats().cancelled == 1);
-    CHECK(bench.batch.GetQueued() == 1);
-    bench.RunUntil([&] { return high->IsOver(); });
+    CHECK(fixture.batch.GetStats().cancelled == 1);
+    CHECK(fixture.batch.GetQueued() == 1);
+    fixture.RunUntil([&] { return high_priority->IsDone(); });
     // The low-priority request starts only in the step after the high-priority one has finished.
-    CHECK_FALSE(low->IsOver());
+    CHECK_FALSE(low_priority->IsDone());
   }
 
   SECTION("a full queue refuses") {
-    for (int i = 0; i < 6; ++i) bench.Begin(MakeRequest("wait" + std::to_string(i), 1, true));
-    EngineRequest work{"last", kBase, "p", 0, 1, 0, true, {}};
-    const bool is_added = bench.batch.Add(std::move(work), std::make_shared<RecordingResponder>());
+    for (int i = 0; i < 6; ++i) fixture.Start(MakeRequest("wait" + std::to_string(i), 1, true));
+    EngineRequest completion{"last", kBase, "p", 0, 1, 0, true, {}};
+    const bool is_added = fixture.batch.Add(std::move(completion), std::make_shared<RecordingResponder>());
     CHECK_FALSE(is_added);
   }
 }
 
 // Guards against an engine stand-in that survives an overload under which a real cold engine would fail.
 TEST_CASE("A cold engine stand-in counts requests over its limit and fails under overload") {
-  Bench bench;
-  bench.cold.GoCold();
-  int falls = 0;
-  bench.batch.SetOnFall([&] { ++falls; });
+  EngineFixture fixture;
+  fixture.cold.MakeCold();
+  int callbacks = 0;
+  fixture.batch.SetOnOverloadFailure([&] { ++callbacks; });
   std::vector<std::shared_ptr<RecordingResponder>> responders;
-  for (int i = 0; i < 3; ++i) responders.push_back(bench.Begin(MakeRequest(std::to_string(i), 1000, true)));
-  CHECK(bench.batch.GetStats().over_limit == 1);
-  bench.batch.UpdateCold();
+  for (int i = 0; i < 3; ++i) responders.push_back(fixture.Start(MakeRequest(std::to_string(i), 1000, true)));
+  CHECK(fixture.batch.GetStats().over_limit == 1);
+  fixture.batch.UpdateColdState();
 
   SECTION("it does not fail before 300 ms") {
-    bench.clock.Advance(Milliseconds(299));
-    bench.batch.UpdateCold();
-    CHECK(falls == 0);
+    fixture.clock.Advance(Milliseconds(299));
+    fixture.batch.UpdateColdState();
+    CHECK(callbacks == 0);
   }
 
   SECTION("after 300 ms all requests fail") {
-    bench.clock.Advance(Milliseconds(300));
-    bench.batch.UpdateCold();
-    CHECK(falls == 1);
-    CHECK(bench.batch.GetStats().fell_over == 1);
-    CHECK(bench.batch.GetStats().failed == 3);
+    fixture.clock.Advance(Milliseconds(300));
+    fixture.batch.UpdateColdState();
+    CHECK(callbacks == 1);
+    CHECK(fixture.batch.GetStats().overload_failures == 1);
+    CHECK(fixture.batch.GetStats().failed == 3);
     for (const auto& responder : responders) CHECK(responder->IsAborted());
-    CHECK(bench.batch.GetInFlight() == 0);
+    CHECK(fixture.batch.GetInFlight() == 0);
   }
 }
 
--- a/tests/standin_ledger_test.cpp
+++ b/tests/standin_ledger_test.cpp
@@ -30,7 +30,7 @@
   const LoadRequest once = MakeCall("k1", false);
 
   SECTION("an answered call that was executed once is consistent") {
-    check.AddTold(once, ToldState::kAnswered);
+    check.AddRequest(once, ClientOutcome::kAnswered);
     REQUIRE(check.AddLedger(MakeLedger("k1", 1)));
     CHECK(check.ToJson()["checked"] == 1);
     CHECK(check.ToJson()["repeated"] == 0);
@@ -39,7 +39,7 @@
   }
 
   SECTION("executions at two services add up") {
-    check.AddTold(once, ToldState::kUnknown);
+    check.AddRequest(once, ClientOutcome::kUnknown);
     check.AddLedger(MakeLedger("k1", 1));
     CHECK(check.ToJson()["repeated"] == 0);
     check.AddLedger(MakeLedger("k1", 1));
@@ -48,7 +48,7 @@
   }
 
   SECTION("an answered call that is in no ledger is a contradiction") {
-    check.AddTold(once, ToldState::kAnswered);
+    check.AddRequest(once, ClientOutcome::kAnswered);
     check.AddLedger(MakeLedger("k2", 1));
     CHECK(check.ToJson()["answered_but_not_run"] == 1);
   }
@@ -56,14 +56,14 @@
   SECTION("'not run' is checked for every kind of request") {
     const LoadRequest request =
         GENERATE(MakeCall("k1", false), MakeCall("k1", true), MakeCompletion("a prompt of its own"));
-    check.AddTold(request, ToldState::kNotRun);
+    check.AddRequest(request, ClientOutcome::kNotRun);
     CHECK(check.ToJson()["not_run_but_run"] == 0);
     check.AddLedger(MakeLedger(GetLedgerKey(request), 1));
     CHECK(check.ToJson()["not_run_but_run"] == 1);
   }
 
   SECTION("a repeatable call may be executed twice") {
-    check.AddTold(MakeCall("k1", true), ToldState::kAnswered);
+    check.AddRequest(MakeCall("k1", true), ClientOutcome::kAnswered);
     check.AddLedger(MakeLedger("k1", 2));
     CHECK(check.ToJson()["repeated"] == 0);
   }
--- a/tests/standin_load_test.cpp
+++ b/tests/standin_load_test.cpp
@@ -36,7 +36,7 @@
   return text + "data: [DONE]\n\n";
 }
 
-AnswerVerdict Judge(const LoadRequest& request, const std::string& text, size_t piece = 1 << 20) {
+AnswerVerdict GetVerdict(const LoadRequest& request, const std::string& text, size_t piece = 1 << 20) {
   AnswerCheck check(request, kAnyManifest);
   for (size_t at = 0; at < text.size(); at += piece) check.AddStreamBytes(std::string_view(text).substr(at, piece));
   return check.GetStreamVerdict();
@@ -45,51 +45,51 @@
 // Guards against an answer check that accepts answers that are truncated, mixed, repeated or belong to another request.
 TEST_CASE("The load tool accepts a streamed answer only if every byte is correct") {
   const LoadRequest request = MakeRequest();
-  const std::string good = MakeStream(request, kOld);
+  const std::string correct_stream = MakeStream(request, kOld);
   LoadRequest other = request;
 
   SECTION("a complete answer is accepted however it is split into pieces") {
-    CHECK(Judge(request, good) == AnswerVerdict::kGood);
-    CHECK(Judge(request, good, 1) == AnswerVerdict::kGood);
-    CHECK(Judge(request, good, 7) == AnswerVerdict::kGood);
+    CHECK(GetVerdict(request, correct_stream) == AnswerVerdict::kCorrect);
+    CHECK(GetVerdict(request, correct_stream, 1) == AnswerVerdict::kCorrect);
+    CHECK(GetVerdict(request, correct_stream, 7) == AnswerVerdict::kCorrect);
   }
 
   SECTION("an answer without its end marker is truncated") {
     const size_t cut = GENERATE(0, 10, 120, 300);
-    CHECK(Judge(request, good.substr(0, cut)) == AnswerVerdict::kTruncated);
+    CHECK(GetVerdict(request, correct_stream.substr(0, cut)) == AnswerVerdict::kTruncated);
   }
 
   SECTION("an end marker after too few tokens is truncated") {
-    CHECK(Judge(request, MakeEvent(request, 0, kOld) + "data: [DONE]\n\n") == AnswerVerdict::kTruncated);
+    CHECK(GetVerdict(request, MakeEvent(request, 0, kOld) + "data: [DONE]\n\n") == AnswerVerdict::kTruncated);
   }
 
   SECTION("an answer to another prompt is wrong") {
     other.prompt = "prompt of r2";
-    CHECK(Judge(request, MakeStream(other, kOld)) == AnswerVerdict::kWrong);
+    CHECK(GetVerdict(request, MakeStream(other, kOld)) == AnswerVerdict::kWrong);
   }
 
   SECTION("an answer with another request's id is wrong") {
     other.id = "r2";
-    CHECK(Judge(request, MakeStream(other, kOld)) == AnswerVerdict::kWrong);
+    CHECK(GetVerdict(request, MakeStream(other, kOld)) == AnswerVerdict::kWrong);
   }
 
   SECTION("a missing, repeated or surplus token is wrong") {
-    CHECK(Judge(request, MakeEvent(request, 1, kOld)) == AnswerVerdict::kWrong);
-    CHECK(Judge(request, MakeEvent(request, 0, kOld) + good) == AnswerVerdict::kWrong);
+    CHECK(GetVerdict(request, MakeEvent(request, 1, kOld)) == AnswerVerdict::kWrong);
+    CHECK(GetVerdict(request, MakeEvent(request, 0, kOld) + correct_stream) == AnswerVerdict::kWrong);
     other.tokens = 4;
-    CHECK(Judge(request, MakeStream(other, kOld)) == AnswerVerdict::kWrong);
+    CHECK(GetVerdict(request, MakeStream(other, kOld)) == AnswerVerdict::kWrong);
   }
 
   SECTION("a changed byte in a token is wrong") {
-    std::string changed = good;
-    changed[good.find("\"token\":\"") + 9] ^= 1;
-    CHECK(Judge(request, changed) == AnswerVerdict::kWrong);
+    std::string changed = correct_stream;
+    changed[correct_stream.find("\"token\":\"") + 9] ^= 1;
+    CHECK(GetVerdict(request, changed) == AnswerVerdict::kWrong);
   }
 
   SECTION("tokens from two weight versions are mixed") {
     const std::string mixed =
         MakeEvent(request, 0, kOld) + MakeEvent(request, 1, kNew) + MakeEvent(request, 2, kNew) + "data: [DONE]\n\n";
-    CHECK(Judge(request, mixed) == AnswerVerdict::kMixed);
+    CHECK(GetVerdict(request, mixed) == AnswerVerdict::kMixed);
   }
 
   SECTION("a typed error at the end is reported as an error, not as a truncation") {
@@ -103,7 +103,7 @@
   SECTION("weights that are not in the allowed list are wrong") {
     const std::vector<std::string> allowed{kNew};
     AnswerCheck check(request, allowed);
-    check.AddStreamBytes(good);
+    check.AddStreamBytes(correct_stream);
     CHECK(check.GetStreamVerdict() == AnswerVerdict::kWrong);
   }
 }
@@ -117,12 +117,12 @@
   nlohmann::json body = {{"id", request.id}, {"weights", kOld}, {"tokens", tokens}};
 
   SECTION("a complete answer is accepted") {
-    CHECK(AnswerCheck(request, kAnyManifest).CheckWhole(body.dump()) == AnswerVerdict::kGood);
+    CHECK(AnswerCheck(request, kAnyManifest).CheckUnary(body.dump()) == AnswerVerdict::kCorrect);
   }
 
   SECTION("an answer with a missing token is truncated") {
     body["tokens"].erase(2);
-    CHECK(AnswerCheck(request, kAnyManifest).CheckWhole(body.dump()) == AnswerVerdict::kTruncated);
+    CHECK(AnswerCheck(request, kAnyManifest).CheckUnary(body.dump()) == AnswerVerdict::kTruncated);
   }
 
   SECTION("an answer with its text in one string is compared as well") {
@@ -130,24 +130,24 @@
     for (const std::string& token : tokens) text += token;
     body["text"] = text;
     body["tokens"] = 3;
-    CHECK(AnswerCheck(request, kAnyManifest).CheckWhole(body.dump()) == AnswerVerdict::kGood);
+    CHECK(AnswerCheck(request, kAnyManifest).CheckUnary(body.dump()) == AnswerVerdict::kCorrect);
     body["tokens"] = 2;
-    CHECK(AnswerCheck(request, kAnyManifest).CheckWhole(body.dump()) == AnswerVerdict::kWrong);
+    CHECK(AnswerCheck(request, kAnyManifest).CheckUnary(body.dump()) == AnswerVerdict::kWrong);
     body["tokens"] = 2;
     body["text"] = tokens[0] + tokens[1];
-    CHECK(AnswerCheck(request, kAnyManifest).CheckWhole(body.dump()) == AnswerVerdict::kTruncated);
+    CHECK(AnswerCheck(request, kAnyManifest).CheckUnary(body.dump()) == AnswerVerdict::kTruncated);
     body["text"] = tokens[1] + tokens[0];
-    CHECK(AnswerCheck(request, kAnyManifest).CheckWhole(body.dump()) == AnswerVerdict::kWrong);
+    CHECK(AnswerCheck(request, kAnyManifest).CheckUnary(body.dump()) == AnswerVerdict::kWrong);
   }
 
   SECTION("tokens in another order are wrong") {
     std::swap(body["tokens"][0], body["tokens"][1]);
-    CHECK(AnswerCheck(request, kAnyManifest).CheckWhole(body.dump()) == AnswerVerdict::kWrong);
+    CHECK(AnswerCheck(request, kAnyManifest).CheckUnary(body.dump()) == AnswerVerdict::kWrong);
   }
 
   SECTION("an answer without its weights is wrong") {
     body.erase("weights");
-    CHECK(AnswerCheck(request, kAnyManifest).CheckWhole(body.dump()) == AnswerVerdict::kWrong);
+    CHECK(AnswerCheck(request, kAnyManifest).CheckUnary(body.dump()) == AnswerVerdict::kWrong);
   }
 
   SECTION("a service answer must match its call and body") {
@@ -155,8 +155,8 @@
     request.call = {"register", "seal", false};
     request.body = "{\"item\":\"r1\"}";
     AnswerCheck check(request, kAnyManifest);
-    CHECK(check.CheckWhole(MakeServiceAnswer("seal", request.body)) == AnswerVerdict::kGood);
-    CHECK(check.CheckWhole(MakeServiceAnswer("seal", "{\"item\":\"r2\"}")) == AnswerVerdict::kWrong);
+    CHECK(check.CheckUnary(MakeServiceAnswer("seal", request.body)) == AnswerVerdict::kCorrect);
+    CHECK(check.CheckUnary(MakeServiceAnswer("seal", "{\"item\":\"r2\"}")) == AnswerVerdict::kWrong);
   }
 }
 
@@ -178,25 +178,25 @@
 // Guards against runs with equal seeds that send different requests, which would make failures irreproducible.
 TEST_CASE("A load plan depends only on its options and thread") {
   const LoadOptions options = MakeOptions();
-  LoadPlan one(options, 0);
-  LoadPlan two(options, 0);
+  LoadPlan first(options, 0);
+  LoadPlan second(options, 0);
   LoadPlan other_thread(options, 1);
   double total_s = 0;
   int services = 0;
   int large = 0;
   constexpr int kCount = 4000;
   for (int i = 0; i < kCount; ++i) {
-    const Duration gap = one.GetNextGap();
-    REQUIRE(gap == two.GetNextGap());
-    other_thread.GetNextGap();
-    const LoadRequest request = one.MakeNext();
-    const LoadRequest same = two.MakeNext();
-    REQUIRE(request.id == same.id);
-    REQUIRE(request.prompt == same.prompt);
-    REQUIRE(request.body == same.body);
-    REQUIRE(request.id != other_thread.MakeNext().id);
+    const Duration interval = first.GetNextInterarrivalTime();
+    REQUIRE(interval == second.GetNextInterarrivalTime());
+    other_thread.GetNextInterarrivalTime();
+    const LoadRequest request = first.MakeNextRequest();
+    const LoadRequest repeated = second.MakeNextRequest();
+    REQUIRE(request.id == repeated.id);
+    REQUIRE(request.prompt == repeated.prompt);
+    REQUIRE(request.body == repeated.body);
+    REQUIRE(request.id != other_thread.MakeNextRequest().id);
     REQUIRE((request.is_service || (request.tokens >= 4 && request.tokens <= 9)));
-    total_s += std::chrono::duration<double>(gap).count();
+    total_s += std::chrono::duration<double>(interval).count();
     services += request.is_service;
     large += request.workspace == 0;
   }
--- a/tests/standin_prefix_test.cpp
+++ b/tests/standin_prefix_test.cpp
@@ -8,7 +8,7 @@
 
 constexpr uint64_t kSeed = 20261204;
 
-std::vector<uint64_t> GetNumbers(const PrefixCache& cache, uint64_t after) {
+std::vector<uint64_t> GetEventNumbers(const PrefixCache& cache, uint64_t after) {
   std::vector<uint64_t> numbers;
   const nlohmann::json answer = nlohmann::json::parse(cache.GetEventsJson(after));
   for (const auto& event : answer["events"]) numbers.push_back(event["n"]);
@@ -23,29 +23,29 @@
 
   SECTION("with a cache of two prefixes and no event loss") {
     PrefixCache cache(clock, random, {2, Milliseconds(500), 0});
-    CHECK_FALSE(cache.Use("a"));
-    CHECK_FALSE(cache.Use("b"));
-    CHECK(cache.Use("a"));
+    CHECK_FALSE(cache.LookUpOrInsert("a"));
+    CHECK_FALSE(cache.LookUpOrInsert("b"));
+    CHECK(cache.LookUpOrInsert("a"));
 
     SECTION("a third prefix evicts the least recently used one") {
-      CHECK_FALSE(cache.Use("c"));
-      CHECK(cache.Use("a"));
-      CHECK_FALSE(cache.Use("b"));
+      CHECK_FALSE(cache.LookUpOrInsert("c"));
+      CHECK(cache.LookUpOrInsert("a"));
+      CHECK_FALSE(cache.LookUpOrInsert("b"));
     }
 
     SECTION("events become visible only after the lag") {
       clock.Advance(Milliseconds(499));
-      CHECK(GetNumbers(cache, 0).empty());
+      CHECK(GetEventNumbers(cache, 0).empty());
       clock.Advance(Milliseconds(1));
-      CHECK(GetNumbers(cache, 0) == std::vector<uint64_t>{1, 2});
-      CHECK(GetNumbers(cache, 1) == std::vector<uint64_t>{2});
+      CHECK(GetEventNumbers(cache, 0) == std::vector<uint64_t>{1, 2});
+      CHECK(GetEventNumbers(cache, 1) == std::vector<uint64_t>{2});
     }
   }
 
   SECTION("a lost event leaves a gap in the sequence numbers") {
     PrefixCache cache(clock, random, {1000, Duration(0), 0.5});
-    for (int i = 0; i < 100; ++i) cache.Use(std::to_string(i));
-    const std::vector<uint64_t> numbers = GetNumbers(cache, 0);
+    for (int i = 0; i < 100; ++i) cache.LookUpOrInsert(std::to_string(i));
+    const std::vector<uint64_t> numbers = GetEventNumbers(cache, 0);
     CHECK(numbers.size() > 20);
     CHECK(numbers.size() < 80);
     CHECK(numbers.back() > numbers.size());
--- a/tests/standin_weight_test.cpp
+++ b/tests/standin_weight_test.cpp
@@ -34,32 +34,32 @@
   WeightCatalog catalog;
   catalog.Add(*ParseWeightSpec("tatami::v1:1050:100:1"));
   catalog.Add(*ParseWeightSpec("tatami::v2:1050:100:2:0.5:1"));
-  WeightCatalog again;
-  again.Add(*ParseWeightSpec("tatami::v1:1050:100:1"));
+  WeightCatalog same_catalog;
+  same_catalog.Add(*ParseWeightSpec("tatami::v1:1050:100:1"));
 
-  CHECK(again.GetEntries()[0].manifest_digest == catalog.GetEntries()[0].manifest_digest);
-  const proto::Manifest one = ParseManifest(catalog, 0);
-  const proto::Manifest two = ParseManifest(catalog, 1);
-  REQUIRE(one.chunks_size() == 11);
-  CHECK(one.chunks(10).size() == 50);
-  CHECK(one.total_size() == 1050);
+  CHECK(same_catalog.GetEntries()[0].manifest_digest == catalog.GetEntries()[0].manifest_digest);
+  const proto::Manifest first = ParseManifest(catalog, 0);
+  const proto::Manifest second = ParseManifest(catalog, 1);
+  REQUIRE(first.chunks_size() == 11);
+  CHECK(first.chunks(10).size() == 50);
+  CHECK(first.total_size() == 1050);
 
   SECTION("the chunks and the total match the digests in the manifest") {
-    Sha256Stream whole;
-    for (const proto::ChunkEntry& entry : one.chunks()) {
+    Sha256Stream total_hash;
+    for (const proto::ChunkEntry& entry : first.chunks()) {
       const std::string bytes = *catalog.FindChunk(entry.digest());
       CHECK(HashSha256(bytes) == entry.digest());
       CHECK(bytes.size() == entry.size());
-      whole.Add(bytes);
+      total_hash.Add(bytes);
     }
-    CHECK(whole.Finish() == one.total_digest());
+    CHECK(total_hash.Finish() == first.total_digest());
   }
 
   SECTION("the given share of chunks is common to both versions") {
     int common = 0;
-    for (int i = 0; i < one.chunks_size(); ++i) common += one.chunks(i).digest() == two.chunks(i).digest();
+    for (int i = 0; i < first.chunks_size(); ++i) common += first.chunks(i).digest() == second.chunks(i).digest();
     CHECK(common > 0);
-    CHECK(common < one.chunks_size());
+    CHECK(common < first.chunks_size());
   }
 }
 
@@ -108,7 +108,7 @@
     const std::string first = Stage(catalog, 0, weights);
     REQUIRE(weights.Load(kBase, first) == WeightResult::kOk);
     CHECK(weights.GetLoaded().at(kBase).manifest == first);
-    CHECK(weights.GetLoaded().at(kBase).is_whole);
+    CHECK(weights.GetLoaded().at(kBase).is_valid);
     CHECK(weights.GetStagedManifest().empty());
 
     SECTION("loading the same weights again has no effect") { CHECK(weights.Load(kBase, first) == WeightResult::kOk); }
@@ -126,10 +126,10 @@
   }
 
   SECTION("an engine without verification loads incomplete weights but marks them") {
-    EngineWeights careless(false);
-    const std::string hex = Stage(catalog, 0, careless, 9);
-    CHECK(careless.Load(kBase, hex) == WeightResult::kOk);
-    CHECK_FALSE(careless.GetLoaded().at(kBase).is_whole);
+    EngineWeights unverified(false);
+    const std::string hex = Stage(catalog, 0, unverified, 9);
+    CHECK(unverified.Load(kBase, hex) == WeightResult::kOk);
+    CHECK_FALSE(unverified.GetLoaded().at(kBase).is_valid);
   }
 }
 
