Describe the benchmarks in the usual technical terms

Docstrings and comments of the benchmarks used figurative terms ("bears", "figures", "what control costs"). Change: comments and docstrings only; metric names, printed lines and code are unchanged. RolloutFleet said that it has one entry; its callers pass three or four.

--- a/bench/_common.py
+++ b/bench/_common.py
@@ -1,4 +1,4 @@
-"""What the request path's benchmarks share: arguments, output of figures, starting a warm fleet, reading metrics."""
+"""Common parts of the request path benchmarks: arguments, results, starting a warm fleet, reading metrics."""
 
 import argparse
 import json
@@ -15,14 +15,14 @@
 
 
 class OneZoneFleet(Fleet):
-    """A fleet whose VMs all stand in the first zone, for what is decided within a zone."""
+    """A fleet with all VMs in the first zone, for benchmarks of decisions within a zone."""
 
     def add_vm(self, kind, pool, zone):
         return super().add_vm(kind, pool, 0)
 
 
 class Report:
-    """Prints figures as JSON lines and keeps whether all bounds held."""
+    """Prints results as JSON lines and records whether all bounds were met."""
 
     def __init__(self, bench):
         self.bench = bench
@@ -40,7 +40,7 @@
 
 
 def parse_arguments(doc):
-    """Returns the arguments that all benchmarks take and the seed, which is printed first."""
+    """Parses the common arguments, adds the seed and prints it."""
     parser = argparse.ArgumentParser(description=doc, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--build", default=os.path.join(ROOT, "build"))
     parser.add_argument("--short", action="store_true", help="the short form that CI runs")
@@ -51,7 +51,7 @@
 
 
 def small_weights(deployment, seed):
-    """One small set of weights, since these benchmarks are not about distribution."""
+    """Returns one small weight version, because these benchmarks do not measure weight distribution."""
     return [(deployment.model, "", "v1", 64 * 1024, 16 * 1024, seed)]
 
 
@@ -84,17 +84,17 @@
 
 
 def cpu_seconds(process):
-    """CPU time of a process so far."""
+    """Returns the CPU time that a process has used so far."""
     with open(f"/proc/{process.pid}/stat", encoding="utf-8") as text:
         fields = text.read().rsplit(")", 1)[1].split()
     return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
 
 
 def run_load(fleet, name, duration_s, **options):
-    """Runs one load to its end and returns its summary.
+    """Runs one load until it completes and returns its summary.
 
-    Each load of a fleet has a seed of its own: request ids follow from the seed, and a retry in one load would join
-    the kept answer of an equal request in an earlier one.
+    Each load of a fleet has its own seed, because request ids are derived from it. With equal ids, a retry would be
+    answered with the stored answer of a request from an earlier load.
     """
     fleet.loads = getattr(fleet, "loads", 0) + 1
     load = fleet.start_load(name, duration_s=duration_s, seed=fleet.seed + fleet.loads, **options)
@@ -102,6 +102,6 @@
 
 
 def warm_up(fleet, duration_s, **options):
-    """Lets cold engines warm up and admission limits rise under a load whose figures do not count."""
+    """Runs a load that is not measured, so that engines warm up and admission limits rise."""
     run_load(fleet, "warm-up", duration_s, **options)
     time.sleep(0.5)
--- a/bench/_control_fleet.py
+++ b/bench/_control_fleet.py
@@ -1,7 +1,7 @@
-"""Starts a fleet of processes with the control services only, and reads their figures.
+"""Starts a fleet of processes with the control services only and reads their metrics.
 
-The zones do not use the link stand-in: every VM has one address 127.A.Z.I, and a process that must be cut off from the
-log gets a log address at which nothing listens.
+The link stand-in is not used: every VM has one address 127.A.Z.I, and a process that is to be cut off from the log is
+configured with a log address at which nothing listens.
 """
 
 import concurrent.futures
@@ -30,7 +30,7 @@
 
 
 def report(bench, metric, n, value, unit, bound, better, seed_value):
-    """Prints one figure as a JSON line and returns whether it is within its bound."""
+    """Prints one result as a JSON line and returns whether it meets its bound."""
     ok = value is not None and (value <= bound if better == "lower" else value >= bound)
     line = {"bench": bench, "metric": metric, "n": n, "value": value, "unit": unit, "bound": bound, "better": better,
             "pass": bool(ok), "seed": seed_value}
@@ -39,7 +39,7 @@
 
 
 def note(bench, metric, n, value, unit, seed_value):
-    """Prints a figure that has no bound."""
+    """Prints a result without a bound."""
     print(json.dumps({"bench": bench, "metric": metric, "n": n, "value": value, "unit": unit, "bound": None,
                       "better": None, "pass": True, "seed": seed_value}), flush=True)
 
@@ -50,7 +50,7 @@
 
 
 def make_document(zones, comment=""):
-    """Returns a document like those of the users of section 1, with a comment to make each text different."""
+    """Returns a typical configuration document. The comment makes each document different."""
     digest = [hashlib.sha256(str(i).encode()).hexdigest() for i in range(3)]
     lines = ["schema: 1", "deployment: bench", "origin:", f"  zone: {zones[0]}", "zones:"]
     for zone in zones:
@@ -77,12 +77,12 @@
 
 
 def field(number, data):
-    """A length-delimited protobuf field."""
+    """Encodes a length-delimited protobuf field."""
     return varint(number << 3 | 2) + varint(len(data)) + data
 
 
 def make_publish(publish_id, base_version, document):
-    """A ConfigRecord with a Publish, as src/proto/record.proto describes it."""
+    """Encodes a ConfigRecord with a Publish as defined in src/proto/record.proto."""
     body = field(1, publish_id.encode()) + varint(2 << 3) + varint(base_version) + field(3, b"bench")
     body += field(4, document.encode())
     return field(1, body)
@@ -97,7 +97,7 @@
         self.connection = None
 
     def get(self, path, timeout=5.0):
-        """Returns the body of a GET on the admin port over a kept connection, or None."""
+        """Returns the body of a GET on the admin port over a persistent connection, or None."""
         for _ in range(2):
             try:
                 if self.connection is None:
@@ -143,7 +143,7 @@
         self.zones = zones
         self.settings = settings or {}
         self.log_options = log or []
-        # Rows of the VM list without a process, to reach the size of a large fleet.
+        # Additional rows of the VM list without a process, which bring it to the size of a large fleet.
         self.padding = list(padding)
         self.octet, self._holder = fleet_lib.claim_octet()
         self.dir = tempfile.mkdtemp(prefix="plantainmast-control-")
--- a/bench/_request.py
+++ b/bench/_request.py
@@ -1,4 +1,4 @@
-"""What the benchmarks of requests share: arguments, figures and the start of a fleet that serves."""
+"""Common parts of the request benchmarks: arguments, results and starting a serving fleet."""
 
 import argparse
 import json
@@ -20,7 +20,7 @@
 
 
 class Report:
-    """Prints figures as JSON lines and remembers whether a bound was missed."""
+    """Prints results as JSON lines and records whether all bounds were met."""
 
     def __init__(self, bench):
         self.bench = bench
@@ -34,7 +34,7 @@
                      "pass": bool(is_met)})
 
     def note(self, metric, n, value, unit):
-        """Prints a figure that has no bound."""
+        """Prints a result without a bound."""
         self._print({"metric": metric, "n": n, "value": value, "unit": unit})
 
     def _print(self, fields):
@@ -64,7 +64,7 @@
 
 
 class Sampler(threading.Thread):
-    """Calls a function again and again until told to stop."""
+    """Calls a function periodically until `finish` is called."""
 
     def __init__(self, period, sample):
         super().__init__(daemon=True)
--- a/bench/admission_bench.cpp
+++ b/bench/admission_bench.cpp
@@ -1,5 +1,6 @@
-// Compares admission limits against a simulated engine: how soon a limit is back after a cold start, how much work it
-// adds to a cold engine, and how much of the engine it uses while gaps between tokens vary. Virtual time; no I/O.
+// Compares admission limit algorithms on a simulated engine: time until the limit recovers after a cold start, requests
+// admitted above the capacity of a cold engine, and utilization of a warm engine with varying token gaps. Runs in
+// virtual time without I/O.
 
 #include <cmath>
 #include <cstdlib>
@@ -21,7 +22,7 @@
 constexpr int kSteps = 3000;
 constexpr int kColdEverySteps = 600;
 
-// A limit under test.
+// Interface of the compared algorithms.
 class Policy {
  public:
   virtual ~Policy() = default;
@@ -33,7 +34,7 @@
   virtual void OnReport(EngineState state) = 0;
 };
 
-// The limit of the product.
+// The algorithm used by the product.
 class AimdPolicy : public Policy {
  public:
   explicit AimdPolicy(const Clock& clock) : m_limit(clock, AdmissionLimitOptions{kColdCapacity, kCapacity}) {}
@@ -58,8 +59,8 @@
   AdmissionLimit m_limit;
 };
 
-// A gradient limit: the ratio of the long-term to the recent gap moves the limit, and a square root of slack lets it
-// grow. A report of cold sets it to the cold limit.
+// Gradient algorithm: the limit is scaled by the ratio of the long-term to the recent token gap, and the square root of
+// the limit is added as headroom for growth. A cold report resets it to the cold capacity.
 class GradientPolicy : public Policy {
  public:
   explicit GradientPolicy(const Clock& clock) : m_clock(clock) {}
@@ -110,7 +111,8 @@
   double used_share = 0;
 };
 
-// Runs one policy under full demand. `report_lag` is how late a report is; hidden cold starts are never reported.
+// Runs one policy with unlimited demand. Reports are delayed by `report_lag_steps`; if `is_hidden`, cold starts are
+// never reported.
 Figures RunPolicy(Policy& policy, VirtualClock& clock, Random& random, int report_lag_steps, bool is_hidden) {
   Figures figures;
   std::map<SlotId, int> left;
--- a/bench/affinity.py
+++ b/bench/affinity.py
@@ -1,10 +1,12 @@
 #!/usr/bin/env python3
-"""How often requests meet an engine that has their prompt's prefix cached.
+"""Measures the prefix cache hit rate: how often a request reaches an engine that has its prompt's prefix cached.
 
-The product is compared with random routing (callers that ask the engines directly in turn) and with a router that
-knows all caches exactly and spreads load evenly. That router is computed: it finds each prefix cached unless the fleet
-has not seen it yet or all caches together are too small for it. Engines' caches hold 64 prefixes each; hits are
-counted from their cache events, which are published without loss here. Usage: bench/affinity.py --build DIR [--short]
+The product is compared with random routing (clients that send to the engines directly in round-robin order) and with
+an ideal router that knows all caches exactly and balances the load evenly. The ideal hit rate is computed: each prefix
+is a hit unless it is new to the fleet or exceeds the total cache capacity. Each engine caches 64 prefixes. Hits are
+counted from the cache events, which are published without loss in this benchmark.
+
+Usage: bench/affinity.py --build DIR [--short]
 """
 
 import sys
@@ -16,10 +18,10 @@
 ENTRIES = 4
 ENGINES = 8
 CACHE_PREFIXES = 64
-# Three quarters of what all caches hold together.
+# Three quarters of the total cache capacity, so that all prefixes fit.
 PROMPTS = ENGINES * CACHE_PREFIXES * 3 // 4
 RATE = 400
-# Stated targets.
+# Design targets.
 MIN_HIT_RATIO = 0.85
 MAX_LOAD_RATIO = 1.25
 
@@ -36,7 +38,7 @@
 
 
 class CacheCounter:
-    """Reads each engine's begun requests and cache misses."""
+    """Reads the accepted requests and cache misses of each engine."""
 
     def __init__(self, fleet):
         self.fleet = fleet
@@ -45,7 +47,7 @@
         self.read()
 
     def read(self):
-        """Returns (requests by engine, misses) since the last call."""
+        """Returns (requests by engine, total misses) since the last call."""
         requests, misses = {}, 0
         for vm in self.fleet.model_vms():
             stats = fleet_module.get_json(vm.address, fleet_module.ENGINE_PORT, "/stats")
@@ -66,7 +68,7 @@
 
 
 def measure(fleet, counter, name, seconds, **options):
-    """Runs one load and returns the hit share and the largest load relative to the mean."""
+    """Runs one load. Returns the hit share, the largest engine load relative to the mean, and the summary."""
     counter.read()
     summary = run_load(fleet, name, seconds, rate=RATE, workspaces="large", max_tokens=4, prompts=PROMPTS, **options)
     time.sleep(0.2)
@@ -87,7 +89,7 @@
         targets = ",".join(f"{vm.address}:{fleet_module.ENGINE_PORT}" for vm in fleet.model_vms())
         measure(fleet, counter, "random-warm-up", 3, targets=targets)
         random_hits, _, _ = measure(fleet, counter, "random", seconds, targets=targets)
-    # All prefixes fit into the caches and the warm-up showed all of them, so perfect knowledge misses none.
+    # All prefixes fit into the caches and occurred during the warm-up, so the ideal router has no misses.
     perfect_hits = min(1.0, ENGINES * CACHE_PREFIXES / PROMPTS)
     report.add("hit_share", hits, "share", n=ENTRIES, better="higher", wrong=summary["wrong"],
                refused=summary["refused"])
--- a/bench/burn.py
+++ b/bench/burn.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Burn report over a month of one-minute scrapes of 370 nodes: time, memory and difference from the raw events."""
+"""Measures the burn report over a month of one-minute scrapes of 370 nodes: time, memory and error of the result."""
 
 import argparse
 import os
--- a/bench/burn_bench.cpp
+++ b/bench/burn_bench.cpp
@@ -1,4 +1,4 @@
-// Cost and exactness of the burn report over a month of scrapes.
+// Measures the time, memory and accuracy of the burn report over a month of scrapes.
 
 #include <unistd.h>
 
@@ -20,12 +20,12 @@
 constexpr uint32_t kNodes = 370;
 constexpr int64_t kMinutesPerDay = 24 * 60;
 constexpr int64_t kStart = 1'790'000'040;
-// One node in this many restarts in a given minute, which sets its counters to zero.
+// In each minute, a node restarts with a probability of one in this number, which resets its counters to zero.
 constexpr uint64_t kRestartOdds = 20'000;
-// One scrape in this many is missing.
+// Each scrape is missing with a probability of one in this number.
 constexpr uint64_t kMissingOdds = 500;
 
-// What really happened, counted event by event.
+// Reference result, counted event by event.
 struct Truth {
   double good = 0;
   double bad = 0;
@@ -48,8 +48,8 @@
   return key;
 }
 
-// Adds one minute of events to a node and to the truth. The truth holds every event after a node's first scrape, also
-// those between its last scrape and a restart, which no scrape can show.
+// Adds one minute of events to a node and to the reference. The reference contains every event after a node's first
+// scrape, including those between its last scrape and a restart, which scrapes cannot cover.
 void AddMinute(NodeState& node, Random& random, Truth& pending, Truth& truth, bool is_missing) {
   if (random.GetBelow(kRestartOdds) == 0) {
     node.good_count = 0;
--- a/bench/cold.py
+++ b/bench/cold.py
@@ -1,9 +1,9 @@
 #!/usr/bin/env python3
-"""Endpoints turn cold without notice every few seconds under full load.
+"""Makes endpoints cold without notice every few seconds under full load.
 
-Figures: work that engines got above their cold capacity (over_limit; over_limit_at_turn for what was on its way when
-the engine turned cold), engines that fell over (fell_over), and the time
-until an endpoint is back at 0.9 of its warm throughput, relative to its own warm-up time (warm_time_ratio).
+Results: requests that engines received above their cold capacity (over_limit; over_limit_at_turn for those in transit
+when the engine became cold), engines that failed under overload (fell_over), and the time until an endpoint is back at
+0.9 of its warm throughput, relative to its own warm-up time (warm_time_ratio).
 """
 
 import dataclasses
@@ -20,19 +20,19 @@
 CAPACITY = 16
 COLD_CAPACITY = 2
 TOKENS = 16
-# A request takes up to 40 ms of prefill and 16 tokens of 10 ms, so an endpoint ends 16 / 0.2 s = 80 requests/s or a
-# few more. Twice that keeps every endpoint full whatever the routing does.
+# A request takes up to 40 ms of prefill and 16 tokens of 10 ms, so an endpoint completes at least 16 / 0.2 s = 80
+# requests/s. Twice that rate keeps every endpoint saturated regardless of the routing.
 FULL_RATE = 2 * ENDPOINTS * CAPACITY / (0.04 + TOKENS * TOKEN_MS / 1000)
-# One zone, so that all endpoints are alike for every entry.
+# A single zone, so that all endpoints are equivalent for every entry.
 DEPLOYMENT = dataclasses.replace(fleet_lib.USTAV, zones=["praha"], regions=["cechy"])
 SAMPLE_S = 0.05
-# Throughput is compared over this time.
+# Window over which the throughput is averaged.
 WINDOW_S = 0.4
 TARGET_SHARE = 0.9
 
 
 class Throughput:
-    """Tokens of each engine over time."""
+    """Samples the token counters of the engines."""
 
     def __init__(self, vms):
         self.points = {vm.id: [] for vm in vms}
@@ -51,7 +51,7 @@
         return (inside[-1][1] - inside[0][1]) / (inside[-1][0] - inside[0][0])
 
     def recovery(self, vm, cold_at, warm_rate, until):
-        """Time from cold_at until the rate is at the target again, as the window that begins then shows."""
+        """Returns the time from `cold_at` to the start of the first window whose rate meets the target again."""
         for at, _ in self.points[vm.id]:
             if at < cold_at + WARM_MS / 1000 or at + WINDOW_S > until:
                 continue
@@ -70,7 +70,11 @@
 
 
 def turn_cold(fleet, throughput, rng, rounds, spacing):
-    """Turns one endpoint after the other cold and returns (vm, time, warm rate, end of the wait) for each."""
+    """Makes one endpoint after the other cold.
+
+    Returns the events as [vm, time, warm rate, end of observation], the requests above the limit that were in transit
+    at these times, and the longest time between the change and the read of the counter.
+    """
     events = []
     on_the_wire, read_s = 0, []
     # The same order in each round, so that each endpoint has time to recover before its next turn.
@@ -120,8 +124,9 @@
         ratios.append(took / (WARM_MS / 1000) if took is not None else None)
     report.note("cold_starts", ENDPOINTS, len(events), "events")
     report.note("warm_rate", ENDPOINTS, round(_request.percentile([e[2] or 0 for e in events], 0.5)), "tokens/s")
-    # A request that left the agent on the engine's own answer "warm" may arrive just after the engine turned cold; no
-    # protocol can call it back. What arrives until the counter is read right after the turn is shown on its own.
+    # A request that an agent sent while the engine still reported "warm" may arrive just after the engine became cold,
+    # and no protocol can withdraw it. Requests that arrive until the counter is read directly after the change are
+    # therefore reported separately.
     report.note("over_limit_at_turn", ENDPOINTS, on_the_wire, "requests")
     report.note("turn_read_ms", ENDPOINTS, round(1000 * read_s, 1), "ms")
     report.bound("over_limit", ENDPOINTS, after["over_limit"] - before["over_limit"] - on_the_wire, "requests", 0)
--- a/bench/config.py
+++ b/bench/config.py
@@ -1,8 +1,9 @@
 #!/usr/bin/env python3
-"""Measures how fast an accepted document is in force everywhere, with a third of the processes cut off from the log.
+"""Measures the time until a document is in force everywhere, with a third of the processes cut off from the log.
 
-Starts real processes with the control services only. In-force times come from the processes' own events. Then replays
-5,500 changes a day at 50 times real time and checks that no backlog builds up and that no process ever reverts.
+Starts processes with the control services only. The times are taken from the event logs of the processes. Then replays
+5,500 changes a day at 50 times real time and checks that no backlog builds up and that no process reverts to an older
+version.
 """
 
 import argparse
@@ -26,7 +27,7 @@
 
 
 def in_force_times(adoptions, published):
-    """Returns the times from publish to adoption; a version skipped for a later one counts until the later one."""
+    """Returns the times from publish to adoption. A skipped version counts as adopted with the next later one."""
     times = []
     for events in adoptions.values():
         for version, begun in published.items():
--- a/bench/control.py
+++ b/bench/control.py
@@ -1,9 +1,9 @@
 #!/usr/bin/env python3
-"""Measures what control costs each role: bytes/s, share of a core and memory, by the number of processes.
+"""Measures the control overhead of each role by number of processes: bytes/s, CPU share and memory.
 
-Runs control-only processes as small fleets, and as one zone of a fleet whose VM list has the size that the project is
-designed for (11,370 VMs in 30 zones; the other zones' VMs do not run). Prints slopes over the members of the zone, and
-values for a zone of the design size.
+Runs control-only processes as small fleets, and as one zone of a fleet whose VM list has the design size (11,370 VMs in
+30 zones; the VMs of the other zones do not run). Prints the slopes per zone member and values extrapolated to a zone of
+the design size.
 """
 
 import argparse
@@ -17,7 +17,7 @@
 CPU_BOUND = 0.015
 RSS_BOUND_MB = 64.0
 MIB = 1024 * 1024
-# Time between two reads of a list of the design size, as src/member_service.cpp paces them.
+# Interval between two reads of a VM list of the design size, as scheduled by src/member_service.cpp.
 LIST_PERIOD_S = 3360
 WHOLE_LIST_PROCESSES = 8
 ZONES = ["praha", "brno", "ostrava", "plzen"]
@@ -56,7 +56,7 @@
 
 
 def padding_rows(agents):
-    """Rows of the VM list for the other zones of the design, with so many agents each."""
+    """Returns VM list rows for the other zones of the design size, with the given number of agents each."""
     rows = []
     for zone in range(1, DESIGN_ZONES):
         for i in range(ENTRIES_PER_ZONE + agents):
@@ -69,20 +69,20 @@
 
 
 def run_size(build, n, padding, seed_value, settle_s, window_s):
-    """Measures n processes: a small fleet in several zones, or with padding one zone of a large fleet."""
+    """Measures n processes: a small fleet in several zones, or one zone of a large fleet if padding is given."""
     zones = ["zone-0"] if padding else ZONES
     entries = max(2 if padding else len(zones), round(n * ENTRIES_PER_ZONE / ZONE_MEMBERS))
-    # The stand-in of the VM list serves one process at a time.
+    # The VM list stand-in serves one process at a time, so reads of a large list may take long.
     settings = {"platform.timeout_ms": 30000}
     with ControlFleet(build, zones, entries, n - entries, seed_value, settings, padding=padding) as fleet:
         fleet.start_all()
-        # A process knows its whole zone and a share of the other zones.
+        # A process knows all members of its zone and a subset of the other zones.
         fleet_lib.wait_until(lambda: all(s.get("members", 0) >= n for s in fleet.for_all(Node.status)), 180,
                              "all members everywhere")
         fleet.publish("control")
         fleet.wait_in_force(fleet.version, 30)
-        # After a start a large zone tells its members of each other within its budget, which takes minutes. The
-        # measurement begins earlier, so its bytes are those of a zone in which all members change.
+        # After a start, the members of a large zone learn about each other within a traffic budget, which takes
+        # minutes. The measurement starts earlier, so its bytes are those of a zone in which all members are changing.
         time.sleep(25 if padding else 0)
         known = sum(s.get("serving", 0) for s in fleet.for_all(Node.status)) / (n * n)
         note("control", "known_share", n, round(known, 3), "share", seed_value)
@@ -95,9 +95,9 @@
     parser.add_argument("--short", action="store_true")
     arguments = parser.parse_args()
     seed_value = seed()
-    # Sizes and whether they are one zone of the design size.
-    # Processes keep six agents of each other zone, so thirty in the list give them the design's table. The whole list
-    # matters for memory only, because reading it takes some, and is measured with a few processes.
+    # Number of processes and padding of the VM list; with padding, the processes are one zone of the design size.
+    # Processes keep six agents of each other zone, so a list with thirty per zone results in member tables of the
+    # design size. The complete list affects only the memory needed to read it, and is measured with a few processes.
     shape, whole = padding_rows(30), padding_rows(AGENTS_PER_ZONE)
     sizes = [(10, []), (20, shape), (50, shape)] if arguments.short else [(10, []), (50, []), (150, shape), (300, shape)]
     settle_s, window_s = (3, 5) if arguments.short else (5, 8)
@@ -119,7 +119,7 @@
             slope = (measured[high][role][key] - measured[low][role][key]) / (high - low)
             note("control", f"{role}_{key}_slope", high, slope, UNITS[key] + " per process of the zone", seed_value)
             value = measured[high][role][key] + max(0.0, slope) * (ZONE_MEMBERS - high)
-            # The list is read too seldom to show in the window.
+            # The list is read too rarely to be covered by the measurement window, so its mean rate is added.
             if key == "bytes_per_s":
                 value += list_rate
             if key == "rss_mb":
--- a/bench/control_node_bench.cpp
+++ b/bench/control_node_bench.cpp
@@ -1,5 +1,5 @@
 // A process with the control services only: configuration, membership and peers. Benchmarks start many of them to
-// measure what control costs without the rest of an entry or an agent.
+// measure the control overhead without the other parts of an entry or agent.
 
 #include <cstdlib>
 #include <iostream>
@@ -17,7 +17,7 @@
 namespace plantain {
 namespace {
 
-// Says that the process serves all that the document assigns to its pool, once it has a document.
+// Reports that the process serves everything assigned to its pool as soon as it has a document.
 class ControlNode : public Service, public SelfSource, public AdminSource {
  public:
   ControlNode(const ConfigSource& config, const MemberSource& members, PoolName pool)
--- a/bench/drain.py
+++ b/bench/drain.py
@@ -1,9 +1,9 @@
 #!/usr/bin/env python3
-"""Rolling restart of every entry, agent and endpoint under load.
+"""Performs a rolling restart of every entry, agent and endpoint under load.
 
-Each VM is asked to stop gracefully; an endpoint's engine or service is restarted while its agent is down. The next VM
-follows once this one serves again. Figures: answers that were cut (cut), requests without an answer (failed) and
-processes that did not stop by themselves (forced).
+Each VM is stopped gracefully; an endpoint's engine or service is restarted while its agent is down. The next VM follows
+once this one serves again. Results: truncated or incorrect answers (cut), requests without an answer (failed) and
+processes that had to be killed (forced).
 """
 
 import subprocess
@@ -19,7 +19,7 @@
 TOKEN_MS = 10
 TOKENS = 30
 CAPACITY = 16
-# Requests/s for each endpoint; a third of what it bears, so that the others bear the work of one that restarts.
+# Requests/s for each endpoint: a third of its capacity, so that the others can take over the load of one that restarts.
 RATE_PER_MODEL = 0.33 * CAPACITY / (0.04 + TOKENS * TOKEN_MS / 1000)
 SERVICE_SHARE = 0.2
 WEIGHTS_BYTES = 1024 * 1024
@@ -42,7 +42,7 @@
 
 
 def read_ledger(fleet, vm, counts):
-    """Adds what a plain service ran; its ledger is lost with its process."""
+    """Adds the executions of a plain service to `counts`. Call before its process stops, which loses the ledger."""
     if vm.pool != fleet.deployment.service_pool:
         return
     for row in fleet_lib.get_json(vm.address, fleet_lib.ENGINE_PORT, "/ledger", timeout=10)["calls"]:
@@ -51,7 +51,7 @@
 
 
 def restart(fleet, vm, counts):
-    """Restarts one VM. Returns whether its process stopped by itself without fault."""
+    """Restarts one VM. Returns whether its process stopped gracefully with exit code 0."""
     try:
         is_clean = fleet.stop_product(vm, STOP_S) == 0
     except subprocess.TimeoutExpired:
@@ -91,7 +91,7 @@
         for vm in fleet.vms:
             read_ledger(fleet, vm, counts)
     report.note("restarts", restarts, round(took, 1), "s")
-    # Restarts after the end of the load would show nothing.
+    # Restarts after the end of the load would not be tested.
     report.bound("restart_time", restarts, round(took, 1), "s", duration)
     report.note("answered", restarts, summary["answered"], "requests")
     report.bound("cut", restarts, summary["truncated"] + summary["wrong"] + summary["mixed"], "requests", 0)
--- a/bench/exchange_bench.cpp
+++ b/bench/exchange_bench.cpp
@@ -1,4 +1,5 @@
-// Measures the chunk plan in virtual time: time until all VMs hold the weights against what the links allow.
+// Measures the chunk plan in virtual time: time until all VMs hold the weights, relative to the lower bound given by
+// the link rates.
 
 #include <cstdlib>
 #include <iostream>
--- a/bench/once.py
+++ b/bench/once.py
@@ -1,9 +1,9 @@
 #!/usr/bin/env python3
-"""Calls that must run at most once, while agents are killed and paused and answers of the service and log are lost.
+"""Tests at-most-once calls while agents are killed and paused and answers of the service and log are lost.
 
-Callers repeat their calls through random entries, some of them while the first try is still running. Figures: keys that
-the services ran more than once (duplicate), keys that ran although every answer said "not run" (false_not_run), keys
-whose callers never learned the outcome (unknown_share), and appends a second to the log at 1,000 calls a second.
+Clients retry their calls through random entries, some of them while the first attempt is still running. Results: keys
+that were executed more than once (duplicate), keys that were executed although every answer said "not run"
+(false_not_run), keys with an unknown outcome (unknown_share), and log appends/s at 1,000 calls/s.
 """
 
 import http.client
@@ -25,7 +25,7 @@
 THREADS = 16
 DEADLINE_MS = 5000
 MAX_TRIES = 4
-# Share of tries that the caller abandons early, while the call may be running.
+# Share of attempts that the client abandons early, while the call may still be running.
 IMPATIENT_SHARE = 0.15
 IMPATIENT_S = 0.1
 LOAD_RATE = 1000
@@ -33,7 +33,7 @@
 
 
 def try_call(target, service, call, key, attempt, timeout):
-    """Sends one call. Returns (kind, body): answered, not_run, unknown or lost."""
+    """Sends one call. Returns (kind, body or error type); the kind is answered, not_run, unknown or lost."""
     headers = {"X-Workspace": "large", "Idempotency-Key": key, "X-Request-Id": key, "X-Attempt": str(attempt),
                "X-Deadline-Ms": str(DEADLINE_MS)}
     connection = http.client.HTTPConnection(target, fleet_lib.CALLER_PORT, timeout=timeout)
@@ -52,9 +52,9 @@
 
 
 def follow_key(targets, service, call, key, rng):
-    """Calls and repeats one key as a caller would; returns the kinds and bodies of all answers."""
+    """Sends a call and its retries as a client would. Returns the kinds and bodies of all answers."""
     answers = []
-    # Some callers never repeat, so that a wrong "not run" is not covered by a later answer.
+    # Some clients never retry, so that an incorrect "not run" is not hidden by a later answer.
     tries = rng.choice([1, 2, MAX_TRIES])
     for attempt in range(tries):
         is_impatient = rng.random() < IMPATIENT_SHARE
@@ -67,7 +67,7 @@
 
 
 def run_caller(index, targets, service, call, seed, count, start, queue):
-    """One process of callers; sends its share of the keys when they are due."""
+    """Runs one client process, which sends its share of the keys at their scheduled times."""
     results = []
     lock = threading.Lock()
 
@@ -90,7 +90,7 @@
 
 
 def make_faults(fleet, rng):
-    """Returns the faults as (name, begin, end) in random order."""
+    """Returns the faults as (name, start function, end function) in random order."""
     agents = fleet.endpoints(fleet.deployment.service_pool)
 
     def kill(vm):
@@ -114,7 +114,7 @@
 
 
 def inject(fleet, rng, until):
-    """Injects one fault after the other, each for about a second, until the time given."""
+    """Injects one fault after the other, each for about a second, until the given time."""
     while time.monotonic() < until:
         for _, begin, end in make_faults(fleet, rng):
             if time.monotonic() >= until:
@@ -149,13 +149,13 @@
     results = [row for _ in callers for row in queue.get(timeout=120)]
     for caller in callers:
         caller.join()
-    # Calls that went on without their callers have ended after this time.
+    # By then, calls that were abandoned by their clients have completed.
     time.sleep(2)
     judge(report, results, read_ledgers(fleet))
 
 
 def classify(results, ledger):
-    """Returns lists of keys by what became of them; the last three must be empty."""
+    """Returns lists of keys by outcome; the last three must be empty."""
     classes = {name: [] for name in ("answered", "not_run", "unknown", "duplicate", "false_not_run", "different")}
     classes["duplicate"] = [key for key, count in ledger.items() if count > 1]
     for key, answers in results:
@@ -186,7 +186,7 @@
 
 
 def run_rate(fleet, report, seconds):
-    """Measures appends a second at the full rate, without faults."""
+    """Measures the log appends/s at the full call rate, without faults."""
     address = fleet.platform_address()
     load = fleet.start_load(rate=LOAD_RATE, duration_s=seconds + 1, service_share=1, once_share=1,
                             service=fleet.deployment.service, once_call=fleet.deployment.once_call,
--- a/bench/path.py
+++ b/bench/path.py
@@ -1,8 +1,8 @@
 #!/usr/bin/env python3
-"""Cost of the request path: latency added by entry and agent, and requests that entries carry.
+"""Measures the request path: latency added by entry and agent, and throughput of the entries.
 
-Latency is compared with callers that ask the engine stand-ins directly, at the same low rate. There is no relay on the
-path, so the fixed network delay is zero. Usage: bench/path.py --build DIR [--short]
+The latency is compared with that of clients that send to the engine stand-ins directly at the same low rate. There is
+no relay on the path, so the fixed network delay is zero. Usage: bench/path.py --build DIR [--short]
 """
 
 import sys
@@ -13,20 +13,20 @@
 WORKSPACES = [("large", 1, 1_000_000, 100_000, 100_000_000)]
 ENTRIES = 4
 ENGINES = 12
-# Stated targets.
+# Design targets.
 MAX_ADDED_P50_MS = 0.5
 MIN_REQUESTS_PER_S = 8000
 MAX_TOKEN_ADDED_P99_MS = 1.0
-# 2.1 million tokens/s at peak over 370 entries (design page, 1.3); half of it for the entries here.
+# Half of the design peak load, which is 2.1 million tokens/s over 370 entries (docs/design.md, section 1.3).
 HALF_TOKENS_PER_S = 2_100_000 / 370 / 2 * ENTRIES
 
 
 def make_fleet(arguments):
     deployment = fleet_module.USTAV
-    # Small answers in little time, so that the path and not the engine is measured.
+    # Short and fast answers, so that the request path is measured instead of the engine.
     return OneZoneFleet(arguments.build, deployment, arguments.seed, entries=ENTRIES, models=ENGINES, services=0,
                         catalogues=0, link=False, weights=small_weights(deployment, arguments.seed), log_level="warn",
-                        # No cold starts, which would slow the engine down or end its work.
+                        # No cold starts, which would slow the engine down or make it fail requests.
                         engine={"token-ms": 2, "capacity": 256, "max-running": 512, "cold-after-load": 0,
                                 "cold-slowdown": 1, "cold-capacity": 512, "warm-ms": 500, "prefill-ms": 0},
                         agent={"admission.cold_limit": 16, "admission.max_limit": 256, "admission.queue": 64},
--- a/bench/recover.py
+++ b/bench/recover.py
@@ -1,10 +1,10 @@
 #!/usr/bin/env python3
-"""Measures how fast a zone serves again after all its processes were killed while the platform is away.
+"""Measures the recovery time of a zone whose processes were all killed while the platform is unavailable.
 
-Log, VM list and origin are down. The zone's processes find the document, their peers and each other through their seeds
+Log, VM list and origin are down. The processes of the zone obtain the document and the member list through their seeds
 only. The engines keep running, as they do when the product's processes crash. `time_ratio` is the time until every
-entry of the zone answers a request, over the start of a single process plus one gossip period. `stale_served` counts
-answers from other weights than those that the document in force asks for.
+entry of the zone answers a request, divided by the start time of a single process plus one gossip period.
+`stale_served` counts answers from weights other than those required by the document in force.
 """
 
 import argparse
@@ -30,14 +30,14 @@
 
 
 class Caller:
-    """Sends small requests and counts answers by the weights that they came from."""
+    """Sends small requests and counts the answers, and those from outdated weights."""
 
     def __init__(self, fleet, manifest):
         self.fleet, self.manifest = fleet, manifest
         self.answers, self.stale, self.number = 0, 0, 0
 
     def try_entry(self, vm):
-        """Returns whether an entry answers a request with a whole answer."""
+        """Returns whether an entry answers a request completely."""
         self.number += 1
         body = json.dumps({"model": self.fleet.deployment.model, "prompt": f"recover {self.number}", "max_tokens": 2,
                            "stream": True})
@@ -69,7 +69,7 @@
 
 
 def restart(fleet, vms):
-    """Kills the product processes of these VMs and starts them again; returns the time of the start."""
+    """Kills the product processes of the VMs and restarts them. Returns the time of the restart."""
     for vm in vms:
         fleet.signal_vm(vm, signal.SIGKILL)
     for vm in vms:
@@ -81,7 +81,7 @@
 
 
 def time_single_starts(fleet, caller, entry, agent, version, rounds):
-    """Returns the median times until a restarted entry answers and a restarted agent serves."""
+    """Returns the median times until a single restarted entry answers and a single restarted agent serves."""
     entries, agents = [], []
     for _ in range(rounds):
         start = restart(fleet, [entry])
--- a/bench/rollout.py
+++ b/bench/rollout.py
@@ -1,17 +1,17 @@
 #!/usr/bin/env python3
-"""Measures rollouts of weights with real processes on paced loopback links.
+"""Measures rollouts of weights with real processes over rate-limited loopback links.
 
-The origin's link carries four copies of the model in the period T, each VM's link two copies each way, and the link
-between regions four copies each way. The limit on the time until n VMs hold a model of M bytes is
+The origin's link transmits four copies of the model in the period T, each VM's link two copies in each direction, and
+the link between regions four copies in each direction. The lower bound of the time until n VMs hold a model of M bytes:
 
     max(M / down, M / origin, n * M / (origin + n * up), M / region)
 
-since each VM receives all bytes over its own link, the origin sends each byte at least once, all links that send
-together carry n copies, and each region gets at least one copy. `time_ratio` is the time from the publish until the
-engines of all n VMs have confirmed the weights, over this limit. The baseline turns the exchange off, so that each VM
-draws from the origin.
+because each VM receives all bytes over its own link, the origin sends each byte at least once, all sending links
+together transmit n copies, and each region receives at least one copy. `time_ratio` is the time from the publish until
+the engines of all n VMs have confirmed the weights, divided by this lower bound (`limit`). The baseline disables the
+exchange between VMs, so that each VM downloads from the origin.
 
-Prints one JSON line per figure and its seed; exits with 1 if a bound is missed. Usage: bench/rollout.py --build DIR
+Prints the seed and one JSON line per result; exits with 1 if a bound is missed. Usage: bench/rollout.py --build DIR
 [--short] [--only CASE]
 """
 
@@ -46,20 +46,20 @@
 FAULT_TIME_BOUND = 2.5
 FAULT_ORIGIN_BOUND = 2.5
 HASH_BOUND = 0.5
-# The baseline moves n copies through the origin's link, so it uses a smaller model over the same links.
+# The baseline transmits n copies over the origin's link, so it uses a smaller model over the same links.
 BASELINE_SHARE = 0.25
 POLL_S = 0.05
 SIDE_BY_SIDE = 15
 HASH_RUNS = 3
-# Below this rate the few requests that warm a loaded engine up are more than 5% of all, so that the p95 shows the
-# engine's cold start alone.
+# At lower rates, the few requests that warm up a newly loaded engine are more than 5% of all requests, and the p95
+# would reflect only the cold start.
 LIVE_RATE = 300
 
 failures = []
 
 
 def report(metric, n, value, unit, limit=None, bound=None, better="lower", **more):
-    """Prints one figure and notes whether its bound holds."""
+    """Prints one result and records whether its bound is met."""
     row = {"bench": "rollout", "metric": metric, "n": n, "value": round(value, 4), "unit": unit}
     if limit is not None:
         row["limit"] = round(limit, 4)
@@ -73,13 +73,13 @@
 
 
 def get_rates():
-    """Rates of one VM's link, of the origin and between regions, in bytes/s."""
+    """Returns the link rates of a VM, of the origin and between regions, in bytes/s."""
     return (VM_COPIES * MODEL_BYTES / PERIOD_S, ORIGIN_COPIES * MODEL_BYTES / PERIOD_S,
             REGION_COPIES * MODEL_BYTES / PERIOD_S)
 
 
 def get_limit(n, size, zones):
-    """The least time in which n VMs can get a model of `size` bytes over these links."""
+    """Returns the lower bound of the time in which n VMs can receive a model of `size` bytes."""
     vm, origin, region = get_rates()
     parts = [size / vm, size / origin, n * size / (origin + n * vm)]
     if zones > 1:
@@ -88,7 +88,7 @@
 
 
 class RolloutFleet(Fleet):
-    """A fleet whose only VMs are model runners and one entry."""
+    """A fleet of model VMs and entries, without services."""
 
     def __init__(self, build, n, seed, size=MODEL_BYTES, entries=3, agent=None, engine=None, versions=2, **more):
         vm, origin, region = (int(rate) for rate in get_rates())
@@ -111,7 +111,7 @@
         return len({vm.zone for vm in self.model_vms()})
 
     def wait_for_members(self, timeout=60):
-        """Waits until every agent has heard its whole zone and lists all others, so that the run measures transfer."""
+        """Waits until every agent has heard from its zone and lists all VMs, so that only the transfer is measured."""
         waiting = {vm.id: vm for vm in self.model_vms()}
 
         def is_complete(vm):
@@ -150,13 +150,13 @@
                     self.confirmed_at[vm.id] = time.monotonic() - start
             if not waiting:
                 return time.monotonic() - start
-            # The polls must not take the processor time that the agents need.
+            # Polls less often while many VMs are waiting, to leave the CPU time to the agents.
             time.sleep(POLL_S * max(1, len(waiting) / 25))
         print(f"rollout: not confirmed: {sorted(waiting)}", file=sys.stderr)
         return None
 
     def metric_sum(self, name, label=""):
-        """Sums one metric over all living agents."""
+        """Sums one metric over all running agents."""
         def read(vm):
             try:
                 _, body = fleet_module.request(vm.address, ADMIN_PORT, "GET", "/metrics", timeout=5)
@@ -174,7 +174,7 @@
                                retries=2, manifests=manifests)
 
     def cross_zone_copies(self, size):
-        """Chunk bytes that agents got from other zones, in copies for each zone beyond the origin's."""
+        """Returns the chunk bytes that agents received from other zones, in copies per zone other than the origin's."""
         zones = self.get_zone_count()
         if zones < 2:
             return 0.0
@@ -201,7 +201,7 @@
     try:
         seconds, limit, origin, cross = measure_fresh(build, seed, n)
     except TimeoutError as error:
-        # A fleet that does not come up misses the bound; the other cases still run.
+        # A fleet that does not start counts as a missed bound; the other cases still run.
         print(f"rollout: n={n}: {error}", file=sys.stderr)
         report("time_ratio", n, 1e9, "ratio", None, TIME_BOUNDS.get(n, 1e8))
         return
@@ -220,7 +220,7 @@
 
 
 def run_sizes(build, seed, sizes, with_baseline):
-    """Runs the small fleets beside each other, since their links are paced and they need little processor time."""
+    """Runs the small fleets in parallel, because their links are rate-limited and they need little CPU time."""
     small = [n for n in sizes if n <= SIDE_BY_SIDE]
     with concurrent.futures.ThreadPoolExecutor(len(small) + 1) as pool:
         runs = [pool.submit(run_size, build, seed, n) for n in small]
@@ -234,7 +234,7 @@
 
 
 def run_live(build, seed, n=15):
-    """Compares callers' p95 during a rollout to serving VMs with the one before it."""
+    """Compares the clients' p95 latency during a rollout to serving VMs with that before it."""
     with RolloutFleet(build, n, seed, entries=4) as fleet:
         fleet.start_all()
         fleet.wait_for_members()
@@ -257,8 +257,8 @@
 
 
 def run_faults(build, seed, n=20):
-    """Rolls out under faults: 5% of the origin's chunks are corrupt, a fifth of the agents is paused, as a stalled link
-    would have it, a tenth is killed, and the version changes at half of the limit."""
+    """Measures a rollout under faults: 5% of the origin's chunks are corrupt, a fifth of the agents is paused to
+    simulate stalled links, a tenth is killed, and the version changes at half of the limit."""
     with RolloutFleet(build, n, seed, entries=3) as fleet:
         fleet.start_all()
         fleet.wait_for_members()
@@ -295,7 +295,7 @@
 
 
 def run_hash(build):
-    """Compares hashing and moving of chunks with the hash library alone, as the median over a few runs."""
+    """Compares hashing and transferring chunks with the hash library alone, as the median of several runs."""
     runs = []
     for _ in range(HASH_RUNS):
         done = subprocess.run([os.path.join(build, "bench-transfer")], capture_output=True, text=True, check=True,
--- a/bench/storm.py
+++ b/bench/storm.py
@@ -1,8 +1,10 @@
 #!/usr/bin/env python3
-"""Retry storm: callers offer 0.5 to 5 times the fleet's capacity and repeat each refused request up to 4 times at once.
+"""Simulates a retry storm: clients offer 0.5 to 5 times the fleet's capacity and retry refused requests up to 4 times.
 
-The same load also runs against a baseline in the same run: no useful retry budget at the entries and a fixed, large
-admission limit at the agents in place of the adaptive one. Usage: bench/storm.py --build DIR [--short]
+Clients ignore the retry delay that refusals ask for. A baseline gets the same load in the same run: an effectively
+unlimited retry budget at the entries and a large, fixed admission limit at the agents instead of the adaptive one.
+
+Usage: bench/storm.py --build DIR [--short]
 """
 
 import sys
@@ -16,16 +18,16 @@
 ENGINE_CAPACITY = 8
 TOKEN_MS = 10
 TOKENS = 10
-# Requests/s that all engines serve at full speed; one step more than tokens is needed for a request.
+# Requests/s that all engines together serve at full speed. A request takes one step more than its number of tokens.
 CAPACITY = ENGINES * ENGINE_CAPACITY * 1000 / (TOKEN_MS * (TOKENS + 1))
 DEADLINE_MS = 1000
 LARGE, SMALL = 2, 8
 WORKSPACES = [(f"large{i}", 1, 1_000_000, 100_000, 100_000_000) for i in range(LARGE)] + [
     (f"small{i}", 1, 1_000_000, 100_000, 100_000_000) for i in range(SMALL)]
-# Demand of a large workspace for each request of a small one.
+# Request rate of a large workspace relative to a small one.
 LARGE_DEMAND = 36
 DEMAND = ",".join([f"large{i}:{LARGE_DEMAND}" for i in range(LARGE)] + [f"small{i}:1" for i in range(SMALL)])
-# Stated targets.
+# Design targets.
 MIN_GOODPUT_RATIO = 0.9
 MAX_AMPLIFICATION = 1.1
 MAX_RECOVERY_S = 5
@@ -41,7 +43,7 @@
     deployment = fleet_module.USTAV
     return OneZoneFleet(arguments.build, deployment, arguments.seed, entries=ENTRIES, models=ENGINES, services=0,
                         catalogues=0, link=False, weights=small_weights(deployment, arguments.seed), log_level="warn",
-                        # Without cold starts, under which the baseline would fail even before the storm.
+                        # No cold starts, because with them the baseline would fail even before the storm.
                         engine={"token-ms": TOKEN_MS, "capacity": ENGINE_CAPACITY, "max-running": 2048,
                                 "cold-after-load": 0, "cold-slowdown": 1, "cold-capacity": 2048, "warm-ms": 500,
                                 "prefill-ms": 0},
@@ -49,7 +51,7 @@
 
 
 def offer(fleet, name, level, seconds, **options):
-    """Offers `level` times the capacity from callers that repeat refused requests, and returns the load's summary."""
+    """Offers `level` times the capacity with clients that retry refused requests. Returns the load's summary."""
     return run_load(fleet, name, seconds, rate=level * CAPACITY, workspaces=DEMAND, max_tokens=TOKENS, retries=4,
                     ignore_retry_after=True, retry_pause_ms=20, deadline_ms=DEADLINE_MS, prompts=200, threads=2, **options)
 
@@ -60,9 +62,9 @@
 
 
 def find_recovery(summary):
-    """Returns the seconds after the storm until at most 5% of requests fail or are refused, for good.
+    """Returns the time in seconds after the storm from which at most 5% of the requests fail or are refused.
 
-    Failures are counted rather than answers, because answers fall into a later interval than their requests.
+    Counts failures instead of answers, because an answer may belong to a later interval than its request.
     """
     recovered = 0
     for index, row in enumerate(summary["timeline"]):
@@ -72,7 +74,7 @@
 
 
 def find_fair_ratio(summary, seconds, capacity):
-    """Returns the smallest share of its fair share that a small workspace got."""
+    """Returns the lowest ratio of throughput to fair share among the small workspaces."""
     ratios = []
     for name, row in summary["workspaces"].items():
         if name.startswith("small"):
@@ -82,7 +84,10 @@
 
 
 def run_levels(arguments, entry, agent, levels, seconds):
-    """Offers all levels in turn, then half the capacity. Returns what was seen."""
+    """Offers all levels in turn, then half of the capacity.
+
+    Returns the goodput by level, the retry amplification at the last level, the recovery time and the last summary.
+    """
     with make_fleet(arguments, entry, agent) as fleet:
         start_serving(fleet, WORKSPACES)
         warm_up(fleet, 5, rate=0.5 * CAPACITY, workspaces=DEMAND, max_tokens=TOKENS, prompts=200)
--- a/bench/transfer_bench.cpp
+++ b/bench/transfer_bench.cpp
@@ -1,4 +1,4 @@
-// Measures the processor time of hashing and of moving chunks, against the hash library alone.
+// Measures the CPU time of hashing and transferring chunks, compared with the hash library alone.
 
 #include <openssl/evp.h>
 #include <sys/resource.h>
@@ -45,7 +45,7 @@
   return chunks;
 }
 
-// Prints the rate of a task that handles all chunks kRounds times.
+// Prints the processing rate of a task that handles all chunks kRounds times.
 void Measure(const std::string& metric, const std::function<void()>& task) {
   const double start = GetCpuSeconds();
   task();
@@ -71,7 +71,7 @@
   }
 }
 
-// One server and one client on one loop, as two agents would exchange chunks; both ends count.
+// A server and a client on one loop that exchange chunks as two agents would. The CPU time of both sides is measured.
 class TransferRun {
  public:
   TransferRun(const std::vector<std::string>& chunks, const std::vector<Digest>& digests)
--- a/bench/zone.py
+++ b/bench/zone.py
@@ -1,9 +1,9 @@
 #!/usr/bin/env python3
-"""An availability zone leaves service and returns under load, and is then cut off from the others and the platform.
+"""Takes an availability zone out of service and back under load, then cuts it off from the others and the platform.
 
-Figures: work that began in the zone more than 3 s after the change was accepted (late_admissions), requests that got no
-answer (failed), and the 95th percentile of the time to the first token during the change over the time before
-(p95_ratio).
+Results: requests that started in the zone more than 3 s after the change was accepted (late_admissions), requests
+without an answer (failed), and the 95th percentile of the time to the first token during the change, relative to that
+before it (p95_ratio).
 """
 
 import sys
@@ -20,7 +20,7 @@
 LOAD_SHARE = 0.6
 ZONE = 1
 GRACE_MS = 3000
-# Requests/s that all endpoints together bear.
+# Capacity of all endpoints together in requests/s.
 FULL_RATE = MODELS * CAPACITY / ((PREFILL_MS + TOKENS * TOKEN_MS) / 1000)
 
 
@@ -46,7 +46,7 @@
 
 
 def take_out(fleet):
-    """Takes the zone out and tells its engines from when on new work is late."""
+    """Takes the zone out of service and sets the time from which its engines count new requests as late."""
     fleet.ctl("zone", "out", fleet.deployment.zones[ZONE], "--yes")
     for vm in zone_vms(fleet):
         fleet.control(vm, {"no_work_after_ms": GRACE_MS})
@@ -87,7 +87,7 @@
         during = fleet.finish_load(during_load, "during")
         started = count_started(fleet)
 
-        # Callers still reach the entry of the zone that is cut off; it serves them with what the zone has.
+        # Clients still reach the entry of the isolated zone, which serves them with the endpoints of its zone.
         cut_load = run_load(fleet, "cut", rate, phase)
         time.sleep(1.5)
         fleet.cut_zone(ZONE)
