Name identifiers of the benchmarks after what they do

Names such as chance, offer, Truth or follow_key did not say what they stand for. Renames (metric names and printed lines stay; an entry with several new names differs by file): begun -> published_at, begun; caller -> caller, process; callers -> processes, callers; chance -> rng; counted -> counted, count_before; failures -> failures, count_failures; figures -> results, figures; find_recovery -> get_recovery_s; passed -> elapsed, passed; read_s -> read_times, max_read_s; recovery -> get_recovery_s, recovery; took -> recovery_s, elapsed_s, recovery_time; waiting -> pending; Figures -> Results; IMPATIENT_S -> ABANDON_TIMEOUT_S; IMPATIENT_SHARE -> ABANDONED_SHARE; MAX_TRIES -> MAX_ATTEMPTS; SIDE_BY_SIDE -> MAX_PARALLEL_SIZE; Truth -> Reference; WHOLE_LIST_PROCESSES -> FULL_LIST_PROCESSES; find_fair_ratio -> get_fair_ratio; follow_key -> call_with_retries; is_impatient -> is_abandoned; is_returning -> is_recovering; judge -> report_results; left -> remaining_tokens; light -> warming_time; m_changed -> m_changed_at; m_last -> m_last_token_at; m_long -> m_long_gap; m_recent -> m_recent_gap; nowhere -> unreachable_address; offer -> run_at_level; on_the_wire -> in_transit; pace -> step_time; phase -> phase_s; run_caller -> run_client_process; shape -> short_list; take_out -> take_zone_out; tries -> attempts; true_share -> expected_share; truth -> reference; try_call -> send_attempt; turn_cold -> make_cold; turned_at -> changed_at; used -> used_slots; whole -> full_list; with_whole_list -> with_full_list; worst_return_ms -> worst_recovery_ms. Unit tests: all pass in the second of two runs; in the first, under load, http_limits_test (a body that stops in the middle, a real-time limit, code that is not touched here) failed once, and then passed alone 3 times out of 3.

--- a/bench/_control_fleet.py
+++ b/bench/_control_fleet.py
@@ -148,7 +148,7 @@
         self.octet, self._holder = fleet_lib.claim_octet()
         self.dir = tempfile.mkdtemp(prefix="plantainmast-control-")
         self.platform = f"127.{self.octet}.200.1"
-        self.nowhere = f"127.{self.octet}.200.2"
+        self.unreachable_address = f"127.{self.octet}.200.2"
         self.processes = []
         self.nodes = []
         self.version = 0
@@ -207,7 +207,7 @@
         seeds = [n.address for n in self.nodes if n.role == "entry" and n is not node][:4]
         values = {"vm.id": node.name, "vm.zone": self.zones[node.zone], "vm.address": node.address,
                   "log.level": "warn", "peer.seeds": seeds, "peer.key": "bench-key",
-                  "platform.log_address": self.nowhere if node.name in self.cut else self.platform,
+                  "platform.log_address": self.unreachable_address if node.name in self.cut else self.platform,
                   "platform.vms_address": self.platform}
         if node.role == "agent":
             values.update({"vm.pool": "runners", "engine.address": node.address,
@@ -230,12 +230,12 @@
         """Publishes one document and returns its version and the wall time before the append."""
         document = make_document(self.zones, comment)
         record = make_publish(hashlib.md5(f"{self.seed} {comment}".encode()).hexdigest(), self.version, document)
-        begun = time.time()
+        published_at = time.time()
         status, _ = fleet_lib.request(self.platform, LOG_PORT, "POST", "/streams/config/records", record)
         if status != 200:
             raise RuntimeError(f"append: {status}")
         self.version += 1
-        return self.version, begun
+        return self.version, published_at
 
     def adoptions(self):
         """Returns {node name: [(version, wall time)]} from the event logs, in the order of the events."""
--- a/bench/admission_bench.cpp
+++ b/bench/admission_bench.cpp
@@ -65,24 +65,24 @@
  public:
   explicit GradientPolicy(const Clock& clock) : m_clock(clock) {}
   std::string GetName() const override { return "gradient"; }
-  bool CanStart() const override { return m_last.size() < std::floor(m_limit); }
+  bool CanStart() const override { return m_last_token_at.size() < std::floor(m_limit); }
   SlotId Start() override {
     m_next = m_next.Next();
-    m_last[m_next] = m_clock.GetNow();
+    m_last_token_at[m_next] = m_clock.GetNow();
     return m_next;
   }
   void OnToken(SlotId slot) override {
-    const double gap = std::chrono::duration<double>(m_clock.GetNow() - m_last[slot]).count();
-    m_last[slot] = m_clock.GetNow();
-    m_recent = m_recent == 0 ? gap : m_recent + kRecentWeight * (gap - m_recent);
-    m_long = m_long == 0 ? gap : m_long + kLongWeight * (gap - m_long);
-    if (m_is_cold || m_clock.GetNow() - m_changed < kTokenTime) return;
-    m_changed = m_clock.GetNow();
-    const double gradient = std::clamp(kTolerance * m_long / m_recent, 0.5, 1.0);
+    const double gap = std::chrono::duration<double>(m_clock.GetNow() - m_last_token_at[slot]).count();
+    m_last_token_at[slot] = m_clock.GetNow();
+    m_recent_gap = m_recent_gap == 0 ? gap : m_recent_gap + kRecentWeight * (gap - m_recent_gap);
+    m_long_gap = m_long_gap == 0 ? gap : m_long_gap + kLongWeight * (gap - m_long_gap);
+    if (m_is_cold || m_clock.GetNow() - m_changed_at < kTokenTime) return;
+    m_changed_at = m_clock.GetNow();
+    const double gradient = std::clamp(kTolerance * m_long_gap / m_recent_gap, 0.5, 1.0);
     const double target = m_limit * gradient + std::sqrt(m_limit);
     m_limit = std::clamp(m_limit + kSmoothing * (target - m_limit), double{kColdCapacity}, double{kCapacity});
   }
-  void End(SlotId slot) override { m_last.erase(slot); }
+  void End(SlotId slot) override { m_last_token_at.erase(slot); }
   void OnReport(EngineState state) override {
     m_is_cold = state != EngineState::kWarm;
     if (m_is_cold) m_limit = kColdCapacity;
@@ -95,77 +95,77 @@
   static constexpr double kSmoothing = 0.2;
 
   const Clock& m_clock;
-  std::map<SlotId, TimePoint> m_last;
+  std::map<SlotId, TimePoint> m_last_token_at;
   SlotId m_next;
   double m_limit = kColdCapacity;
-  double m_recent = 0;
-  double m_long = 0;
+  double m_recent_gap = 0;
+  double m_long_gap = 0;
   bool m_is_cold = true;
-  TimePoint m_changed;
+  TimePoint m_changed_at;
 };
 
-struct Figures {
+struct Results {
   int over_limit = 0;
   int cold_starts = 0;
-  double worst_return_ms = 0;
+  double worst_recovery_ms = 0;
   double used_share = 0;
 };
 
 // Runs one policy with unlimited demand. Reports are delayed by `report_lag_steps`; if `is_hidden`, cold starts are
 // never reported.
-Figures RunPolicy(Policy& policy, VirtualClock& clock, Random& random, int report_lag_steps, bool is_hidden) {
-  Figures figures;
-  std::map<SlotId, int> left;
+Results RunPolicy(Policy& policy, VirtualClock& clock, Random& random, int report_lag_steps, bool is_hidden) {
+  Results results;
+  std::map<SlotId, int> remaining_tokens;
   bool is_warm = true;
-  Duration light{};
+  Duration warming_time{};
   int changed_step = -1000;
-  bool is_returning = false;
+  bool is_recovering = false;
   TimePoint warm_since;
-  int64_t used = 0;
+  int64_t used_slots = 0;
   int64_t warm_steps = 0;
   for (int step = 0; step < kSteps; ++step) {
     if (step % kColdEverySteps == kColdEverySteps - 1) {
       is_warm = false;
-      light = Duration(0);
+      warming_time = Duration(0);
       changed_step = step;
-      ++figures.cold_starts;
+      ++results.cold_starts;
     }
     const bool is_reported_warm = is_hidden || (step - changed_step >= report_lag_steps ? is_warm : !is_warm);
     if (step % 10 == 0) policy.OnReport(is_reported_warm ? EngineState::kWarm : EngineState::kCold);
     while (policy.CanStart()) {
-      if (!is_warm && left.size() >= kColdCapacity) ++figures.over_limit;
-      left[policy.Start()] = kTokens;
+      if (!is_warm && remaining_tokens.size() >= kColdCapacity) ++results.over_limit;
+      remaining_tokens[policy.Start()] = kTokens;
     }
     const double jitter = 0.8 + 0.4 * random.GetUnit();
-    const Duration pace = is_warm ? kTokenTime : std::chrono::duration_cast<Duration>(kColdSlowdown * kTokenTime);
-    const auto passed = std::chrono::duration_cast<Duration>(jitter * pace);
-    clock.Advance(passed);
-    if (!is_warm && !left.empty() && left.size() <= kColdCapacity) light += passed;
-    if (!is_warm && light >= kWarmTime) {
+    const Duration step_time = is_warm ? kTokenTime : std::chrono::duration_cast<Duration>(kColdSlowdown * kTokenTime);
+    const auto elapsed = std::chrono::duration_cast<Duration>(jitter * step_time);
+    clock.Advance(elapsed);
+    if (!is_warm && !remaining_tokens.empty() && remaining_tokens.size() <= kColdCapacity) warming_time += elapsed;
+    if (!is_warm && warming_time >= kWarmTime) {
       is_warm = true;
       changed_step = step;
-      is_returning = true;
+      is_recovering = true;
       warm_since = clock.GetNow();
     }
     if (is_warm) {
       ++warm_steps;
-      used += static_cast<int64_t>(left.size());
+      used_slots += static_cast<int64_t>(remaining_tokens.size());
     }
-    if (is_returning && left.size() >= 0.9 * kCapacity) {
-      const std::chrono::duration<double, std::milli> took = clock.GetNow() - warm_since;
-      figures.worst_return_ms = std::max(figures.worst_return_ms, took.count());
-      is_returning = false;
+    if (is_recovering && remaining_tokens.size() >= 0.9 * kCapacity) {
+      const std::chrono::duration<double, std::milli> recovery_time = clock.GetNow() - warm_since;
+      results.worst_recovery_ms = std::max(results.worst_recovery_ms, recovery_time.count());
+      is_recovering = false;
     }
-    const std::map<SlotId, int> running = left;
+    const std::map<SlotId, int> running = remaining_tokens;
     for (const auto& [slot, tokens] : running) {
       policy.OnToken(slot);
-      if (--left[slot] > 0) continue;
+      if (--remaining_tokens[slot] > 0) continue;
       policy.End(slot);
-      left.erase(slot);
+      remaining_tokens.erase(slot);
     }
   }
-  figures.used_share = static_cast<double>(used) / static_cast<double>(warm_steps) / kCapacity;
-  return figures;
+  results.used_share = static_cast<double>(used_slots) / static_cast<double>(warm_steps) / kCapacity;
+  return results;
 }
 
 void Print(const std::string& metric, const std::string& policy, bool is_hidden, double value, const char* unit,
@@ -181,11 +181,11 @@
   SeededRandom random(seed);
   P policy(clock);
   constexpr int kReportLagSteps = 5;
-  const Figures figures = RunPolicy(policy, clock, random, kReportLagSteps, is_hidden);
+  const Results results = RunPolicy(policy, clock, random, kReportLagSteps, is_hidden);
   Print("over_limit_per_cold_start", policy.GetName(), is_hidden,
-        static_cast<double>(figures.over_limit) / figures.cold_starts, "requests", seed);
-  Print("worst_return_after_warm", policy.GetName(), is_hidden, figures.worst_return_ms, "ms", seed);
-  Print("used_share_while_warm", policy.GetName(), is_hidden, figures.used_share, "1", seed);
+        static_cast<double>(results.over_limit) / results.cold_starts, "requests", seed);
+  Print("worst_return_after_warm", policy.GetName(), is_hidden, results.worst_recovery_ms, "ms", seed);
+  Print("used_share_while_warm", policy.GetName(), is_hidden, results.used_share, "1", seed);
 }
 
 }  // namespace
--- a/bench/burn_bench.cpp
+++ b/bench/burn_bench.cpp
@@ -26,7 +26,7 @@
 constexpr uint64_t kMissingOdds = 500;
 
 // Reference result, counted event by event.
-struct Truth {
+struct Reference {
   double good = 0;
   double bad = 0;
 };
@@ -50,7 +50,7 @@
 
 // Adds one minute of events to a node and to the reference. The reference contains every event after a node's first
 // scrape, including those between its last scrape and a restart, which scrapes cannot cover.
-void AddMinute(NodeState& node, Random& random, Truth& pending, Truth& truth, bool is_missing) {
+void AddMinute(NodeState& node, Random& random, Reference& pending, Reference& reference, bool is_missing) {
   if (random.GetBelow(kRestartOdds) == 0) {
     node.good_count = 0;
     node.bad_count = 0;
@@ -63,35 +63,35 @@
   pending.bad += static_cast<double>(bad);
   if (is_missing) return;
   if (node.is_seen) {
-    truth.good += pending.good;
-    truth.bad += pending.bad;
+    reference.good += pending.good;
+    reference.bad += pending.bad;
   }
   node.is_seen = true;
-  pending = Truth{};
+  pending = Reference{};
 }
 
-Truth WriteSamples(const std::string& path, int64_t days, uint64_t seed) {
+Reference WriteSamples(const std::string& path, int64_t days, uint64_t seed) {
   std::ofstream file(path, std::ios::binary);
   BurnSampleWriter writer(file);
   SeededRandom random(seed);
   std::vector<NodeState> nodes(kNodes);
-  std::vector<Truth> pending(kNodes);
+  std::vector<Reference> pending(kNodes);
   for (uint32_t i = 0; i < kNodes; ++i) {
     nodes[i].good = writer.DefineSeries(MakeKey(i, false));
     nodes[i].bad = writer.DefineSeries(MakeKey(i, true));
   }
-  Truth truth;
+  Reference reference;
   for (int64_t minute = 0; minute < days * kMinutesPerDay; ++minute) {
     for (uint32_t i = 0; i < kNodes; ++i) {
       const bool is_missing = random.GetBelow(kMissingOdds) == 0;
-      AddMinute(nodes[i], random, pending[i], truth, is_missing);
+      AddMinute(nodes[i], random, pending[i], reference, is_missing);
       if (is_missing) continue;
       const std::array<BurnValue, 2> values = {BurnValue{nodes[i].good, nodes[i].good_count},
                                                BurnValue{nodes[i].bad, nodes[i].bad_count}};
       writer.Write(UnixSeconds(kStart + 60 * minute), i, values);
     }
   }
-  return truth;
+  return reference;
 }
 
 double GetPeakMemoryMb() {
@@ -114,7 +114,7 @@
 
 int Run(int64_t days, uint64_t seed) {
   const std::string path = "/tmp/plantainmast-burn-" + std::to_string(getpid()) + ".samples";
-  const Truth truth = WriteSamples(path, days, seed);
+  const Reference reference = WriteSamples(path, days, seed);
   const auto start = std::chrono::steady_clock::now();
   std::ifstream file(path, std::ios::binary);
   BurnAccumulator accumulator(kBurnPeriod);
@@ -128,10 +128,11 @@
     return 1;
   }
   const BurnCount& counted = report.measures.front().period;
-  const double true_share = truth.bad / (truth.bad + truth.good);
+  const double expected_share = reference.bad / (reference.bad + reference.good);
   bool is_pass = Print("time_s", seconds, "s", 2);
   is_pass = Print("rss_mb", GetPeakMemoryMb(), "MB", 256) && is_pass;
-  is_pass = Print("error_share", std::abs(counted.GetBadShare() - true_share) / true_share, "share", 0.001) && is_pass;
+  is_pass = Print("error_share", std::abs(counted.GetBadShare() - expected_share) / expected_share, "share", 0.001) &&
+            is_pass;
   return is_pass ? 0 : 1;
 }
 
--- a/bench/cold.py
+++ b/bench/cold.py
@@ -50,7 +50,7 @@
             return None
         return (inside[-1][1] - inside[0][1]) / (inside[-1][0] - inside[0][0])
 
-    def recovery(self, vm, cold_at, warm_rate, until):
+    def get_recovery_s(self, vm, cold_at, warm_rate, until):
         """Returns the time from `cold_at` to the start of the first window whose rate meets the target again."""
         for at, _ in self.points[vm.id]:
             if at < cold_at + WARM_MS / 1000 or at + WINDOW_S > until:
@@ -69,14 +69,14 @@
                            link=False, engine=engine, agent=agent)
 
 
-def turn_cold(fleet, throughput, rng, rounds, spacing):
+def make_cold(fleet, throughput, rng, rounds, spacing):
     """Makes one endpoint after the other cold.
 
     Returns the events as [vm, time, warm rate, end of observation], the requests above the limit that were in transit
     at these times, and the longest time between the change and the read of the counter.
     """
     events = []
-    on_the_wire, read_s = 0, []
+    in_transit, read_times = 0, []
     # The same order in each round, so that each endpoint has time to recover before its next turn.
     vms = fleet.model_vms()
     rng.shuffle(vms)
@@ -85,16 +85,16 @@
             time.sleep(spacing * rng.uniform(0.8, 1.2))
             now = time.monotonic()
             events.append([vm, now, throughput.rate(vm, now - 1.0, now), None])
-            counted = _request.engine_stats(vm)["over_limit"]
-            turned_at = time.monotonic()
+            count_before = _request.engine_stats(vm)["over_limit"]
+            changed_at = time.monotonic()
             fleet.control(vm, {"go_cold": True})
-            on_the_wire += _request.engine_stats(vm)["over_limit"] - counted
-            read_s.append(time.monotonic() - turned_at)
+            in_transit += _request.engine_stats(vm)["over_limit"] - count_before
+            read_times.append(time.monotonic() - changed_at)
     time.sleep(1.8 * WARM_MS / 1000)
     for i, event in enumerate(events):
         later = [e[1] for e in events[i + 1:] if e[0] is event[0]]
         event[3] = min(later) if later else time.monotonic()
-    return events, on_the_wire, max(read_s)
+    return events, in_transit, max(read_times)
 
 
 def main():
@@ -113,23 +113,23 @@
         sampler = _request.Sampler(SAMPLE_S, throughput.sample)
         sampler.start()
         time.sleep(1.2)
-        events, on_the_wire, read_s = turn_cold(fleet, throughput, rng, rounds, spacing)
+        events, in_transit, max_read_s = make_cold(fleet, throughput, rng, rounds, spacing)
         sampler.finish()
         after = fleet.engine_stats()
         load.kill()
         load.wait()
     ratios = []
     for vm, at, warm_rate, until in events:
-        took = throughput.recovery(vm, at, warm_rate, until) if warm_rate else None
-        ratios.append(took / (WARM_MS / 1000) if took is not None else None)
+        recovery_s = throughput.get_recovery_s(vm, at, warm_rate, until) if warm_rate else None
+        ratios.append(recovery_s / (WARM_MS / 1000) if recovery_s is not None else None)
     report.note("cold_starts", ENDPOINTS, len(events), "events")
     report.note("warm_rate", ENDPOINTS, round(_request.percentile([e[2] or 0 for e in events], 0.5)), "tokens/s")
     # A request that an agent sent while the engine still reported "warm" may arrive just after the engine became cold,
     # and no protocol can withdraw it. Requests that arrive until the counter is read directly after the change are
     # therefore reported separately.
-    report.note("over_limit_at_turn", ENDPOINTS, on_the_wire, "requests")
-    report.note("turn_read_ms", ENDPOINTS, round(1000 * read_s, 1), "ms")
-    report.bound("over_limit", ENDPOINTS, after["over_limit"] - before["over_limit"] - on_the_wire, "requests", 0)
+    report.note("over_limit_at_turn", ENDPOINTS, in_transit, "requests")
+    report.note("turn_read_ms", ENDPOINTS, round(1000 * max_read_s, 1), "ms")
+    report.bound("over_limit", ENDPOINTS, after["over_limit"] - before["over_limit"] - in_transit, "requests", 0)
     report.bound("fell_over", ENDPOINTS, after["fell_over"] - before["fell_over"], "times", 0)
     worst = None if None in ratios else round(max(ratios), 2)
     report.note("warm_time_ratio_p50", ENDPOINTS, _request.percentile([round(r, 2) for r in ratios if r], 0.5), "1")
--- a/bench/config.py
+++ b/bench/config.py
@@ -30,9 +30,9 @@
     """Returns the times from publish to adoption. A skipped version counts as adopted with the next later one."""
     times = []
     for events in adoptions.values():
-        for version, begun in published.items():
+        for version, published_at in published.items():
             later = [when for adopted, when in events if adopted >= version]
-            times.append(max(0.0, min(later) - begun) if later else float("inf"))
+            times.append(max(0.0, min(later) - published_at) if later else float("inf"))
     return times
 
 
@@ -42,7 +42,7 @@
     parser.add_argument("--short", action="store_true")
     arguments = parser.parse_args()
     seed_value = seed()
-    chance = random.Random(seed_value)
+    rng = random.Random(seed_value)
     n = 100
     publishes = 4 if arguments.short else 10
     replay_s = 6 if arguments.short else 20
@@ -53,17 +53,17 @@
                              "all members everywhere")
         published = {}
         for i in range(publishes):
-            version, begun = fleet.publish(f"single {i}")
-            published[version] = begun
-            time.sleep(1 + chance.random())
+            version, published_at = fleet.publish(f"single {i}")
+            published[version] = published_at
+            time.sleep(1 + rng.random())
         fleet.wait_in_force(fleet.version, 30)
 
         changes = round(CHANGES_PER_DAY / 86400 * SPEED_UP * replay_s)
         replayed = {}
         start = time.monotonic()
         for i in range(changes):
-            version, begun = fleet.publish(f"replay {i}")
-            replayed[version] = begun
+            version, published_at = fleet.publish(f"replay {i}")
+            replayed[version] = published_at
             time.sleep(max(0.0, start + (i + 1) * replay_s / changes - time.monotonic()))
         done = time.monotonic()
         fleet.wait_in_force(fleet.version, 60)
--- a/bench/control.py
+++ b/bench/control.py
@@ -19,7 +19,7 @@
 MIB = 1024 * 1024
 # Interval between two reads of a VM list of the design size, as scheduled by src/member_service.cpp.
 LIST_PERIOD_S = 3360
-WHOLE_LIST_PROCESSES = 8
+FULL_LIST_PROCESSES = 8
 ZONES = ["praha", "brno", "ostrava", "plzen"]
 # Design size (section 1.3 of docs/design.md).
 DESIGN_ENTRIES, DESIGN_AGENTS, DESIGN_ZONES = 370, 11000, 30
@@ -98,8 +98,9 @@
     # Number of processes and padding of the VM list; with padding, the processes are one zone of the design size.
     # Processes keep six agents of each other zone, so a list with thirty per zone results in member tables of the
     # design size. The complete list affects only the memory needed to read it, and is measured with a few processes.
-    shape, whole = padding_rows(30), padding_rows(AGENTS_PER_ZONE)
-    sizes = [(10, []), (20, shape), (50, shape)] if arguments.short else [(10, []), (50, []), (150, shape), (300, shape)]
+    short_list, full_list = padding_rows(30), padding_rows(AGENTS_PER_ZONE)
+    sizes = [(10, []), (20, short_list), (50, short_list)] if arguments.short else [
+        (10, []), (50, []), (150, short_list), (300, short_list)]
     settle_s, window_s = (3, 5) if arguments.short else (5, 8)
     measured = {}
     for n, padding in sizes:
@@ -107,10 +108,10 @@
         for role, figures in measured[n].items():
             for key, value in figures.items():
                 note("control", f"{role}_{key}", n, round(value, 5), UNITS[key], seed_value)
-    with_whole_list = run_size(arguments.build, WHOLE_LIST_PROCESSES, whole, seed_value, 2, 1)
+    with_full_list = run_size(arguments.build, FULL_LIST_PROCESSES, full_list, seed_value, 2, 1)
 
     low, high = [n for n, padding in sizes if padding]
-    list_bytes = len(json.dumps({"vms": whole}))
+    list_bytes = len(json.dumps({"vms": full_list}))
     list_rate = list_bytes / LIST_PERIOD_S
     note("control", "vm_list_bytes", DESIGN_ENTRIES + DESIGN_AGENTS, list_bytes, "bytes", seed_value)
     ok = True
@@ -123,9 +124,9 @@
             if key == "bytes_per_s":
                 value += list_rate
             if key == "rss_mb":
-                rss = with_whole_list[role]["rss_mb"]
-                note("control", f"{role}_rss_mb_with_whole_list", WHOLE_LIST_PROCESSES, round(rss, 5), "MiB", seed_value)
-                value = max(value, rss + max(0.0, slope) * (ZONE_MEMBERS - WHOLE_LIST_PROCESSES))
+                rss = with_full_list[role]["rss_mb"]
+                note("control", f"{role}_rss_mb_with_whole_list", FULL_LIST_PROCESSES, round(rss, 5), "MiB", seed_value)
+                value = max(value, rss + max(0.0, slope) * (ZONE_MEMBERS - FULL_LIST_PROCESSES))
             ok &= report("control", f"{role}_{key}_design", DESIGN_ENTRIES + DESIGN_AGENTS, round(value, 5), UNITS[key],
                          bound, "lower", seed_value)
     return 0 if ok else 1
--- a/bench/drain.py
+++ b/bench/drain.py
@@ -85,14 +85,14 @@
         forced, counts = 0, {}
         for vm in fleet.vms:
             forced += not restart(fleet, vm, counts)
-        took = time.monotonic() - begun
+        elapsed_s = time.monotonic() - begun
         summary = fleet.finish_load(load)
         restarts = len(fleet.vms)
         for vm in fleet.vms:
             read_ledger(fleet, vm, counts)
-    report.note("restarts", restarts, round(took, 1), "s")
+    report.note("restarts", restarts, round(elapsed_s, 1), "s")
     # Restarts after the end of the load would not be tested.
-    report.bound("restart_time", restarts, round(took, 1), "s", duration)
+    report.bound("restart_time", restarts, round(elapsed_s, 1), "s", duration)
     report.note("answered", restarts, summary["answered"], "requests")
     report.bound("cut", restarts, summary["truncated"] + summary["wrong"] + summary["mixed"], "requests", 0)
     report.bound("failed", restarts, summary["failed"] + summary["refused"], "requests", 0)
--- a/bench/once.py
+++ b/bench/once.py
@@ -24,15 +24,15 @@
 PROCESSES = 4
 THREADS = 16
 DEADLINE_MS = 5000
-MAX_TRIES = 4
+MAX_ATTEMPTS = 4
 # Share of attempts that the client abandons early, while the call may still be running.
-IMPATIENT_SHARE = 0.15
-IMPATIENT_S = 0.1
+ABANDONED_SHARE = 0.15
+ABANDON_TIMEOUT_S = 0.1
 LOAD_RATE = 1000
 APPENDS_BOUND = 300
 
 
-def try_call(target, service, call, key, attempt, timeout):
+def send_attempt(target, service, call, key, attempt, timeout):
     """Sends one call. Returns (kind, body or error type); the kind is answered, not_run, unknown or lost."""
     headers = {"X-Workspace": "large", "Idempotency-Key": key, "X-Request-Id": key, "X-Attempt": str(attempt),
                "X-Deadline-Ms": str(DEADLINE_MS)}
@@ -51,22 +51,22 @@
         connection.close()
 
 
-def follow_key(targets, service, call, key, rng):
+def call_with_retries(targets, service, call, key, rng):
     """Sends a call and its retries as a client would. Returns the kinds and bodies of all answers."""
     answers = []
     # Some clients never retry, so that an incorrect "not run" is not hidden by a later answer.
-    tries = rng.choice([1, 2, MAX_TRIES])
-    for attempt in range(tries):
-        is_impatient = rng.random() < IMPATIENT_SHARE
-        timeout = IMPATIENT_S if is_impatient else DEADLINE_MS / 1000 + 3
-        answers.append(try_call(rng.choice(targets), service, call, key, attempt, timeout))
+    attempts = rng.choice([1, 2, MAX_ATTEMPTS])
+    for attempt in range(attempts):
+        is_abandoned = rng.random() < ABANDONED_SHARE
+        timeout = ABANDON_TIMEOUT_S if is_abandoned else DEADLINE_MS / 1000 + 3
+        answers.append(send_attempt(rng.choice(targets), service, call, key, attempt, timeout))
         if answers[-1][0] == "answered":
             break
         time.sleep(rng.uniform(0.05, 0.4))
     return answers
 
 
-def run_caller(index, targets, service, call, seed, count, start, queue):
+def run_client_process(index, targets, service, call, seed, count, start, queue):
     """Runs one client process, which sends its share of the keys at their scheduled times."""
     results = []
     lock = threading.Lock()
@@ -77,7 +77,7 @@
         for i in range(worker, count, PROCESSES * THREADS):
             time.sleep(max(0, start + i / RATE - time.monotonic()))
             key = f"key-{i}"
-            answers = follow_key(targets, service, call, key, rng)
+            answers = call_with_retries(targets, service, call, key, rng)
             with lock:
                 results.append((key, answers))
 
@@ -139,19 +139,20 @@
     targets = [vm.address for vm in fleet.entries()]
     queue = multiprocessing.Queue()
     start = time.monotonic() + 0.5
-    callers = [multiprocessing.Process(target=run_caller, args=(i, targets, deployment.service, deployment.once_call,
-                                                                report.seed, count, start, queue))
-               for i in range(PROCESSES)]
-    for caller in callers:
-        caller.start()
+    processes = [multiprocessing.Process(target=run_client_process,
+                                         args=(i, targets, deployment.service, deployment.once_call, report.seed, count,
+                                               start, queue))
+                 for i in range(PROCESSES)]
+    for process in processes:
+        process.start()
     time.sleep(1.5)
     inject(fleet, rng, start + count / RATE - 1)
-    results = [row for _ in callers for row in queue.get(timeout=120)]
-    for caller in callers:
-        caller.join()
+    results = [row for _ in processes for row in queue.get(timeout=120)]
+    for process in processes:
+        process.join()
     # By then, calls that were abandoned by their clients have completed.
     time.sleep(2)
-    judge(report, results, read_ledgers(fleet))
+    report_results(report, results, read_ledgers(fleet))
 
 
 def classify(results, ledger):
@@ -174,7 +175,7 @@
     return classes
 
 
-def judge(report, results, ledger):
+def report_results(report, results, ledger):
     classes = classify(results, ledger)
     total = len(results)
     report.note("calls", total, total, "keys")
--- a/bench/recover.py
+++ b/bench/recover.py
@@ -122,11 +122,11 @@
         for _ in range(rounds):
             time.sleep(2)
             start = restart(fleet, zone)
-            waiting = list(entries)
-            while waiting and time.monotonic() < start + LIMIT_S:
-                waiting = [vm for vm in waiting if not caller.try_entry(vm)]
+            pending = list(entries)
+            while pending and time.monotonic() < start + LIMIT_S:
+                pending = [vm for vm in pending if not caller.try_entry(vm)]
                 time.sleep(POLL_S)
-            zone_times.append(time.monotonic() - start if not waiting else float("inf"))
+            zone_times.append(time.monotonic() - start if not pending else float("inf"))
             try:
                 wait_until(lambda: all(is_agent_serving(fleet, vm, caller.manifest, version) for vm in agents), LIMIT_S,
                            "the agents of the zone to serve", POLL_S)
--- a/bench/rollout.py
+++ b/bench/rollout.py
@@ -49,7 +49,7 @@
 # The baseline transmits n copies over the origin's link, so it uses a smaller model over the same links.
 BASELINE_SHARE = 0.25
 POLL_S = 0.05
-SIDE_BY_SIDE = 15
+MAX_PARALLEL_SIZE = 15
 HASH_RUNS = 3
 # At lower rates, the few requests that warm up a newly loaded engine are more than 5% of all requests, and the p95
 # would reflect only the cold start.
@@ -112,7 +112,7 @@
 
     def wait_for_members(self, timeout=60):
         """Waits until every agent has heard from its zone and lists all VMs, so that only the transfer is measured."""
-        waiting = {vm.id: vm for vm in self.model_vms()}
+        pending = {vm.id: vm for vm in self.model_vms()}
 
         def is_complete(vm):
             counts = (self.status(vm) or {}).get("members", {})
@@ -121,17 +121,17 @@
             return heard >= in_zone and sum(counts.values()) >= len(self.vms)
 
         def check():
-            vms = list(waiting.values())
+            vms = list(pending.values())
             for vm, done in zip(vms, self.pool.map(is_complete, vms)):
                 if done:
-                    del waiting[vm.id]
-            return not waiting
+                    del pending[vm.id]
+            return not pending
 
         try:
             wait_until(check, timeout, "members", interval=0.2)
         except TimeoutError as error:
-            states = {vm.id: (self.status(vm) or {}).get("members") for vm in list(waiting.values())[:5]}
-            raise TimeoutError(f"{len(waiting)} agents do not know all members: {states}") from error
+            states = {vm.id: (self.status(vm) or {}).get("members") for vm in list(pending.values())[:5]}
+            raise TimeoutError(f"{len(pending)} agents do not know all members: {states}") from error
 
     def has_confirmed(self, vm, version):
         """Whether the engine has loaded the version and the agent serves it."""
@@ -141,18 +141,18 @@
 
     def wait_for_version(self, version, vms, start, timeout):
         """Waits until all VMs have confirmed a version. Returns the seconds since `start`, or None."""
-        waiting = {vm.id: vm for vm in vms}
+        pending = {vm.id: vm for vm in vms}
         while time.monotonic() - start < timeout:
-            current = list(waiting.values())
+            current = list(pending.values())
             for vm, done in zip(current, self.pool.map(lambda v: self.has_confirmed(v, version), current)):
                 if done:
-                    del waiting[vm.id]
+                    del pending[vm.id]
                     self.confirmed_at[vm.id] = time.monotonic() - start
-            if not waiting:
+            if not pending:
                 return time.monotonic() - start
-            # Polls less often while many VMs are waiting, to leave the CPU time to the agents.
-            time.sleep(POLL_S * max(1, len(waiting) / 25))
-        print(f"rollout: not confirmed: {sorted(waiting)}", file=sys.stderr)
+            # Polls less often while many VMs are pending, to leave the CPU time to the agents.
+            time.sleep(POLL_S * max(1, len(pending) / 25))
+        print(f"rollout: not confirmed: {sorted(pending)}", file=sys.stderr)
         return None
 
     def metric_sum(self, name, label=""):
@@ -221,7 +221,7 @@
 
 def run_sizes(build, seed, sizes, with_baseline):
     """Runs the small fleets in parallel, because their links are rate-limited and they need little CPU time."""
-    small = [n for n in sizes if n <= SIDE_BY_SIDE]
+    small = [n for n in sizes if n <= MAX_PARALLEL_SIZE]
     with concurrent.futures.ThreadPoolExecutor(len(small) + 1) as pool:
         runs = [pool.submit(run_size, build, seed, n) for n in small]
         if with_baseline:
@@ -229,7 +229,7 @@
         for run in runs:
             run.result()
     for n in sizes:
-        if n > SIDE_BY_SIDE:
+        if n > MAX_PARALLEL_SIZE:
             run_size(build, seed, n)
 
 
--- a/bench/storm.py
+++ b/bench/storm.py
@@ -50,7 +50,7 @@
                         agent=agent, entry=entry)
 
 
-def offer(fleet, name, level, seconds, **options):
+def run_at_level(fleet, name, level, seconds, **options):
     """Offers `level` times the capacity with clients that retry refused requests. Returns the load's summary."""
     return run_load(fleet, name, seconds, rate=level * CAPACITY, workspaces=DEMAND, max_tokens=TOKENS, retries=4,
                     ignore_retry_after=True, retry_pause_ms=20, deadline_ms=DEADLINE_MS, prompts=200, threads=2, **options)
@@ -61,7 +61,7 @@
     return sum_metric(entries, "plantain_entry_attempts_total"), sum_metric(entries, "plantain_entry_first_attempts_total")
 
 
-def find_recovery(summary):
+def get_recovery_s(summary):
     """Returns the time in seconds after the storm from which at most 5% of the requests fail or are refused.
 
     Counts failures instead of answers, because an answer may belong to a later interval than its request.
@@ -73,7 +73,7 @@
     return recovered * summary["timeline_ms"] / 1000
 
 
-def find_fair_ratio(summary, seconds, capacity):
+def get_fair_ratio(summary, seconds, capacity):
     """Returns the lowest ratio of throughput to fair share among the small workspaces."""
     ratios = []
     for name, row in summary["workspaces"].items():
@@ -94,13 +94,13 @@
         goodput = {}
         for level in levels:
             before = count_attempts(fleet)
-            summary = offer(fleet, f"level-{level}", level, seconds)
+            summary = run_at_level(fleet, f"level-{level}", level, seconds)
             after = count_attempts(fleet)
             goodput[level] = summary["answered"] / seconds
-        recovery = offer(fleet, "recovery", 0.5, MAX_RECOVERY_S + 2, timeline_ms=500)
+        recovery = run_at_level(fleet, "recovery", 0.5, MAX_RECOVERY_S + 2, timeline_ms=500)
         time.sleep(0.1)
     amplification = (after[0] - before[0]) / max(1, after[1] - before[1])
-    return goodput, amplification, find_recovery(recovery), summary
+    return goodput, amplification, get_recovery_s(recovery), summary
 
 
 def report_run(report, prefix, levels, result, seconds, is_bound):
@@ -113,7 +113,7 @@
     report.add(f"{prefix}amplification", amplification, "attempts", n=levels[-1],
                bound=MAX_AMPLIFICATION if is_bound else None)
     report.add(f"{prefix}recovery_s", recovery_s, "s", n=levels[-1], bound=MAX_RECOVERY_S if is_bound else None)
-    report.add(f"{prefix}fair_ratio", find_fair_ratio(storm, seconds, peak), "share", n=levels[-1], better="higher",
+    report.add(f"{prefix}fair_ratio", get_fair_ratio(storm, seconds, peak), "share", n=levels[-1], better="higher",
                bound=MIN_FAIR_RATIO if is_bound else None)
 
 
--- a/bench/zone.py
+++ b/bench/zone.py
@@ -45,7 +45,7 @@
     return sum(_request.engine_stats(vm).get("started", 0) for vm in zone_vms(fleet))
 
 
-def take_out(fleet):
+def take_zone_out(fleet):
     """Takes the zone out of service and sets the time from which its engines count new requests as late."""
     fleet.ctl("zone", "out", fleet.deployment.zones[ZONE], "--yes")
     for vm in zone_vms(fleet):
@@ -59,7 +59,7 @@
     return late
 
 
-def failures(summary):
+def count_failures(summary):
     return summary["sent"] - summary["answered"]
 
 
@@ -70,28 +70,28 @@
 def main():
     arguments = _request.parse_arguments(__doc__)
     report = _request.Report("zone")
-    phase = 6 if arguments.short else 8
+    phase_s = 6 if arguments.short else 8
     rate = LOAD_SHARE * FULL_RATE
     with make_fleet(arguments, report.seed) as fleet:
         _request.start_serving(fleet)
         fleet.finish_load(run_load(fleet, "warm-up", rate / 3, 5), "warm-up")
 
-        before = fleet.finish_load(run_load(fleet, "before", rate, phase), "before")
+        before = fleet.finish_load(run_load(fleet, "before", rate, phase_s), "before")
 
-        during_load = run_load(fleet, "during", rate, phase + 6)
+        during_load = run_load(fleet, "during", rate, phase_s + 6)
         time.sleep(1.5)
-        take_out(fleet)
-        time.sleep(GRACE_MS / 1000 + phase - 3)
+        take_zone_out(fleet)
+        time.sleep(GRACE_MS / 1000 + phase_s - 3)
         late = count_late(fleet)
         fleet.ctl("zone", "in", fleet.deployment.zones[ZONE], "--yes")
         during = fleet.finish_load(during_load, "during")
         started = count_started(fleet)
 
         # Clients still reach the entry of the isolated zone, which serves them with the endpoints of its zone.
-        cut_load = run_load(fleet, "cut", rate, phase)
+        cut_load = run_load(fleet, "cut", rate, phase_s)
         time.sleep(1.5)
         fleet.cut_zone(ZONE)
-        time.sleep(phase - 3)
+        time.sleep(phase_s - 3)
         fleet.heal_zone(ZONE)
         cut = fleet.finish_load(cut_load, "cut")
     report.note("rate", MODELS, round(rate), "1/s")
@@ -100,9 +100,9 @@
     report.note("p95_cut", MODELS, p95(cut), "ms")
     report.note("started_in_zone", MODELS, started, "requests")
     report.bound("late_admissions", MODELS, late, "requests", 0)
-    report.note("failed_before", MODELS, failures(before), "requests")
-    report.bound("failed", MODELS, failures(during), "requests", 0)
-    report.bound("failed_cut", MODELS, failures(cut), "requests", 0)
+    report.note("failed_before", MODELS, count_failures(before), "requests")
+    report.bound("failed", MODELS, count_failures(during), "requests", 0)
+    report.bound("failed_cut", MODELS, count_failures(cut), "requests", 0)
     report.bound("p95_ratio", MODELS, round(p95(during) / p95(before), 2), "1", 1.5)
     report.bound("p95_ratio_cut", MODELS, round(p95(cut) / p95(before), 2), "1", 1.5)
     return report.exit_code()
