--- a/bench/burn_bench.cpp
+++ b/bench/burn_bench.cpp
@@ -1,4 +1,4 @@
-// Cost and exactness of the burn report over a month of scrapes.
+// Measures the time, memory and accuracy of the burn report over a month of scrapes.
 
 #include <unistd.h>
 
@@ -20,13 +20,13 @@
 constexpr uint32_t kNodes = 370;
 constexpr int64_t kMinutesPerDay = 24 * 60;
 constexpr int64_t kStart = 1'790'000'040;
-// One node in this many restarts in a given minute, which sets its counters to zero.
+// In each minute, a node restarts with a probability of one in this number, which resets its counters to zero.
 constexpr uint64_t kRestartOdds = 20'000;
-// One scrape in this many is missing.
+// Each scrape is missing with a probability of one in this number.
 constexpr uint64_t kMissingOdds = 500;
 
-// What really happened, counted event by event.
-struct Truth {
+// Reference result, counted event by event.
+struct Reference {
   double good = 0;
   double bad = 0;
 };
@@ -48,9 +48,9 @@
   return key;
 }
 
-// Adds one minute of events to a node and to the truth. The truth holds every event after a node's first scrape, also
-// those between its last scrape and a restart, which no scrape can show.
-void AddMinute(NodeState& node, Random& random, Truth& pending, Truth& truth, bool is_missing) {
+// Adds one minute of events to a node and to the reference. The reference contains every event after a node's first
+// scrape, including those between its last scrape and a restart, which scrapes cannot cover.
+void AddMinute(NodeState& node, Random& random, Reference& pending, Reference& reference, bool is_missing) {
   if (random.GetBelow(kRestartOdds) == 0) {
     node.good_count = 0;
     node.bad_count = 0;
@@ -63,35 +63,35 @@
   pending.bad += static_cast<double>(bad);
   if (is_missing) return;
   if (node.is_seen) {
-    truth.good += pending.good;
-    truth.bad += pending.bad;
+    reference.good += pending.good;
+    reference.bad += pending.bad;
   }
   node.is_seen = true;
-  pending = Truth{};
+  pending = Reference{};
 }
 
-Truth WriteSamples(const std::string& path, int64_t days, uint64_t seed) {
+Reference WriteSamples(const std::string& path, int64_t days, uint64_t seed) {
   std::ofstream file(path, std::ios::binary);
   BurnSampleWriter writer(file);
   SeededRandom random(seed);
   std::vector<NodeState> nodes(kNodes);
-  std::vector<Truth> pending(kNodes);
+  std::vector<Reference> pending(kNodes);
   for (uint32_t i = 0; i < kNodes; ++i) {
     nodes[i].good = writer.DefineSeries(MakeKey(i, false));
     nodes[i].bad = writer.DefineSeries(MakeKey(i, true));
   }
-  Truth truth;
+  Reference reference;
   for (int64_t minute = 0; minute < days * kMinutesPerDay; ++minute) {
     for (uint32_t i = 0; i < kNodes; ++i) {
       const bool is_missing = random.GetBelow(kMissingOdds) == 0;
-      AddMinute(nodes[i], random, pending[i], truth, is_missing);
+      AddMinute(nodes[i], random, pending[i], reference, is_missing);
       if (is_missing) continue;
       const std::array<BurnValue, 2> values = {BurnValue{nodes[i].good, nodes[i].good_count},
                                                BurnValue{nodes[i].bad, nodes[i].bad_count}};
       writer.Write(UnixSeconds(kStart + 60 * minute), i, values);
     }
   }
-  return truth;
+  return reference;
 }
 
 double GetPeakMemoryMb() {
@@ -114,7 +114,7 @@
 
 int Run(int64_t days, uint64_t seed) {
   const std::string path = "/tmp/plantainmast-burn-" + std::to_string(getpid()) + ".samples";
-  const Truth truth = WriteSamples(path, days, seed);
+  const Reference reference = WriteSamples(path, days, seed);
   const auto start = std::chrono::steady_clock::now();
   std::ifstream file(path, std::ios::binary);
   BurnAccumulator accumulator(kBurnPeriod);
@@ -128,10 +128,11 @@
     return 1;
   }
   const BurnCount& counted = report.measures.front().period;
-  const double true_share = truth.bad / (truth.bad + truth.good);
+  const double expected_share = reference.bad / (reference.bad + reference.good);
   bool is_pass = Print("time_s", seconds, "s", 2);
   is_pass = Print("rss_mb", GetPeakMemoryMb(), "MB", 256) && is_pass;
-  is_pass = Print("error_share", std::abs(counted.GetBadShare() - true_share) / true_share, "share", 0.001) && is_pass;
+  is_pass = Print("error_share", std::abs(counted.GetBadShare() - expected_share) / expected_share, "share", 0.001) &&
+            is_pass;
   return is_pass ? 0 : 1;
 }
 
--- a/bench/config.py
+++ b/bench/config.py
@@ -1,8 +1,9 @@
 #!/usr/bin/env python3
-"""Measures how fast an accepted document is in force everywhere, with a third of the processes cut off from the log.
+"""Measures the time until a document is in force everywhere, with a third of the processes cut off from the log.
 
-Starts real processes with the control services only. In-force times come from the processes' own events. Then replays
-5,500 changes a day at 50 times real time and checks that no backlog builds up and that no process ever reverts.
+Starts processes with the control services only. The times are taken from the event logs of the processes. Then replays
+5,500 changes a day at 50 times real time and checks that no backlog builds up and that no process reverts to an older
+version.
 """
 
 import argparse
@@ -26,12 +27,12 @@
 
 
 def in_force_times(adoptions, published):
-    """Returns the times from publish to adoption; a version skipped for a later one counts until the later one."""
+    """Returns the times from publish to adoption. A skipped version counts as adopted with the next later one."""
     times = []
     for events in adoptions.values():
-        for version, begun in published.items():
+        for version, published_at in published.items():
             later = [when for adopted, when in events if adopted >= version]
-            times.append(max(0.0, min(later) - begun) if later else float("inf"))
+            times.append(max(0.0, min(later) - published_at) if later else float("inf"))
     return times
 
 
@@ -41,7 +42,7 @@
     parser.add_argument("--short", action="store_true")
     arguments = parser.parse_args()
     seed_value = seed()
-    chance = random.Random(seed_value)
+    rng = random.Random(seed_value)
     n = 100
     publishes = 4 if arguments.short else 10
     replay_s = 6 if arguments.short else 20
@@ -52,17 +53,17 @@
                              "all members everywhere")
         published = {}
         for i in range(publishes):
-            version, begun = fleet.publish(f"single {i}")
-            published[version] = begun
-            time.sleep(1 + chance.random())
+            version, published_at = fleet.publish(f"single {i}")
+            published[version] = published_at
+            time.sleep(1 + rng.random())
         fleet.wait_in_force(fleet.version, 30)
 
         changes = round(CHANGES_PER_DAY / 86400 * SPEED_UP * replay_s)
         replayed = {}
         start = time.monotonic()
         for i in range(changes):
-            version, begun = fleet.publish(f"replay {i}")
-            replayed[version] = begun
+            version, published_at = fleet.publish(f"replay {i}")
+            replayed[version] = published_at
             time.sleep(max(0.0, start + (i + 1) * replay_s / changes - time.monotonic()))
         done = time.monotonic()
         fleet.wait_in_force(fleet.version, 60)
--- a/bench/once.py
+++ b/bench/once.py
@@ -1,9 +1,9 @@
 #!/usr/bin/env python3
-"""Calls that must run at most once, while agents are killed and paused and answers of the service and log are lost.
+"""Tests at-most-once calls while agents are killed and paused and answers of the service and log are lost.
 
-Callers repeat their calls through random entries, some of them while the first try is still running. Figures: keys that
-the services ran more than once (duplicate), keys that ran although every answer said "not run" (false_not_run), keys
-whose callers never learned the outcome (unknown_share), and appends a second to the log at 1,000 calls a second.
+Clients retry their calls through random entries, some of them while the first attempt is still running. Results: keys
+that were executed more than once (duplicate), keys that were executed although every answer said "not run"
+(false_not_run), keys with an unknown outcome (unknown_share), and log appends/s at 1,000 calls/s.
 """
 
 import http.client
@@ -24,16 +24,16 @@
 PROCESSES = 4
 THREADS = 16
 DEADLINE_MS = 5000
-MAX_TRIES = 4
-# Share of tries that the caller abandons early, while the call may be running.
-IMPATIENT_SHARE = 0.15
-IMPATIENT_S = 0.1
+MAX_ATTEMPTS = 4
+# Share of attempts that the client abandons early, while the call may still be running.
+ABANDONED_SHARE = 0.15
+ABANDON_TIMEOUT_S = 0.1
 LOAD_RATE = 1000
 APPENDS_BOUND = 300
 
 
-def try_call(target, service, call, key, attempt, timeout):
-    """Sends one call. Returns (kind, body): answered, not_run, unknown or lost."""
+def send_attempt(target, service, call, key, attempt, timeout):
+    """Sends one call. Returns (kind, body or error type); the kind is answered, not_run, unknown or lost."""
     headers = {"X-Workspace": "large", "Idempotency-Key": key, "X-Request-Id": key, "X-Attempt": str(attempt),
                "X-Deadline-Ms": str(DEADLINE_MS)}
     connection = http.client.HTTPConnection(target, fleet_lib.CALLER_PORT, timeout=timeout)
@@ -51,23 +51,23 @@
         connection.close()
 
 
-def follow_key(targets, service, call, key, rng):
-    """Calls and repeats one key as a caller would; returns the kinds and bodies of all answers."""
+def call_with_retries(targets, service, call, key, rng):
+    """Sends a call and its retries as a client would. Returns the kinds and bodies of all answers."""
     answers = []
-    # Some callers never repeat, so that a wrong "not run" is not covered by a later answer.
-    tries = rng.choice([1, 2, MAX_TRIES])
-    for attempt in range(tries):
-        is_impatient = rng.random() < IMPATIENT_SHARE
-        timeout = IMPATIENT_S if is_impatient else DEADLINE_MS / 1000 + 3
-        answers.append(try_call(rng.choice(targets), service, call, key, attempt, timeout))
+    # Some clients never retry, so that an incorrect "not run" is not hidden by a later answer.
+    attempts = rng.choice([1, 2, MAX_ATTEMPTS])
+    for attempt in range(attempts):
+        is_abandoned = rng.random() < ABANDONED_SHARE
+        timeout = ABANDON_TIMEOUT_S if is_abandoned else DEADLINE_MS / 1000 + 3
+        answers.append(send_attempt(rng.choice(targets), service, call, key, attempt, timeout))
         if answers[-1][0] == "answered":
             break
         time.sleep(rng.uniform(0.05, 0.4))
     return answers
 
 
-def run_caller(index, targets, service, call, seed, count, start, queue):
-    """One process of callers; sends its share of the keys when they are due."""
+def run_client_process(index, targets, service, call, seed, count, start, queue):
+    """Runs one client process, which sends its share of the keys at their scheduled times."""
     results = []
     lock = threading.Lock()
 
@@ -77,7 +77,7 @@
         for i in range(worker, count, PROCESSES * THREADS):
             time.sleep(max(0, start + i / RATE - time.monotonic()))
             key = f"key-{i}"
-            answers = follow_key(targets, service, call, key, rng)
+            answers = call_with_retries(targets, service, call, key, rng)
             with lock:
                 results.append((key, answers))
 
@@ -90,7 +90,7 @@
 
 
 def make_faults(fleet, rng):
-    """Returns the faults as (name, begin, end) in random order."""
+    """Returns the faults as (name, start function, end function) in random order."""
     agents = fleet.endpoints(fleet.deployment.service_pool)
 
     def kill(vm):
@@ -114,7 +114,7 @@
 
 
 def inject(fleet, rng, until):
-    """Injects one fault after the other, each for about a second, until the time given."""
+    """Injects one fault after the other, each for about a second, until the given time."""
     while time.monotonic() < until:
         for _, begin, end in make_faults(fleet, rng):
             if time.monotonic() >= until:
@@ -139,23 +139,24 @@
     targets = [vm.address for vm in fleet.entries()]
     queue = multiprocessing.Queue()
     start = time.monotonic() + 0.5
-    callers = [multiprocessing.Process(target=run_caller, args=(i, targets, deployment.service, deployment.once_call,
-                                                                report.seed, count, start, queue))
-               for i in range(PROCESSES)]
-    for caller in callers:
-        caller.start()
+    processes = [multiprocessing.Process(target=run_client_process,
+                                         args=(i, targets, deployment.service, deployment.once_call, report.seed, count,
+                                               start, queue))
+                 for i in range(PROCESSES)]
+    for process in processes:
+        process.start()
     time.sleep(1.5)
     inject(fleet, rng, start + count / RATE - 1)
-    results = [row for _ in callers for row in queue.get(timeout=120)]
-    for caller in callers:
-        caller.join()
-    # Calls that went on without their callers have ended after this time.
+    results = [row for _ in processes for row in queue.get(timeout=120)]
+    for process in processes:
+        process.join()
+    # By then, calls that were abandoned by their clients have completed.
     time.sleep(2)
-    judge(report, results, read_ledgers(fleet))
+    report_results(report, results, read_ledgers(fleet))
 
 
 def classify(results, ledger):
-    """Returns lists of keys by what became of them; the last three must be empty."""
+    """Returns lists of keys by outcome; the last three must be empty."""
     classes = {name: [] for name in ("answered", "not_run", "unknown", "duplicate", "false_not_run", "different")}
     classes["duplicate"] = [key for key, count in ledger.items() if count > 1]
     for key, answers in results:
@@ -174,7 +175,7 @@
     return classes
 
 
-def judge(report, results, ledger):
+def report_results(report, results, ledger):
     classes = classify(results, ledger)
     total = len(results)
     report.note("calls", total, total, "keys")
@@ -186,7 +187,7 @@
 
 
 def run_rate(fleet, report, seconds):
-    """Measures appends a second at the full rate, without faults."""
+    """Measures the log appends/s at the full call rate, without faults."""
     address = fleet.platform_address()
     load = fleet.start_load(rate=LOAD_RATE, duration_s=seconds + 1, service_share=1, once_share=1,
                             service=fleet.deployment.service, once_call=fleet.deployment.once_call,
--- a/standin/prefix_cache.h
+++ b/standin/prefix_cache.h
@@ -1,4 +1,4 @@
-// Prompt prefixes that the engine stand-in keeps, and the events that it publishes about them.
+// Prompt prefix cache of the engine stand-in and the cache events that it publishes.
 
 #ifndef PLANTAIN_PREFIX_CACHE_H_
 #define PLANTAIN_PREFIX_CACHE_H_
@@ -14,7 +14,7 @@
 
 namespace plantain::standin {
 
-// Keeps the prefixes used last. Events show after a lag, and a share of them is never shown.
+// LRU cache. Events become visible after a lag, and a share of them is lost.
 class PrefixCache {
  public:
   struct Options {
@@ -26,8 +26,8 @@
   PrefixCache(const Clock& clock, Random& random, Options options)
       : m_clock(clock), m_random(random), m_options(options) {}
 
-  // Uses a prefix and returns whether it was cached.
-  bool Use(const std::string& prefix);
+  // Looks up a prefix, inserting it if missing. Returns whether it was cached.
+  bool LookUpOrInsert(const std::string& prefix);
 
   // Drops all prefixes.
   void Clear();
@@ -48,10 +48,10 @@
   const Clock& m_clock;
   Random& m_random;
   const Options m_options;
-  std::list<std::string> m_by_use;
+  std::list<std::string> m_lru_list;
   std::unordered_map<std::string, std::list<std::string>::iterator> m_entries;
   std::deque<Event> m_events;
-  uint64_t m_last_number = 0;
+  uint64_t m_last_event_number = 0;
 };
 
 }  // namespace plantain::standin
--- a/standin/standin_log_main.cpp
+++ b/standin/standin_log_main.cpp
@@ -1,4 +1,4 @@
-// Stand-in of the platform's append-only log.
+// Stand-in for the platform's append-only log.
 
 #include <iostream>
 #include <map>
@@ -22,14 +22,14 @@
 constexpr uint64_t kDefaultMaxRecords = 1000;
 constexpr int64_t kMaxWaitMs = 60'000;
 
-// Streams and their pending long polls.
+// Serves appends, reads and long polls of all streams.
 class LogStandin {
  public:
   LogStandin(HttpStandin& standin, const Clock& clock, int64_t retention_ms, double max_appends_per_s)
       : m_standin(standin),
         m_clock(clock),
         m_retention_ms(retention_ms),
-        m_appends(clock, max_appends_per_s, max_appends_per_s) {}
+        m_append_limiter(clock, max_appends_per_s, max_appends_per_s) {}
 
   void Handle(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
     const std::vector<std::string> parts = SplitPath(GetPath(request.target));
@@ -42,7 +42,7 @@
     } else if (request.method == "POST") {
       Append(parts[1], request, responder);
     } else if (request.method == "GET") {
-      BeginRead(parts[1], request, responder);
+      HandleRead(parts[1], request, responder);
     } else {
       responder->Send(MakeErrorResponse(405, "method"));
     }
@@ -54,7 +54,7 @@
     m_retention_ms = fields.value("retention_ms", m_retention_ms);
     if (fields.contains("max_appends_per_s")) {
       const double rate = fields["max_appends_per_s"].get<double>();
-      m_appends.SetRate(rate, rate);
+      m_append_limiter.SetRate(rate, rate);
     }
     for (auto& [name, stream] : m_streams) stream.store.SetRetention(Milliseconds(m_retention_ms));
     for (auto& [name, stream] : m_streams) {
@@ -86,7 +86,7 @@
   }
 
   void Append(const std::string& name, const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
-    if (!m_appends.TryTake(1)) {
+    if (!m_append_limiter.TryTake(1)) {
       ++m_refused;
       HttpResponse response = MakeErrorResponse(429, "append_rate");
       response.headers.Add("Retry-After", "1");
@@ -100,13 +100,14 @@
     AnswerPolls(stream);
   }
 
-  // Offset at which reads of a stream end; a rewind hides the newest records.
+  // Offset at which reads of a stream end. The `rewind` fault hides the newest records.
   uint64_t GetEnd(const Stream& stream) const {
     const uint64_t next = stream.store.GetNextOffset();
     return next - std::min(m_rewind, next - stream.store.GetFirstOffset());
   }
 
-  void BeginRead(const std::string& name, const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
+  void HandleRead(const std::string& name, const HttpRequest& request,
+                  const std::shared_ptr<HttpResponder>& responder) {
     const std::string max_text = GetQueryValue(request.target, "max");
     Poll poll{strtoull(GetQueryValue(request.target, "from").c_str(), nullptr, 10),
               max_text.empty() ? kDefaultMaxRecords : strtoull(max_text.c_str(), nullptr, 10), responder};
@@ -181,7 +182,7 @@
   HttpStandin& m_standin;
   const Clock& m_clock;
   int64_t m_retention_ms;
-  TokenBucket m_appends;
+  TokenBucket m_append_limiter;
   uint64_t m_rewind = 0;
   bool m_is_duplicating = false;
   std::map<std::string, Stream> m_streams;
@@ -192,13 +193,13 @@
 };
 
 int Run(int argc, char** argv) {
-  CommandLine command_line("standin-log", 9100, "Append-only log with streams, retention and an append rate.",
+  CommandLine command_line("standin-log", 9100, "Append-only log with streams, retention and an append rate limit.",
                            kExamples);
   int64_t retention_ms = 0;
   double max_appends_per_s = 400;
   command_line.GetDescription().add_options()("retention-ms",
                                               boost::program_options::value(&retention_ms)->default_value(retention_ms),
-                                              "Time for which records are kept; 0 keeps them forever.")(
+                                              "Retention time of records; 0 keeps them forever.")(
       "max-appends-per-s", boost::program_options::value(&max_appends_per_s)->default_value(max_appends_per_s),
       "Appends/s over all streams; more are answered with 429. 0 means no limit.");
   if (const auto exit_code = command_line.Parse(argc, argv)) return *exit_code;
