Bound the head, the framing and the body of each answer that the HTTP client reads

Callers waited until the deadline, and the memory of entries and agents grew, when a server sent bytes without end. An informational head (1xx) was taken for the answer. Cause: Boost 1.74's read operations go on inside one call for as long as the parser needs more. Its header limit covers only what is not parsed yet: fields whose reads end one byte into the next field are stored without a limit. The head of a chunk and the trailer had no limit. Fetch went on reading after max_body_bytes, and Send ignored it. Change: the client reads by itself and drives the parser. It ends the call with `protocol` and closes the connection at 16 KiB of head, 64 KiB that cannot be parsed yet, 8 informational heads, status 101, and at max_body_bytes, for Send as well (at once if Content-Length says more). Forwarded streams have no limit on the whole body. The reason of a failed attempt names the limit.

--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -1,6 +1,7 @@
 #include "active_request.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "failure_type.h"
@@ -76,6 +77,8 @@
   // The server may close a keep-alive connection while the request is being sent. It is then unknown whether the
   // request ran, so that requests that must not be repeated use a new connection.
   options.max_idle = m_match.rule->IsRepeatable() ? kMaxIdleTime : Duration::zero();
+  // A stream is passed on event by event, so that only an event needs a limit.
+  options.max_body_bytes = IsStream() ? std::numeric_limits<size_t>::max() : kMaxBodyBytes;
   return options;
 }
 
@@ -182,7 +185,7 @@
       return;
     }
     const std::string reason =
-        code == FailureCode::kTimeout ? "no whole answer in time" : "connection lost before the response was complete";
+        code == FailureCode::kTimeout ? "no whole answer in time" : "response not complete: " + GetFailureText(status);
     FailAttempt(code == FailureCode::kTimeout ? AttemptEnd::kSilent : AttemptEnd::kBroken, reason);
     return;
   }
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -8,9 +8,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
@@ -33,6 +33,14 @@
 
 constexpr size_t kMaxIdlePerTarget = 256;
 constexpr size_t kReadBufferBytes = 4 * 1024;
+// Maximum length of the bytes that were received and not parsed yet. It bounds the head of a chunk and the trailer,
+// which are parsed only when they are whole.
+constexpr size_t kMaxUnparsedBytes = 64 * 1024;
+// Maximum length of an answer's head.
+constexpr uint32_t kMaxHeadBytes = 16 * 1024;
+// Maximum number of informational heads (status 1xx) before an answer. None of our requests asks for any.
+constexpr int kMaxInformationalHeads = 8;
+constexpr unsigned kSwitchingProtocols = 101;
 // A kept connection is not used this close to the end of the server's idle time, which may have passed by the time that
 // the request arrives.
 constexpr Duration kIdleMargin = Milliseconds(500);
@@ -63,7 +71,7 @@
   }
 
   tcp::socket socket;
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer{kMaxUnparsedBytes};
   // When it was last used, and until when the server keeps it.
   TimePoint idle_since;
   TimePoint usable_until = TimePoint::max();
@@ -204,19 +212,89 @@
   }
 
   void ReadHead() {
+    BeginHead();
+    Read();
+  }
+
+  void BeginHead() {
     m_parser.emplace();
-    // Boost 1.74 compares Content-Length with an unset limit as if the limit were 0, so the limit must be set.
+    m_parser->header_limit(kMaxHeadBytes);
+    // OnHead and OnBody apply the limit. Boost 1.74 would count bytes of a body without a length more than once, and
+    // compares Content-Length with an unset limit as if the limit were 0.
     m_parser->body_limit(std::numeric_limits<uint64_t>::max());
-    http::async_read_header(m_connection->socket, m_connection->buffer, *m_parser,
-                            [self = this->shared_from_this()](const ErrorCode& error, size_t) {
-                              if (self->m_is_done) return;
-                              self->OnHead(error);
-                            });
+    m_head_bytes = 0;
+  }
+
+  void Read() {
+    const size_t size = boost::beast::read_size(m_connection->buffer, kMaxUnparsedBytes);
+    if (size == 0) {
+      FailProtocol("a chunk's head or the trailer is longer than 64 KiB");
+      return;
+    }
+    m_connection->socket.async_read_some(m_connection->buffer.prepare(size),
+                                         [self = this->shared_from_this()](const ErrorCode& error, size_t count) {
+                                           if (self->m_is_done) return;
+                                           self->OnRead(error, count);
+                                         });
   }
 
-  void OnHead(const ErrorCode& error) {
+  void OnRead(const ErrorCode& error, size_t count) {
+    if (error == asio::error::eof) {
+      OnEndOfStream();
+    } else if (error) {
+      FailProtocol(error.message());
+    } else {
+      m_connection->buffer.commit(count);
+      ParseAll();
+    }
+  }
+
+  void OnEndOfStream() {
+    ErrorCode error = http::error::end_of_stream;
+    if (m_parser->got_some()) m_parser->put_eof(error);
     if (error) {
-      Finish(MakeFailure(FailureCode::kProtocol, error.message()));
+      FailProtocol(error.message());
+    } else {
+      Finish(absl::OkStatus());
+    }
+  }
+
+  // Parses what has been received, then reads more unless the call has ended. The parser is driven here because the
+  // read operations of Boost 1.74 go on for as long as a head or a trailer does not end.
+  void ParseAll() {
+    while (!m_is_done) {
+      if (m_connection->buffer.size() == 0 || !ParseSome()) {
+        Read();
+        return;
+      }
+    }
+  }
+
+  // Parses one part of the answer. Returns false if more bytes are needed.
+  bool ParseSome() {
+    const bool is_head = !m_parser->is_header_done();
+    if (!is_head) {
+      m_parser->get().body().data = m_read_buffer.data();
+      m_parser->get().body().size = m_read_buffer.size();
+    }
+    ErrorCode error;
+    const size_t used = m_parser->put(m_connection->buffer.cdata(), error);
+    m_connection->buffer.consume(used);
+    if (is_head) m_head_bytes += used;
+    if (m_head_bytes > kMaxHeadBytes) error = http::error::header_limit;
+    if (is_head && !error) {
+      OnHead();
+    } else if (!is_head && (!error || error == http::error::need_buffer)) {
+      OnBody();
+    } else if (error != http::error::need_more) {
+      FailProtocol(error.message());
+    }
+    return error != http::error::need_more;
+  }
+
+  void OnHead() {
+    if (http::to_status_class(m_parser->get().result_int()) == http::status_class::informational) {
+      SkipInformationalHead();
       return;
     }
     if (m_callbacks.on_head) {
@@ -230,37 +308,36 @@
     if (m_is_done) return;
     if (m_request.method() == http::verb::head || m_parser->is_done()) {
       Finish(absl::OkStatus());
-      return;
+    } else if (m_parser->content_length().value_or(0) > m_options.max_body_bytes) {
+      FailBodyLimit();
     }
-    ReadBody();
   }
 
-  void ReadBody() {
-    auto& body = m_parser->get().body();
-    body.data = m_read_buffer.data();
-    body.size = m_read_buffer.size();
-    http::async_read_some(m_connection->socket, m_connection->buffer, *m_parser,
-                          [self = this->shared_from_this()](const ErrorCode& error, size_t) {
-                            if (self->m_is_done) return;
-                            self->OnBody(error);
-                          });
+  void SkipInformationalHead() {
+    if (m_parser->get().result_int() == kSwitchingProtocols) {
+      FailProtocol("the server switches to another protocol");
+    } else if (++m_informational_heads > kMaxInformationalHeads) {
+      FailProtocol("more than 8 informational heads");
+    } else {
+      BeginHead();
+    }
   }
 
-  void OnBody(const ErrorCode& error) {
+  void OnBody() {
     const size_t taken = m_read_buffer.size() - m_parser->get().body().size;
-    if (taken > 0 && m_callbacks.on_data) m_callbacks.on_data(std::string_view(m_read_buffer.data(), taken));
-    if (m_is_done) return;
-    if (error && error != http::error::need_buffer) {
-      Finish(MakeFailure(FailureCode::kProtocol, error.message()));
-      return;
-    }
-    if (m_parser->is_done()) {
-      Finish(absl::OkStatus());
+    m_body_bytes += taken;
+    if (m_body_bytes > m_options.max_body_bytes) {
+      FailBodyLimit();
       return;
     }
-    ReadBody();
+    if (taken > 0 && m_callbacks.on_data) m_callbacks.on_data(std::string_view(m_read_buffer.data(), taken));
+    if (!m_is_done && m_parser->is_done()) Finish(absl::OkStatus());
   }
 
+  void FailBodyLimit() { FailProtocol("the body is larger than allowed"); }
+
+  void FailProtocol(const std::string& detail) { Finish(MakeFailure(FailureCode::kProtocol, detail)); }
+
   void Finish(const absl::Status& status) {
     if (m_is_done) return;
     m_is_done = true;
@@ -293,16 +370,14 @@
   std::unique_ptr<Connection> m_connection;
   std::optional<http::response_parser<http::buffer_body>> m_parser;
   std::array<char, kReadBufferBytes> m_read_buffer;
+  // Length of the current head as far as it is parsed.
+  size_t m_head_bytes = 0;
+  int m_informational_heads = 0;
+  uint64_t m_body_bytes = 0;
   bool m_is_sent = false;
   bool m_is_done = false;
 };
 
-// Gathers a whole answer for Fetch.
-struct Gathered {
-  HttpResponse response;
-  bool is_too_large = false;
-};
-
 }  // namespace
 
 HttpClient::HttpClient(Loop& loop) : m_impl(std::make_shared<Impl>(loop.GetImpl().context)) {}
@@ -319,26 +394,18 @@
 std::shared_ptr<HttpCall> HttpClient::Fetch(const HttpTarget& target, const HttpRequest& request,
                                             HttpCallOptions options,
                                             std::function<void(absl::StatusOr<HttpResponse>)> on_done) {
-  auto gathered = std::make_shared<Gathered>();
+  auto response = std::make_shared<HttpResponse>();
   HttpCallbacks callbacks;
-  callbacks.on_head = [gathered](int status, const HttpHeaders& headers) {
-    gathered->response.status = status;
-    gathered->response.headers = headers;
+  callbacks.on_head = [response](int status, const HttpHeaders& headers) {
+    response->status = status;
+    response->headers = headers;
   };
-  callbacks.on_data = [gathered, limit = options.max_body_bytes](std::string_view data) {
-    if (gathered->response.body.size() + data.size() > limit) {
-      gathered->is_too_large = true;
-      return;
-    }
-    gathered->response.body.append(data);
-  };
-  callbacks.on_done = [gathered, on_done = std::move(on_done)](const absl::Status& status) {
-    if (!status.ok()) {
-      on_done(status);
-    } else if (gathered->is_too_large) {
-      on_done(MakeFailure(FailureCode::kProtocol, "the answer is larger than allowed"));
+  callbacks.on_data = [response](std::string_view data) { response->body.append(data); };
+  callbacks.on_done = [response, on_done = std::move(on_done)](const absl::Status& status) {
+    if (status.ok()) {
+      on_done(std::move(*response));
     } else {
-      on_done(std::move(gathered->response));
+      on_done(status);
     }
   };
   return Send(target, request, options, std::move(callbacks));
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -43,7 +43,7 @@
   Duration max_idle = std::chrono::hours(1);
   // Whether the connection is kept for later calls.
   bool is_kept = true;
-  // Longest body kept by Fetch.
+  // Longest body. A longer one ends the call with kProtocol and closes the connection.
   size_t max_body_bytes = 64 * 1024 * 1024;
 };
 
