Bound the bytes of a stream that are no events, and do not count them as activity

Callers of a stream waited until the deadline, and the memory of the entry grew, while an endpoint sent bytes that completed no event. Comments before the first event began the caller's stream, so that no 502 was possible any more. Cause: EventSplitter kept an event that was not whole without a limit and took each block of comments for an event. The time of inactivity was counted from the last byte. Change: an event with the comments before it may have 1 MiB; beyond it the attempt is cancelled and counted as broken. A block of comments or empty lines is no event: it is kept back and passed on unchanged with the next event or at the end of the stream. The time of inactivity of a stream is counted from its head and from each event that this answer has not sent before.

--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -134,12 +134,16 @@
 }
 
 void ActiveRequest::OnData(std::string_view data) {
-  m_last_received_at = m_deps.clock.GetNow();
+  // Bytes that complete no event are no activity of a stream: they may come without end.
+  if (!IsStream()) m_last_received_at = m_deps.clock.GetNow();
   m_has_body = true;
   const bool is_valid_success =
       m_response_head->has_matching_id && m_response_head->has_receipt && IsSuccess(m_response_head->status);
   if (IsStream() && is_valid_success && m_response_head->is_stream) {
-    OnEvents(m_events.Take(data));
+    const uint64_t progress = m_events.GetProgress();
+    std::string events = m_events.Take(data);
+    if (m_events.GetProgress() != progress) m_last_received_at = m_deps.clock.GetNow();
+    OnEvents(std::move(events));
     return;
   }
   if (m_response_body.size() + data.size() > kMaxBodyBytes) {
@@ -156,6 +160,11 @@
     FailAttempt(AttemptEnd::kBroken, "gap in the event IDs of the stream");
     return;
   }
+  if (m_events.IsTooLong()) {
+    m_call->Cancel();
+    FailAttempt(AttemptEnd::kBroken, "event of the stream exceeds 1 MiB");
+    return;
+  }
   if (events.empty()) return;
   ReportPrefillDone();
   if (!m_has_events) {
@@ -212,6 +221,8 @@
   }
   m_outcome.executions += 1;
   EndAttempt(AttemptEnd::kSuccess);
+  std::string comments = m_events.TakeComments();
+  if (!comments.empty()) m_responder->SendChunk(std::move(comments));
   m_responder->EndStream();
   FinishRequest(m_response_head->status, ForwardFailure::kNone, "complete");
 }
--- a/src/active_request.h
+++ b/src/active_request.h
@@ -171,6 +171,7 @@
   std::optional<ResponseHead> m_response_head;
   std::string m_response_body;
   EventSplitter m_events;
+  // When the endpoint last sent its head, a new event of a stream, or bytes of another response.
   TimePoint m_last_received_at;
   bool m_is_prefill_done = false;
   // Whether the endpoint has sent a part of the response's body, so that the request has started there.
