End an attempt when bytes follow the engine's end marker

A caller got the end of its answer only at the deadline, and the slot stayed taken, when an engine sent the end marker and then bytes without end. Cause: the agent waits for the end of the HTTP response after the end marker, to keep the connection, and ignored bytes that came meanwhile. Change: any bytes after those with the end marker end the attempt as complete and close the connection.

--- a/src/attempt_run_call.cpp
+++ b/src/attempt_run_call.cpp
@@ -99,6 +99,11 @@
 
 void AttemptRunner::OnCompletionData(AttemptPtr attempt, std::string_view data) {
   if (attempt->is_ended) return;
+  // Bytes after the end marker may come without end, and the connection is not clean anyway.
+  if (attempt->stream->Feed({}) == StreamState::kComplete) {
+    EndCompletion(attempt);
+    return;
+  }
   const StreamState state = attempt->stream->Feed(data);
   // ForwardToken ends the attempt if the entry has disconnected.
   if (attempt->is_ended) return;
--- a/tests/attempt_runner_test.cpp
+++ b/tests/attempt_runner_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <catch2/trompeloeil.hpp>
 
+#include "http_server.h"
 #include "process.h"
 
 namespace plantain {
@@ -171,5 +172,48 @@
   }
 }
 
+// Guards against an engine that sends bytes without end after the end marker and so delays the end of the attempt.
+TEST_CASE("Bytes after the end marker end the attempt") {
+  Loop loop;
+  SystemClock clock;
+  SeededRandom random(1);
+  Metrics metrics;
+  AttemptMetrics attempt_metrics(metrics);
+  RequestHistory history(100);
+  HttpClient http(loop);
+  MockGate gate;
+  MockConfig config;
+  Admission admission(clock, random, AdmissionLimitOptions{1, 4, false, std::chrono::seconds(60)}, 2);
+  const HttpTarget target{IpAddress("127.0.250.4"), Port(29993)};
+  std::shared_ptr<HttpResponder> response;
+  HttpServer engine(loop, target.address, target.port, 1024,
+                    [&](const HttpRequest&, const std::shared_ptr<HttpResponder>& responder) {
+                      response = responder;
+                      responder->StartStream(200, {});
+                      responder->SendChunk("data: [DONE]\n\n");
+                      responder->SendChunk(": more\n\n");
+                    });
+  REQUIRE(engine.Start().ok());
+  std::vector<proto::AttemptMessage> sent;
+  const auto send = [&](const ConnectionId&, const proto::AttemptMessage& message) {
+    sent.push_back(message);
+    loop.Stop();
+    return true;
+  };
+  AttemptRunner runner(RunnerDeps{clock, admission, config, &gate, http, target,
+                                  EndpointRole{ZoneName("praha"), false, ServiceName()}, SubmitOnce(), attempt_metrics,
+                                  history, send});
+  ALLOW_CALL(config, GetConfig()).RETURN(MakeConfig(true));
+  ALLOW_CALL(gate, Enter(kModel, _)).RETURN(kManifest);
+  ALLOW_CALL(gate, Leave(kModel, _));
+  const auto watchdog = loop.RunAfter(std::chrono::seconds(5), [&] { loop.Stop(); });
+  runner.Begin(ConnectionId("entry"), MakeStart(1, kManifest.Get()));
+  loop.Run();
+  REQUIRE(sent.size() == 1);
+  CHECK(sent.back().has_end());
+  CHECK(runner.GetInProgress() == 0);
+  CHECK(admission.GetReport().in_flight == 0);
+}
+
 }  // namespace
 }  // namespace plantain
