--- a/src/beacon_table.cpp
+++ b/src/beacon_table.cpp
@@ -117,8 +117,8 @@
   if (found == m_received.end() && m_received.size() >= kMaxBeacons) return false;
   if (found != m_received.end()) {
     const BeaconInfo& known = found->second.beacon;
-    // A process that restarts after its wall clock was set back has a smaller incarnation. Its beacons are accepted once
-    // those of the earlier process are no longer live.
+    // A process that restarts after its wall clock was set back has a smaller incarnation. Its beacons are accepted
+    // once those of the earlier process are no longer live.
     if (beacon.incarnation < known.incarnation && IsLive(found->second)) return false;
     if (beacon.incarnation == known.incarnation && beacon.sequence <= known.sequence) return false;
   }
