--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -392,7 +392,7 @@
   // request that must run once would not undo its effects.
   if (m_call == nullptr || m_has_body || !IsStream()) return false;
   const std::optional<WeightVersion> answered = m_response_head.has_value() ? m_response_head->version : std::nullopt;
-  const std::optional<TimePoint> limit = m_deps.host.GetStartLimit(*this, m_endpoint, answered);
+  const std::optional<TimePoint> limit = m_deps.host.GetAttemptLimit(*this, m_endpoint, answered);
   return limit.has_value() && now >= *limit - kWithdrawalMargin;
 }
 
--- a/src/active_request.h
+++ b/src/active_request.h
@@ -47,8 +47,8 @@
   virtual Duration SuggestRetryAfter(ActiveRequest& active) = 0;
   // Returns the time from which an attempt at the endpoint must not start any more, or nothing if it always may.
   // `answered` is the weight version in the endpoint's response; if it is unset, the last reported version counts.
-  virtual std::optional<TimePoint> GetStartLimit(const ActiveRequest& active, const EndpointId& endpoint,
-                                                 std::optional<WeightVersion> answered) const = 0;
+  virtual std::optional<TimePoint> GetAttemptLimit(const ActiveRequest& active, const EndpointId& endpoint,
+                                                   std::optional<WeightVersion> answered) const = 0;
   // Called after the final response was sent. The host must not destroy the request within this call.
   virtual void OnRequestEnded(ActiveRequest& active) = 0;
 };
--- a/src/fleet_mirror.cpp
+++ b/src/fleet_mirror.cpp
@@ -19,8 +19,6 @@
 constexpr Duration kMinAgeCorrection = Milliseconds(50);
 // Longer gaps between two ticks mean that the process stood still and may have received a request late.
 constexpr Duration kMaxTickGap = Milliseconds(700);
-// A read whose result is older than this does not show that the process follows the topic.
-constexpr Duration kMaxReadDelay = Milliseconds(500);
 
 // Returns the name that logs use.
 std::string_view GetOriginName(RecordOrigin origin) { return origin == RecordOrigin::kStore ? "store" : "peer"; }
--- a/src/fleet_mirror.h
+++ b/src/fleet_mirror.h
@@ -57,6 +57,9 @@
   virtual bool IsSameEndpoint(const std::string& a, const std::string& b) const = 0;
 };
 
+// A result of a read that is older than this when it arrives was held up and does not show that the topic is followed.
+inline constexpr Duration kMaxReadDelay = Milliseconds(500);
+
 // Source of a batch of records.
 enum class RecordOrigin { kStore, kPeer };
 
@@ -80,13 +83,13 @@
   // Records that all operator requests made before `as_of` have been applied. Requests that arrive from then on, while
   // the topic is read without interruption, count as made when they arrive.
   void ConfirmOperatorRead(TimePoint as_of);
-  // Records that requests may be made from now on without being received at once.
+  // Records that requests may be made from now on without being received at once, because a read failed or was held up.
   void InterruptOperatorRead();
 
   // Applies the ages that a peer has sent. A peer may have received a request for a version earlier than this process,
   // or one that this process never receives because a newer request has replaced it in the store.
   void ApplyWantedAges(const std::vector<WantedAge>& ages);
-  // Returns the ages of the versions whose limit has not passed long ago, to be sent to peers.
+  // Returns the known ages of the newest versions, to be sent to peers.
   std::vector<WantedAge> GetWantedAges() const;
 
   const RecordMirror& GetRecords(FleetTopic topic) const;
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -170,8 +170,7 @@
   weights.min_version = query.min_version;
   weights.is_exact = query.min_version.has_value() || query.exact_version.has_value();
   if (choice.version.has_value()) {
-    weights.start_limit =
-        plantain::GetStartLimit(m_fleet->wanted, query.model, *choice.version, m_options.version_change_limit);
+    weights.start_limit = GetStartLimit(m_fleet->wanted, query.model, *choice.version, m_options.version_change_limit);
   }
   return weights;
 }
@@ -309,13 +308,13 @@
 
 bool ForwardTraffic::TryAcquireRetry(ActiveRequest& active) { return GetPool(active.GetPool()).budget->TryConsume(); }
 
-std::optional<TimePoint> ForwardTraffic::GetStartLimit(const ActiveRequest& active, const EndpointId& endpoint,
-                                                       std::optional<WeightVersion> answered) const {
+std::optional<TimePoint> ForwardTraffic::GetAttemptLimit(const ActiveRequest& active, const EndpointId& endpoint,
+                                                         std::optional<WeightVersion> answered) const {
   if (active.GetModel().IsEmpty()) return std::nullopt;
   const std::optional<WeightVersion> version =
       answered.has_value() ? answered : m_balancer.GetVersion(endpoint, active.GetModel());
   if (!version.has_value()) return std::nullopt;
-  return plantain::GetStartLimit(m_fleet->wanted, active.GetModel(), *version, m_options.version_change_limit);
+  return GetStartLimit(m_fleet->wanted, active.GetModel(), *version, m_options.version_change_limit);
 }
 
 void ForwardTraffic::OnRequestEnded(ActiveRequest& active) {
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -98,8 +98,8 @@
   void RequestAttempt(ActiveRequest& active) override;
   bool TryAcquireRetry(ActiveRequest& active) override;
   Duration SuggestRetryAfter(ActiveRequest& active) override { return GetRetryAfter(active); }
-  std::optional<TimePoint> GetStartLimit(const ActiveRequest& active, const EndpointId& endpoint,
-                                         std::optional<WeightVersion> answered) const override;
+  std::optional<TimePoint> GetAttemptLimit(const ActiveRequest& active, const EndpointId& endpoint,
+                                           std::optional<WeightVersion> answered) const override;
   void OnRequestEnded(ActiveRequest& active) override;
 
   const Clock& m_clock;
