Give each test process its own loopback address

Cause: they listen on a fixed address and port, and HttpServer sets SO_REUSEPORT, so that two test processes that run at the same time take each other's connections. Change: the address is made from the process id.

--- a/tests/attempt_runner_test.cpp
+++ b/tests/attempt_runner_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/trompeloeil.hpp>
 
 #include "http_server.h"
+#include "loopback_address.h"
 #include "process.h"
 
 namespace plantain {
@@ -184,7 +185,7 @@
   MockGate gate;
   MockConfig config;
   Admission admission(clock, random, AdmissionLimitOptions{1, 4, false, std::chrono::seconds(60)}, 2);
-  const HttpTarget target{IpAddress("127.0.250.4"), Port(29993)};
+  const HttpTarget target{MakeLoopbackAddress(104), Port(29993)};
   std::shared_ptr<HttpResponder> response;
   HttpServer engine(loop, target.address, target.port, 1024,
                     [&](const HttpRequest&, const std::shared_ptr<HttpResponder>& responder) {
--- a/tests/http_limits_test.cpp
+++ b/tests/http_limits_test.cpp
@@ -13,6 +13,7 @@
 #include "http_client.h"
 #include "http_server.h"
 #include "log_writer.h"
+#include "loopback_address.h"
 
 namespace plantain {
 namespace {
@@ -20,7 +21,7 @@
 using tcp = boost::asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
-const HttpTarget kTarget{IpAddress("127.0.250.2"), Port(29991)};
+const HttpTarget kTarget{MakeLoopbackAddress(102), Port(29991)};
 
 // A loopback server that records the requests it handled, and clients that send raw bytes.
 struct RawHttpFixture {
--- a/tests/standin_http_test.cpp
+++ b/tests/standin_http_test.cpp
@@ -4,11 +4,12 @@
 
 #include "http_client.h"
 #include "http_server.h"
+#include "loopback_address.h"
 
 namespace plantain {
 namespace {
 
-const HttpTarget kTarget{IpAddress("127.0.250.1"), Port(29990)};
+const HttpTarget kTarget{MakeLoopbackAddress(101), Port(29990)};
 constexpr size_t kMaxBodyBytes = 1024;
 
 // Sends one request and runs the loop until it completes.
