--- a/tests/http_limits_test.cpp
+++ b/tests/http_limits_test.cpp
@@ -56,7 +56,6 @@
     socket.connect(tcp::endpoint(boost::asio::ip::make_address(kTarget.address.Get()), kTarget.port.Get()));
     if (!bytes.empty()) boost::asio::write(socket, boost::asio::buffer(bytes));
     std::string answer;
-    usleep(150000);
     boost::asio::async_read(socket, boost::asio::dynamic_buffer(answer),
                             [&](const ErrorCode&, size_t) { loop.Stop(); });
     loop.Run();
