Show in the logs what a failed attempt had answered and which prompt it had

`end=broken` stood for a lost connection and for a malformed answer, and nothing showed whether an answer had begun or which parts the prompt had.

Change: the HTTP client reports a lost connection as a failure of its own; `attempt_failed` has `end=connection_lost`, `progress`, `sent_ms` and `prompt`, the ids of the parts that other requests may share. A stream that ends with its connection inside an event counts as lost too. No decision changes.

--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -96,6 +96,7 @@
   m_outcome.until_limit.reset();
   if (weights.start_limit.has_value()) m_outcome.until_limit = *weights.start_limit - now;
   m_endpoint = choice.endpoint->id;
+  m_sent_at = now;
   m_tried_endpoints.push_back(m_endpoint);
   m_response_head.reset();
   m_response_body.clear();
@@ -194,9 +195,13 @@
       RetryOrFail(false, "connection failed");
       return;
     }
-    const std::string reason =
-        code == FailureCode::kTimeout ? "no whole answer in time" : "response not complete: " + GetFailureText(status);
-    FailAttempt(code == FailureCode::kTimeout ? AttemptEnd::kSilent : AttemptEnd::kBroken, reason);
+    if (code == FailureCode::kTimeout) {
+      FailAttempt(AttemptEnd::kSilent, "no whole answer in time");
+      return;
+    }
+    const bool is_lost = code == FailureCode::kConnectionLost;
+    FailAttempt(is_lost ? AttemptEnd::kConnectionLost : AttemptEnd::kBroken,
+                "response not complete: " + GetFailureText(status));
     return;
   }
   const ResponseHead& head = *m_response_head;
@@ -217,7 +222,8 @@
 
 void ActiveRequest::FinishStream() {
   if (!m_events.IsAtBoundary() || !m_has_events) {
-    FailAttempt(AttemptEnd::kBroken, "stream ended within an event or without any");
+    // A response without a length ends with its connection, so that only this shows that it was lost.
+    FailAttempt(AttemptEnd::kConnectionLost, "stream ended within an event or without any");
     return;
   }
   m_outcome.executions += 1;
@@ -272,7 +278,13 @@
   ReportPrefillDone();
   ++m_attempt_number;
   m_call.reset();
-  m_deps.host.OnAttemptEnded(*this, m_endpoint, end);
+  m_deps.host.OnAttemptEnded(*this, {m_endpoint, end, GetProgress(), m_sent_at});
+}
+
+AnswerProgress ActiveRequest::GetProgress() const {
+  if (!m_response_head.has_value()) return AnswerProgress::kNone;
+  const bool has_begun = IsStream() ? m_events.GetProgress() > 0 : m_has_body;
+  return has_begun ? AnswerProgress::kBegun : AnswerProgress::kHeader;
 }
 
 void ActiveRequest::RetryOrFail(bool may_have_run, std::string reason) {
--- a/src/active_request.h
+++ b/src/active_request.h
@@ -30,6 +30,23 @@
 
 class ActiveRequest;
 
+// How much of an answer an endpoint has sent.
+enum class AnswerProgress {
+  kNone,
+  // The header, and possibly a part of the first event.
+  kHeader,
+  // A part of a body that is not a stream, or an event of a stream.
+  kBegun,
+};
+
+// An attempt that has ended.
+struct EndedAttempt {
+  EndpointId endpoint;
+  AttemptEnd end = AttemptEnd::kCancelled;
+  AnswerProgress progress = AnswerProgress::kNone;
+  TimePoint sent_at;
+};
+
 // Interface of the traffic loop that owns the forwarded requests.
 class ActiveRequestHost {
  public:
@@ -38,7 +55,7 @@
   // Called once for each attempt when the endpoint has processed the prompt: at its first event, or at the attempt's
   // end if no event came.
   virtual void OnPrefillDone(ActiveRequest& active, const EndpointId& endpoint) = 0;
-  virtual void OnAttemptEnded(ActiveRequest& active, const EndpointId& endpoint, AttemptEnd end) = 0;
+  virtual void OnAttemptEnded(ActiveRequest& active, const EndedAttempt& attempt) = 0;
   // Requests another attempt. The host calls StartAttempt or Fail, possibly within this call.
   virtual void RequestAttempt(ActiveRequest& active) = 0;
   // Takes one retry from the shared budget. Returns false if the budget is exhausted.
@@ -145,6 +162,7 @@
   void FailAttempt(AttemptEnd end, std::string reason);
   void EndAttempt(AttemptEnd end);
   void ReportPrefillDone();
+  AnswerProgress GetProgress() const;
   void RetryOrFail(bool may_have_run, std::string reason);
   void FailWithoutRetry(bool may_have_run, std::string reason);
   void FinishRequest(int status, ForwardFailure failure, std::string reason);
@@ -171,6 +189,7 @@
   std::shared_ptr<HttpCall> m_call;
   uint64_t m_attempt_number = 0;
   EndpointId m_endpoint;
+  TimePoint m_sent_at;
   std::optional<ResponseHead> m_response_head;
   std::string m_response_body;
   EventSplitter m_events;
--- a/src/endpoint_balancer.cpp
+++ b/src/endpoint_balancer.cpp
@@ -328,6 +328,7 @@
       RecordOutcome(state, false);
       break;
     case AttemptEnd::kError:
+    case AttemptEnd::kConnectionLost:
     case AttemptEnd::kBroken:
       RecordOutcome(state, true);
       break;
--- a/src/endpoint_balancer.h
+++ b/src/endpoint_balancer.h
@@ -42,7 +42,9 @@
   kUnreachable,
   // The endpoint sent nothing within the time limit.
   kSilent,
-  // The answer was truncated or malformed.
+  // The connection ended before the answer was complete.
+  kConnectionLost,
+  // The answer was malformed.
   kBroken,
   // Withdrawn because it had not started when the endpoint's weight version reached its limit.
   kWithdrawn,
--- a/src/failure.cpp
+++ b/src/failure.cpp
@@ -38,6 +38,7 @@
     FailureRow{FailureCode::kConnectFailed, "connect_failed", absl::StatusCode::kUnavailable},
     FailureRow{FailureCode::kTimeout, "timeout", absl::StatusCode::kDeadlineExceeded},
     FailureRow{FailureCode::kCancelled, "cancelled", absl::StatusCode::kCancelled},
+    FailureRow{FailureCode::kConnectionLost, "connection_lost", absl::StatusCode::kUnavailable},
     FailureRow{FailureCode::kProtocol, "protocol", absl::StatusCode::kDataLoss},
     FailureRow{FailureCode::kAddressInUse, "address_in_use", absl::StatusCode::kAlreadyExists},
     FailureRow{FailureCode::kDigestMismatch, "digest_mismatch", absl::StatusCode::kDataLoss},
--- a/src/failure_type.h
+++ b/src/failure_type.h
@@ -38,6 +38,8 @@
   kConnectFailed,
   kTimeout,
   kCancelled,
+  // The connection ended before the answer was complete.
+  kConnectionLost,
   kProtocol,
   kAddressInUse,
   // Weights.
--- a/src/forward_metrics.cpp
+++ b/src/forward_metrics.cpp
@@ -40,6 +40,8 @@
       return "unreachable";
     case AttemptEnd::kSilent:
       return "silent";
+    case AttemptEnd::kConnectionLost:
+      return "connection_lost";
     case AttemptEnd::kBroken:
       return "broken";
     case AttemptEnd::kWithdrawn:
@@ -50,6 +52,18 @@
   return "unknown";
 }
 
+std::string_view GetAnswerProgressName(AnswerProgress progress) {
+  switch (progress) {
+    case AnswerProgress::kNone:
+      return "none";
+    case AnswerProgress::kHeader:
+      return "header";
+    case AnswerProgress::kBegun:
+      return "begun";
+  }
+  return "unknown";
+}
+
 ForwardMetrics::ForwardMetrics(Metrics& metrics) : m_metrics(metrics) {}
 
 void ForwardMetrics::CountFinishedRequest(const RequestKind& kind, const ActiveRequestOutcome& outcome) {
--- a/src/forward_metrics.h
+++ b/src/forward_metrics.h
@@ -26,6 +26,7 @@
 // Return the names that logs and metrics use.
 std::string_view GetRequestKindName(RequestKind kind);
 std::string_view GetAttemptEndName(AttemptEnd end);
+std::string_view GetAnswerProgressName(AnswerProgress progress);
 
 }  // namespace plantain
 
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -40,6 +40,15 @@
   return version.value_or(WeightVersion()).Get();
 }
 
+std::string FormatParts(const std::vector<PromptPartId>& parts) {
+  std::string text;
+  for (const PromptPartId& part : parts) {
+    if (!text.empty()) text += ',';
+    text += part.Get();
+  }
+  return text;
+}
+
 }  // namespace
 
 ForwardTraffic::ForwardTraffic(const Clock& clock, Random& random, const CallerProtocol& protocol,
@@ -288,20 +297,22 @@
   m_balancer.OnPrefillDone(endpoint, active.GetRequest().prompt_tokens);
 }
 
-void ForwardTraffic::OnAttemptEnded(ActiveRequest& active, const EndpointId& endpoint, AttemptEnd end) {
-  m_metrics.CountAttempt(end);
-  m_balancer.OnEnded(endpoint, end);
-  if (end != AttemptEnd::kSuccess) {
-    LogEvent(LogLevel::kInfo, "attempt_failed",
-             {{"request", active.GetRequest().id},
-              {"endpoint", endpoint},
-              {"pool", active.GetPool()},
-              {"end", GetAttemptEndName(end)},
-              {"after_ms", ToMilliseconds(m_clock.GetNow() - active.GetStart())},
-              {"attempt", active.GetOutcome().attempts},
-              {"version", GetVersionNumber(active.GetOutcome().version)},
-              {"min_version", GetVersionNumber(active.GetOutcome().min_version)}});
-  }
+void ForwardTraffic::OnAttemptEnded(ActiveRequest& active, const EndedAttempt& attempt) {
+  m_metrics.CountAttempt(attempt.end);
+  m_balancer.OnEnded(attempt.endpoint, attempt.end);
+  if (attempt.end == AttemptEnd::kSuccess) return;
+  LogEvent(LogLevel::kInfo, "attempt_failed",
+           {{"request", active.GetRequest().id},
+            {"endpoint", attempt.endpoint},
+            {"pool", active.GetPool()},
+            {"end", GetAttemptEndName(attempt.end)},
+            {"progress", GetAnswerProgressName(attempt.progress)},
+            {"after_ms", ToMilliseconds(m_clock.GetNow() - active.GetStart())},
+            {"sent_ms", ToMilliseconds(attempt.sent_at - active.GetStart())},
+            {"attempt", active.GetOutcome().attempts},
+            {"prompt", FormatParts(active.GetRequest().shared_parts)},
+            {"version", GetVersionNumber(active.GetOutcome().version)},
+            {"min_version", GetVersionNumber(active.GetOutcome().min_version)}});
 }
 
 void ForwardTraffic::RequestAttempt(ActiveRequest& active) { Enqueue(active); }
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -94,7 +94,7 @@
   Duration GetRetryAfter(const ActiveRequest& active);
 
   void OnPrefillDone(ActiveRequest& active, const EndpointId& endpoint) override;
-  void OnAttemptEnded(ActiveRequest& active, const EndpointId& endpoint, AttemptEnd end) override;
+  void OnAttemptEnded(ActiveRequest& active, const EndedAttempt& attempt) override;
   void RequestAttempt(ActiveRequest& active) override;
   bool TryAcquireRetry(ActiveRequest& active) override;
   Duration SuggestRetryAfter(ActiveRequest& active) override { return GetRetryAfter(active); }
--- a/src/forward_type.h
+++ b/src/forward_type.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "absl/status/statusor.h"
 #include "fleet_type.h"
@@ -14,6 +15,9 @@
 
 namespace plantain {
 
+// Maximum number of prompt parts of a request that are examined.
+inline constexpr size_t kMaxSharedParts = 8;
+
 // A received request and the header fields that routing, admission and retries use.
 struct ForwardRequest {
   RequestId id;
@@ -31,6 +35,8 @@
   uint32_t output_tokens = 0;
   // ID of the last stream event that the caller has received.
   std::optional<uint64_t> last_event_id;
+  // Parts of the prompt that other requests may share, in order; at most kMaxSharedParts.
+  std::vector<PromptPartId> shared_parts;
   HttpRequest http;
 };
 
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -204,7 +204,7 @@
                       [self = this->shared_from_this()](const ErrorCode& error, size_t) {
                         if (self->m_is_done) return;
                         if (error) {
-                          self->Finish(MakeFailure(FailureCode::kProtocol, error.message()));
+                          self->FailConnection(error);
                           return;
                         }
                         self->ReadHead();
@@ -242,7 +242,7 @@
     if (error == asio::error::eof) {
       OnEndOfStream();
     } else if (error) {
-      FailProtocol(error.message());
+      FailConnection(error);
     } else {
       m_connection->buffer.commit(count);
       ParseAll();
@@ -253,7 +253,7 @@
     ErrorCode error = http::error::end_of_stream;
     if (m_parser->got_some()) m_parser->put_eof(error);
     if (error) {
-      FailProtocol(error.message());
+      FailConnection(error);
     } else {
       Finish(absl::OkStatus());
     }
@@ -336,6 +336,8 @@
 
   void FailBodyLimit() { FailProtocol("the body is larger than allowed"); }
 
+  void FailConnection(const ErrorCode& error) { Finish(MakeFailure(FailureCode::kConnectionLost, error.message())); }
+
   void FailProtocol(const std::string& detail) { Finish(MakeFailure(FailureCode::kProtocol, detail)); }
 
   void Finish(const absl::Status& status) {
