--- /dev/null
+++ b/bench/_hosted_fleet.py
@@ -0,0 +1,503 @@
+"""Entries of the hosted platform as real processes, with stand-ins for the store, the engines and the callers.
+
+All addresses are on loopback. Entry I of zone Z is 127.A.Z.I, engine J of zone Z is 127.A.(100+Z).J and the store is
+127.A.200.1. The stand-ins run in two processes of their own, one for store and engines and one for the callers, and
+record what they see with `time.monotonic()`, which all processes of the machine share.
+"""
+
+import asyncio
+import base64
+import dataclasses
+import json
+import multiprocessing
+import os
+import random
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.parse
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+sys.path.insert(0, os.path.join(ROOT, "scripts"))
+from fleet import die_with_parent, wait_until  # noqa: E402
+
+CALLER_PORT, READY_PORT, ADMIN_PORT, RELAY_PORT, ENGINE_PORT, STORE_PORT = 8005, 8002, 8081, 7400, 9000, 9100
+ZONES = ["praha", "brno", "ostrava"]
+HOST, POOL, MODEL = "h.example", "engines", "m-1"
+OPERATOR_TOPIC, DIRECTORY_TOPIC = "keyed.op", "keyed.servers"
+# Silence after which the platform removes the record of an engine.
+RECORD_TTL_S = 3.6
+EVENT = "id: {id}\ndata: token\n\n"
+
+
+@dataclasses.dataclass
+class EngineModel:
+    """Speed of an engine and how it behaves in trouble."""
+
+    slots: int = 16
+    prefill_s: float = 0.05
+    event_gap_s: float = 0.05
+    events: int = 8
+    # Time from a crash until the engine serves again, under another id.
+    restart_s: float = 3.0
+    # Prompt part at which an answer that begins crashes the engine; None for none.
+    bad_parts: tuple = ()
+    # Requests/s that the engine names in its answers; None for no limit.
+    limit: float = None
+
+
+@dataclasses.dataclass
+class Arrival:
+    """One request that reached an engine. `begun_at` is the time of its first event, None if it had none."""
+
+    at: float
+    engine: str
+    address: str
+    request: str
+    parts: list
+    begun_at: float = None
+
+
+@dataclasses.dataclass
+class Answer:
+    """What a caller got. `status` is 0 if the connection ended without a response."""
+
+    sent_at: float
+    entry: int
+    request: str
+    parts: list
+    status: int
+    is_complete: bool
+    first_event_s: float
+    total_s: float
+    error: str
+    retry_after: str
+
+
+class Store:
+    """The part of the platform's store that entries use: listing and following two topics."""
+
+    def __init__(self):
+        self.records = {OPERATOR_TOPIC: [], DIRECTORY_TOPIC: []}
+        self.changed = asyncio.Condition()
+
+    async def put(self, topic, key, value):
+        async with self.changed:
+            self.records[topic].append((key, b"" if value is None else json.dumps(value).encode()))
+            self.changed.notify_all()
+
+    def get_newest(self, topic):
+        newest = {}
+        for offset, (key, value) in enumerate(self.records[topic]):
+            newest.pop(key, None)
+            if value:
+                newest[key] = (offset, value)
+        return {"entries": [{"key": k, "value": base64.b64encode(v).decode(), "offset": o}
+                            for k, (o, v) in sorted(newest.items())],
+                "more_pages": False, "end": len(self.records[topic])}
+
+    async def read(self, topic, offset, wait_s):
+        records = self.records[topic]
+        if len(records) <= offset and wait_s > 0:
+            try:
+                async with self.changed:
+                    await asyncio.wait_for(self.changed.wait_for(lambda: len(records) > offset), wait_s)
+            except asyncio.TimeoutError:
+                pass
+        out = struct.pack(">QQ", len(records), 0)
+        for key, value in records[offset:]:
+            content = bytes([len(key)]) + key.encode() + value
+            out += struct.pack(">I", len(content)) + content
+        return out
+
+    async def handle(self, reader, writer):
+        try:
+            while True:
+                head = await read_head(reader)
+                if head is None:
+                    break
+                url = urllib.parse.urlsplit(head[0].split()[1])
+                query = dict(urllib.parse.parse_qsl(url.query))
+                if url.path == "/log-newest":
+                    body = json.dumps(self.get_newest(query["topic"])).encode()
+                else:
+                    body = await self.read(query["topic"], int(query["from"]), float(query.get("wait_ms", 0)) / 1000)
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+
+async def read_head(reader):
+    """Returns the first line and the lower-case fields of a request or response, or None at the end."""
+    try:
+        raw = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError:
+        return None
+    lines = raw.decode().split("\r\n")
+    fields = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        fields[name.strip().lower()] = value.strip()
+    return lines[0], fields
+
+
+def parse_parts(text):
+    return [part.split(":")[0] for part in text.split(",") if part]
+
+
+class Engine:
+    """One engine address. A crash resets all connections; the engine comes back under another id."""
+
+    def __init__(self, fleet, zone, address, model):
+        self.fleet, self.zone, self.address, self.model = fleet, zone, address, model
+        self.server, self.writers, self.id, self.active = None, set(), "", 0
+        self.crashes = []
+
+    async def start(self):
+        self.id = f"i-{self.fleet.random.getrandbits(40):010x}"
+        self.server = await asyncio.start_server(self.handle, self.address, ENGINE_PORT, backlog=256)
+        await self.fleet.store.put(DIRECTORY_TOPIC, self.id, {
+            "service": POOL, "address": f"{self.address}:{ENGINE_PORT}", "zone": ZONES[self.zone], "version": 1,
+            "slots": self.model.slots, "state": "ready", "cold_left_ms": 0, "seq": 1,
+            "born": int(time.time() * 1000), "models": [{"name": MODEL, "version": 1, "adapters": []}]})
+
+    def crash(self, is_by_prompt):
+        """Ends the engine. Records the time, its id and whether a prompt part caused it."""
+        if self.server is None:
+            return
+        self.crashes.append((time.monotonic(), self.id, is_by_prompt))
+        self.server.close()
+        self.server = None
+        for writer in list(self.writers):
+            reset(writer)
+        asyncio.ensure_future(self.recover(self.id))
+
+    async def recover(self, old_id):
+        await asyncio.sleep(self.model.restart_s)
+        await self.start()
+        await asyncio.sleep(max(0.0, RECORD_TTL_S - self.model.restart_s))
+        await self.fleet.store.put(DIRECTORY_TOPIC, old_id, None)
+
+    async def handle(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while (head := await read_head(reader)) is not None:
+                _, fields = head
+                await reader.readexactly(int(fields.get("content-length", 0)))
+                if not await self.answer(fields, writer):
+                    break
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def answer(self, fields, writer):
+        request = fields.get("plantainmast-attempt-id", "")
+        prefix = f"Plantainmast-Attempt-Id: {request}\r\n"
+        if self.model.limit is not None:
+            prefix += f"Server-Limit: {self.model.limit:g}\r\n"
+        if fields.get("plantainmast-expect-instance", self.id) != self.id:
+            writer.write(f"HTTP/1.1 421 Misdirected\r\n{prefix}Content-Length: 0\r\n\r\n".encode())
+            return True
+        arrival = Arrival(time.monotonic(), self.id, self.address, request,
+                          parse_parts(fields.get("plantainmast-prefix-hash", "")))
+        self.fleet.arrivals.append(arrival)
+        if self.active >= 2 * self.model.slots:
+            writer.write(f"HTTP/1.1 503 Full\r\n{prefix}Plantainmast-Not-Executed: 1\r\n"
+                         "Content-Length: 0\r\n\r\n".encode())
+            return True
+        self.active += 1
+        try:
+            await self.write_stream(arrival, prefix, int(fields.get("last-event-id", -1)) + 1, writer)
+        finally:
+            self.active -= 1
+        return True
+
+    async def write_stream(self, arrival, prefix, first, writer):
+        id_at_start = self.id
+        await asyncio.sleep(self.model.prefill_s * (0.5 + self.fleet.random.random()))
+        if writer.is_closing() or self.id != id_at_start:
+            raise ConnectionResetError
+        writer.write((f"HTTP/1.1 200 OK\r\n{prefix}Plantainmast-Server-Stamp: s\r\nPlantainmast-Weight-Versions: 1\r\n"
+                      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
+        if set(self.model.bad_parts) & set(arrival.parts[:-1]):
+            # The answer has a head but no event when the engine ends.
+            await writer.drain()
+            await asyncio.sleep(0.005)
+            self.crash(True)
+            raise ConnectionResetError
+        for number in range(first, self.model.events):
+            data = EVENT.format(id=number)
+            writer.write(f"{len(data):x}\r\n{data}\r\n".encode())
+            await writer.drain()
+            arrival.begun_at = arrival.begun_at or time.monotonic()
+            await asyncio.sleep(self.model.event_gap_s)
+            if writer.is_closing() or self.id != id_at_start:
+                raise ConnectionResetError
+        writer.write(b"0\r\n\r\n")
+
+
+def reset(writer):
+    """Closes a connection with a reset, as the kernel does for a process that was killed."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+class StandinFleet:
+    """Store and engines, on one event loop."""
+
+    def __init__(self, seed, octet, engines, model, crash_times):
+        self.random = random.Random(seed)
+        self.store, self.arrivals, self.engines = None, [], []
+        self.octet, self.count, self.model, self.crash_times = octet, engines, model, crash_times
+
+    async def run(self, pipe):
+        self.store = Store()
+        await asyncio.start_server(self.store.handle, f"127.{self.octet}.200.1", STORE_PORT, backlog=1024)
+        await self.store.put(OPERATOR_TOPIC, "config", make_config(self.model))
+        for index in range(self.count):
+            zone = index % len(ZONES)
+            engine = Engine(self, zone, f"127.{self.octet}.{100 + zone}.{1 + index // len(ZONES)}", self.model)
+            self.engines.append(engine)
+            await engine.start()
+        pipe.send("started")
+        begin = time.monotonic()
+        crash_times = sorted(self.crash_times)
+        while not pipe.poll():
+            while crash_times and time.monotonic() - begin >= crash_times[0]:
+                crash_times.pop(0)
+                self.random.choice(self.engines).crash(False)
+            await asyncio.sleep(0.02)
+        crashes = sorted(c for engine in self.engines for c in engine.crashes)
+        pipe.send((self.arrivals, crashes))
+        # Ends without cancelling the open connections, which would print a traceback for each.
+        os._exit(0)
+
+
+def make_config(model):
+    route = {"name": "draft", "host": HOST, "path_prefix": "/draft/", "service": POOL, "type": "stream",
+             "timeout_ms": 6000, "latency_target_ms": 400, "max_gap_ms": 300, "attempts": 2, "priority": 0,
+             "public": True, "resumable": True, "sticky": True}
+    engine = {"models": [{"name": MODEL}], "slots": model.slots, "step_ms": 6.7, "per_seq_ms": 0.02,
+              "context_per_k": 0.01, "read_per_s": 30600, "usual": {"prompt": 900, "answer": 100}}
+    service = {"name": POOL, "max_conns": 400, "cold_start_s": 0, "cold_per_s": 0, "engine": engine}
+    return {"version": 3, "routes": [route], "services": [service],
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 1048576, "header_timeout_ms": 5000,
+                       "idle_timeout_ms": 30000}}
+
+
+def run_standins(pipe, *arguments):
+    die_with_parent()
+    asyncio.run(StandinFleet(*arguments).run(pipe))
+
+
+@dataclasses.dataclass
+class Flow:
+    """Requests of one sort: rate per entry, the time span in seconds from the start of the load, and the parts.
+
+    `shared` holds tuples of prompt parts, of which each request takes one; its last part is its own. `entries` are the
+    entries that get the requests; None stands for all.
+    """
+
+    name: str
+    per_s: float
+    begin_s: float
+    end_s: float
+    shared: list
+    entries: list = None
+
+
+class Callers:
+    """Open-loop callers of all entries. Each repeats a request once after a failure, when it is told to."""
+
+    def __init__(self, seed, addresses, flows, duration_s):
+        self.random = random.Random(seed)
+        self.addresses, self.flows, self.duration_s = addresses, flows, duration_s
+        self.answers, self.number = [], 0
+
+    async def run(self, pipe):
+        tasks = [asyncio.ensure_future(self.offer(flow, entry))
+                 for flow in self.flows for entry in flow.entries or range(len(self.addresses))]
+        pipe.send(time.monotonic())
+        await asyncio.gather(*tasks)
+        pipe.send(self.answers)
+
+    async def offer(self, flow, entry):
+        begin = time.monotonic()
+        at, running = flow.begin_s, set()
+        while True:
+            at += self.random.expovariate(flow.per_s)
+            if at > min(flow.end_s, self.duration_s):
+                break
+            await asyncio.sleep(max(0.0, begin + at - time.monotonic()))
+            task = asyncio.ensure_future(self.call(flow, entry))
+            running.add(task)
+            task.add_done_callback(running.discard)
+        if running:
+            await asyncio.wait(running, timeout=10)
+
+    async def call(self, flow, entry):
+        shared = self.random.choice(flow.shared)
+        own = f"{self.random.getrandbits(32):08x}"
+        for attempt in range(2):
+            answer = await self.send(flow, entry, [*shared, own])
+            self.answers.append(answer)
+            is_not_run = answer.status in (429, 503)
+            if answer.is_complete or (is_not_run and not answer.retry_after) or attempt == 1:
+                return
+            entry = (entry + 1 + self.random.randrange(len(self.addresses))) % len(self.addresses)
+            await asyncio.sleep(min(1.5, float(answer.retry_after or 0.05)))
+
+    async def send(self, flow, entry, parts):
+        self.number += 1
+        request = f"{flow.name}-{self.number}"
+        prefix = ",".join(f"{part}:{300 if i else 40}" for i, part in enumerate(parts))
+        sent_at = time.monotonic()
+        answer = Answer(sent_at, entry, request, parts, 0, False, None, 0, "", "")
+        try:
+            reader, writer = await asyncio.wait_for(
+                asyncio.open_connection(self.addresses[entry], CALLER_PORT), timeout=1)
+            writer.write((f"POST /draft/1 HTTP/1.1\r\nHost: {HOST}\r\nPlantainmast-Attempt-Id: {request}\r\n"
+                          f"Plantainmast-Deadline-Ms: 6000\r\nPlantainmast-Model: {MODEL}\r\n"
+                          f"Plantainmast-Token-Usage: 900,100\r\nPlantainmast-Prefix-Hash: {prefix}\r\n"
+                          "Connection: close\r\nContent-Length: 2\r\n\r\n{}").encode())
+            await asyncio.wait_for(self.read_answer(reader, answer), timeout=7)
+            writer.close()
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            pass
+        answer.total_s = time.monotonic() - sent_at
+        return answer
+
+    @staticmethod
+    async def read_answer(reader, answer):
+        head = await read_head(reader)
+        if head is None:
+            return
+        line, fields = head
+        answer.status = int(line.split()[1])
+        answer.retry_after = fields.get("retry-after", "")
+        if fields.get("transfer-encoding") != "chunked":
+            body = await reader.readexactly(int(fields.get("content-length", 0)))
+            answer.is_complete = answer.status == 200
+            if not answer.is_complete:
+                answer.error = body.decode(errors="replace")
+            return
+        while True:
+            size = int((await reader.readline()).split(b";")[0] or b"0", 16)
+            data = await reader.readexactly(size + 2)
+            if size == 0:
+                answer.is_complete = data == b"\r\n"
+                return
+            if answer.first_event_s is None:
+                answer.first_event_s = time.monotonic() - answer.sent_at
+
+
+def run_callers(pipe, *arguments):
+    die_with_parent()
+    asyncio.run(Callers(*arguments).run(pipe))
+
+
+class HostedEntries:
+    """Real entry processes, and the stand-ins and callers around them."""
+
+    def __init__(self, build, seed, count, octet):
+        self.build, self.seed, self.count, self.octet = build, seed, count, octet
+        self.directory = tempfile.TemporaryDirectory(prefix="hosted-entries-")
+        self.processes = {}
+        self.standins = self.callers = None
+        self.load_begin = 0.0
+
+    def get_address(self, index):
+        return f"127.{self.octet}.{index % len(ZONES)}.{1 + index // len(ZONES)}"
+
+    def get_log(self, index):
+        return os.path.join(self.directory.name, f"entry-{index}.log")
+
+    def start_standins(self, engines, model, crash_times=()):
+        self.standins, child = multiprocessing.Pipe()
+        multiprocessing.Process(target=run_standins, daemon=True, args=(
+            child, self.seed, self.octet, engines, model, list(crash_times))).start()
+        self.standins.recv()
+
+    def start_entry(self, index, relay_port=RELAY_PORT):
+        """Starts an entry. One with another relay port can neither send beacons to the others nor receive theirs."""
+        address = self.get_address(index)
+        seeds = ", ".join(f"{self.get_address(i)}:8000" for i in range(min(3, self.count)))
+        zones = ", ".join(f"{zone}={zone}" for zone in ZONES)
+        zone = ZONES[index % len(ZONES)]
+        settings = os.path.join(self.directory.name, f"entry-{index}.yaml")
+        with open(settings, "w", encoding="utf-8") as out:
+            out.write(f"vm:\n  id: {address}\n  name: entry-{index}\n  zone: {zone}\n  region: {zone}\n"
+                      f"  address: {address}\nadmin:\n  port: {ADMIN_PORT}\nfleet:\n  zones: [{zones}]\n"
+                      f"  seeds: [{seeds}]\nrelay:\n  port: {relay_port}\n"
+                      f"store:\n  target: 127.{self.octet}.200.1:{STORE_PORT}\n"
+                      f"http:\n  target: {address}:{CALLER_PORT}\nready:\n  target: {address}:{READY_PORT}\n"
+                      "retry:\n  share: 0.2\n  slack: 100\n")
+        log = open(self.get_log(index), "ab")
+        self.processes[index] = subprocess.Popen(
+            [os.path.join(self.build, "plantain-entry"), "--platform", "hosted", "--settings", settings],
+            stdout=log, stderr=subprocess.STDOUT, preexec_fn=die_with_parent)
+        log.close()
+
+    def start_entries(self, indices, relay_ports=None):
+        for index in indices:
+            self.start_entry(index, (relay_ports or {}).get(index, RELAY_PORT))
+        for index in indices:
+            self.wait_ready(index)
+
+    def wait_ready(self, index):
+        wait_until(lambda: self.is_ready(index), 20, f"entry {index} to be ready")
+
+    def is_ready(self, index):
+        try:
+            with socket.create_connection((self.get_address(index), READY_PORT), timeout=1) as sock:
+                sock.sendall(b"GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                return b" 200 " in sock.recv(64)
+        except OSError:
+            return False
+
+    def kill_entry(self, index):
+        self.processes[index].send_signal(signal.SIGKILL)
+        self.processes[index].wait()
+
+    def start_callers(self, flows, duration_s):
+        self.callers, child = multiprocessing.Pipe()
+        addresses = [self.get_address(i) for i in range(self.count)]
+        multiprocessing.Process(target=run_callers, daemon=True, args=(
+            child, self.seed + 1, addresses, flows, duration_s)).start()
+        self.load_begin = self.callers.recv()
+
+    def finish(self):
+        """Waits for the callers and returns (answers, arrivals, crashes)."""
+        answers = self.callers.recv()
+        self.standins.send("stop")
+        arrivals, crashes = self.standins.recv()
+        return answers, arrivals, crashes
+
+    def get_cpu_seconds(self):
+        ticks = os.sysconf("SC_CLK_TCK")
+        total = 0.0
+        for process in self.processes.values():
+            try:
+                with open(f"/proc/{process.pid}/stat", encoding="utf-8") as stat:
+                    fields = stat.read().rsplit(")", 1)[1].split()
+                total += (int(fields[11]) + int(fields[12])) / ticks
+            except OSError:
+                pass
+        return total
+
+    def stop(self):
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+                process.wait()
+        self.directory.cleanup()
