--- a/bench/_hosted_fleet.py
+++ b/bench/_hosted_fleet.py
@@ -46,8 +46,10 @@
     restart_s: float = 3.0
     # Prompt part at which an answer that begins crashes the engine; None for none.
     bad_parts: tuple = ()
-    # Requests/s that the engine names in its answers; None for no limit.
+    # Requests/s that the first engines state in their answers from some time after their start, and their number.
     limit: float = None
+    limit_from_s: float = 0
+    limited_engines: int = 0
 
 
 @dataclasses.dataclass
@@ -154,8 +156,9 @@
 class Engine:
     """One engine address. A crash resets all connections; the engine comes back under another id."""
 
-    def __init__(self, fleet, zone, address, model):
-        self.fleet, self.zone, self.address, self.model = fleet, zone, address, model
+    def __init__(self, fleet, zone, address, model, has_limit):
+        self.fleet, self.zone, self.address, self.model, self.has_limit = fleet, zone, address, model, has_limit
+        self.started_at = time.monotonic()
         self.server, self.writers, self.id, self.active = None, set(), "", 0
         self.crashes = []
 
@@ -201,7 +204,8 @@
     async def answer(self, fields, writer):
         request = fields.get("plantainmast-attempt-id", "")
         prefix = f"Plantainmast-Attempt-Id: {request}\r\n"
-        if self.model.limit is not None:
+        if self.has_limit and time.monotonic() - self.started_at >= self.model.limit_from_s:
+            self.fleet.stated_at.setdefault(self.address, time.monotonic())
             prefix += f"Server-Limit: {self.model.limit:g}\r\n"
         if fields.get("plantainmast-expect-instance", self.id) != self.id:
             writer.write(f"HTTP/1.1 421 Misdirected\r\n{prefix}Content-Length: 0\r\n\r\n".encode())
@@ -258,6 +262,8 @@
     def __init__(self, seed, octet, engines, model, crash_times):
         self.random = random.Random(seed)
         self.store, self.arrivals, self.engines = None, [], []
+        # Time of the first answer with a limit, by engine address.
+        self.stated_at = {}
         self.octet, self.count, self.model, self.crash_times = octet, engines, model, crash_times
 
     async def run(self, pipe):
@@ -266,7 +272,8 @@
         await self.store.put(OPERATOR_TOPIC, "config", make_config(self.model))
         for index in range(self.count):
             zone = index % len(ZONES)
-            engine = Engine(self, zone, f"127.{self.octet}.{100 + zone}.{1 + index // len(ZONES)}", self.model)
+            engine = Engine(self, zone, f"127.{self.octet}.{100 + zone}.{1 + index // len(ZONES)}", self.model,
+                            index < self.model.limited_engines)
             self.engines.append(engine)
             await engine.start()
         pipe.send("started")
@@ -278,7 +285,7 @@
                 self.random.choice(self.engines).crash(False)
             await asyncio.sleep(0.02)
         crashes = sorted(c for engine in self.engines for c in engine.crashes)
-        pipe.send((self.arrivals, crashes))
+        pipe.send((self.arrivals, crashes, self.stated_at))
         # Ends without cancelling the open connections, which would print a traceback for each.
         os._exit(0)
 
@@ -477,11 +484,10 @@
         self.load_begin = self.callers.recv()
 
     def finish(self):
-        """Waits for the callers and returns (answers, arrivals, crashes)."""
+        """Waits for the callers and returns (answers, arrivals, crashes, times of the first stated limits)."""
         answers = self.callers.recv()
         self.standins.send("stop")
-        arrivals, crashes = self.standins.recv()
-        return answers, arrivals, crashes
+        return answers, *self.standins.recv()
 
     def get_cpu_seconds(self):
         ticks = os.sysconf("SC_CLK_TCK")
--- a/bench/blocked_prompt.py
+++ b/bench/blocked_prompt.py
@@ -68,11 +68,11 @@
             time.sleep(max(0.0, fleet.load_begin + RESTART_AT_S - time.monotonic()))
             fleet.kill_entry(restarted)
             fleet.start_entry(restarted)
-        result = fleet.finish()
+        answers, arrivals, crashes, _ = fleet.finish()
         cpu = fleet.get_cpu_seconds() - cpu_before
         if os.environ.get("KEEP_LOGS"):
             os.system(f"cp -r {fleet.directory.name} {os.environ['KEEP_LOGS']}")
-        return *result, fleet.load_begin, cpu, restarted
+        return answers, arrivals, crashes, fleet.load_begin, cpu, restarted
     finally:
         fleet.stop()
 
