Keep all entries together within the request rate that an endpoint states

Callers saw: nothing at first; endpoints in need got up to twice what they had stated and grew slower.

Cause: the statement was not read. Behind it stands a class of fault: a limit of the fleet that each entry would keep by itself adds up to as many times the limit as there are entries, and shares that each entry computes from its own view do not add up while views differ.

Change: EndpointRateLimits, a class without I/O. For each endpoint with a stated rate one entry, the first of a rendezvous ranking, grants single requests to all entries in proportion to their demand; an entry sends nothing without a grant, and grants expire after a second. The granting entry begins only after it has been first for 3 s and while every live entry names it as heard, and stops at once when one of a higher rank appears. Statements and totals of grants go out in beacons, statements at once. A rate of 0 lets one request pass every 10 s, so that the endpoint can state another one; malformed values are logged and change nothing. `endpoint_rate` shows each change.

--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -134,6 +134,8 @@
 void ActiveRequest::OnHead(int status, const HttpHeaders& headers) {
   m_last_received_at = m_deps.clock.GetNow();
   m_response_head = m_deps.protocol.ParseResponseHead(m_request.id, status, headers);
+  const bool is_of_endpoint = m_response_head->has_matching_id && !m_response_head->is_misdirected;
+  if (is_of_endpoint) m_deps.host.OnResponseHead(m_endpoint, *m_response_head);
 }
 
 void ActiveRequest::OnData(std::string_view data) {
--- a/src/beacon_table.cpp
+++ b/src/beacon_table.cpp
@@ -22,6 +22,7 @@
 constexpr uint64_t kMaxPromptAgeMs = 24 * 3'600'000;
 constexpr int kMaxPromptParts = 16;
 constexpr int kMaxPromptListSize = 16;
+constexpr int kMaxRates = 32;
 
 void EncodeLoad(const EndpointLoad& load, proto::LoadReport& out) {
   out.set_endpoint(load.endpoint.Get());
@@ -92,6 +93,50 @@
   return part.crashes_size() <= kMaxPromptListSize && part.companions_size() <= kMaxPromptListSize;
 }
 
+void EncodeRates(const RateReport& rates, proto::Beacon& out) {
+  for (const RateStatement& statement : rates.statements) {
+    proto::RateStatement* added = out.add_rate_statements();
+    added->set_endpoint(statement.endpoint.Get());
+    added->set_is_stated(statement.per_s.has_value());
+    added->set_per_s(statement.per_s.value_or(0));
+    added->set_age_ms(EncodeAge(statement.age));
+  }
+  for (const RateGrantReport& grants : rates.grants) {
+    proto::RateGrants* added = out.add_rate_grants();
+    added->set_endpoint(grants.endpoint.Get());
+    added->set_epoch(grants.epoch);
+    for (const RateGrant& grant : grants.grants) {
+      proto::RateGrant* entry = added->add_grants();
+      entry->set_entry(grant.entry.Get());
+      entry->set_total(grant.total);
+    }
+  }
+}
+
+RateReport DecodeRates(const proto::Beacon& in) {
+  RateReport rates;
+  for (const proto::RateStatement& statement : in.rate_statements()) {
+    const bool is_valid = std::isfinite(statement.per_s()) && statement.per_s() >= 0;
+    if (!is_valid) continue;
+    const std::optional<double> per_s = statement.is_stated() ? std::optional(statement.per_s()) : std::nullopt;
+    rates.statements.push_back({EndpointId(statement.endpoint()), per_s, DecodeAge(statement.age_ms())});
+  }
+  for (const proto::RateGrants& grants : in.rate_grants()) {
+    RateGrantReport report{EndpointId(grants.endpoint()), grants.epoch(), {}};
+    for (const proto::RateGrant& grant : grants.grants()) {
+      report.grants.push_back({VmId(grant.entry()), grant.total()});
+    }
+    rates.grants.push_back(std::move(report));
+  }
+  return rates;
+}
+
+bool HasBoundedRates(const proto::Beacon& message) {
+  return message.rate_statements_size() <= kMaxRates && message.rate_grants_size() <= kMaxRates &&
+         std::all_of(message.rate_grants().begin(), message.rate_grants().end(),
+                     [](const proto::RateGrants& grants) { return grants.grants_size() <= kMaxNamedEntries; });
+}
+
 }  // namespace
 
 std::string EncodeBeacon(const BeaconInfo& beacon) {
@@ -122,6 +167,7 @@
     out->set_age_ms(static_cast<uint64_t>(std::clamp<int64_t>(ToMilliseconds(wanted.age), 0, kMaxWantedAgeMs)));
   }
   for (const PromptPartReport& report : beacon.prompt_parts) EncodePromptPart(report, *message.add_prompt_parts());
+  EncodeRates(beacon.rates, message);
   return message.SerializeAsString();
 }
 
@@ -133,7 +179,7 @@
                           message.wanted_size() <= static_cast<int>(kMaxWantedAges) &&
                           message.prompt_parts_size() <= kMaxPromptParts &&
                           std::all_of(message.prompt_parts().begin(), message.prompt_parts().end(), IsBounded);
-  if (message.vm().empty() || !is_bounded) return std::nullopt;
+  if (message.vm().empty() || !is_bounded || !HasBoundedRates(message)) return std::nullopt;
   BeaconInfo beacon;
   beacon.vm = VmId(message.vm());
   beacon.zone = ZoneName(message.zone());
@@ -159,6 +205,7 @@
                              Milliseconds(std::min<uint64_t>(wanted.age_ms(), kMaxWantedAgeMs))});
   }
   for (const proto::PromptPart& part : message.prompt_parts()) beacon.prompt_parts.push_back(DecodePromptPart(part));
+  beacon.rates = DecodeRates(message);
   return beacon;
 }
 
--- a/src/beacon_table.h
+++ b/src/beacon_table.h
@@ -13,6 +13,7 @@
 #include "endpoint_balancer.h"
 #include "member_type.h"
 #include "prompt_type.h"
+#include "rate_grant_type.h"
 
 namespace plantain {
 
@@ -36,6 +37,8 @@
   std::vector<WantedAge> wanted;
   // Prompt parts at which endpoints may crash, as an entry knows them.
   std::vector<PromptPartReport> prompt_parts;
+  // Request rates that endpoints state, and what the sender grants to entries.
+  RateReport rates;
 };
 
 // Encode and decode beacons. Decoding returns nothing if the bytes are not a valid beacon.
--- a/src/endpoint_balancer.cpp
+++ b/src/endpoint_balancer.cpp
@@ -55,11 +55,16 @@
 }  // namespace
 
 EndpointBalancer::EndpointBalancer(const Clock& clock, Random& random, BalancerOptions options)
-    : m_clock(clock), m_random(random), m_options(std::move(options)), m_fleet(std::make_shared<FleetView>()) {}
+    : m_clock(clock),
+      m_random(random),
+      m_options(std::move(options)),
+      m_fleet(std::make_shared<FleetView>()),
+      m_rate_limits(clock, m_options.self) {}
 
 void EndpointBalancer::SetFleet(std::shared_ptr<const FleetView> fleet) {
   m_fleet = std::move(fleet);
   m_pools.clear();
+  std::map<EndpointId, PoolName> pools;
   for (auto& [id, state] : m_states) state.is_listed = false;
   for (const EndpointInfo& info : m_fleet->endpoints) {
     const auto [found, is_new] = m_states.try_emplace(info.id);
@@ -79,7 +84,9 @@
     state.info = info;
     state.is_listed = true;
     m_pools[info.pool].push_back(&state);
+    pools[info.id] = info.pool;
   }
+  m_rate_limits.SetEndpoints(std::move(pools));
   std::erase_if(m_states, [](const auto& entry) { return !entry.second.is_listed && entry.second.own_requests == 0; });
   AssignSlots();
   if (m_fleet->routing == nullptr) return;
@@ -194,6 +201,7 @@
   if (state.is_switching && HasFreshReport(state, now)) return Availability::kBusy;
   if (!HasVersion(state, query)) return Availability::kBusy;
   if (IsFull(state, now)) return Availability::kBusy;
+  if (!m_rate_limits.IsAvailable(state.info.id)) return Availability::kBusy;
   if (state.cold_requests_per_s > 0) {
     RefillRateTokens(state, now);
     if (state.rate_tokens < 1) return Availability::kBusy;
@@ -303,6 +311,7 @@
   ++found->second.own_requests;
   found->second.own_prompt_tokens += prompt_tokens;
   if (found->second.cold_requests_per_s > 0) found->second.rate_tokens -= 1;
+  m_rate_limits.OnSent(id);
 }
 
 void EndpointBalancer::RecordOutcome(State& state, bool is_error) {
--- a/src/endpoint_balancer.h
+++ b/src/endpoint_balancer.h
@@ -12,6 +12,7 @@
 #include "clock.h"
 #include "fleet_type.h"
 #include "random.h"
+#include "rate_grant.h"
 #include "route_match.h"
 #include "slot_share.h"
 
@@ -107,6 +108,9 @@
   // Sets the entries that share the endpoints, including this one.
   void SetEntries(std::vector<EntryDemand> entries);
   void OnLoad(const EndpointLoad& load);
+  // Rates that endpoints state for all entries together.
+  EndpointRateLimits& GetRateLimits() { return m_rate_limits; }
+  const EndpointRateLimits& GetRateLimits() const { return m_rate_limits; }
 
   EndpointChoice Choose(const EndpointQuery& query);
 
@@ -194,6 +198,7 @@
   std::map<EndpointId, State> m_states;
   std::map<PoolName, std::vector<State*>> m_pools;
   std::vector<EntryDemand> m_entries;
+  EndpointRateLimits m_rate_limits;
 };
 
 }  // namespace plantain
--- a/src/forward_metrics.cpp
+++ b/src/forward_metrics.cpp
@@ -105,6 +105,11 @@
   m_metrics.GetGauge("plantain_forward_in_flight", "Requests without a final answer.").Set(static_cast<double>(count));
 }
 
+void ForwardMetrics::SetLimitedEndpoints(size_t count) {
+  m_metrics.GetGauge("plantain_forward_limited_endpoints", "Endpoints that state how many requests they take.")
+      .Set(static_cast<double>(count));
+}
+
 void ForwardMetrics::SetBlockedParts(size_t count) {
   m_metrics.GetGauge("plantain_forward_blocked_prompt_parts", "Prompt parts that are not sent because endpoints crash.")
       .Set(static_cast<double>(count));
--- a/src/forward_metrics.h
+++ b/src/forward_metrics.h
@@ -19,6 +19,7 @@
   void CountAttempt(AttemptEnd end);
   void SetInFlight(size_t count);
   void SetBlockedParts(size_t count);
+  void SetLimitedEndpoints(size_t count);
 
  private:
   Metrics& m_metrics;
--- a/src/forward_service.cpp
+++ b/src/forward_service.cpp
@@ -1,5 +1,6 @@
 #include "forward_service.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -104,12 +105,15 @@
   if (beacon.load.has_value()) m_loads.push_back(*beacon.load);
   m_received_prompt_reports.insert(m_received_prompt_reports.end(), beacon.prompt_parts.begin(),
                                    beacon.prompt_parts.end());
+  const RateReport& rates = beacon.rates;
+  if (!rates.statements.empty() || !rates.grants.empty()) m_received_rate_reports.emplace_back(beacon.vm, rates);
 }
 
 void ForwardService::FillBeacon(BeaconInfo& beacon) {
   const std::lock_guard lock(m_beacon_mutex);
   beacon.demand = m_demand;
   beacon.prompt_parts = m_prompt_reports;
+  beacon.rates = m_rate_report;
 }
 
 std::vector<VmId> ForwardService::GetBeaconTargets() const {
@@ -122,34 +126,48 @@
 
 void ForwardService::TransferBeacons() {
   const bool is_due = ++m_transfer_number % kQuietTransferDivisor == 0;
-  if (m_loads.empty() && m_received_prompt_reports.empty() && !is_due) return;
-  std::vector<EntryDemand> entries;
-  for (const BeaconInfo* beacon : m_relay.GetBeacons().GetLiveBeacons()) {
-    if (beacon->is_entry) entries.push_back({beacon->vm, beacon->demand});
-  }
-  m_loop.Post([this, entries = std::move(entries), loads = std::exchange(m_loads, {}),
-               prompt_reports = std::exchange(m_received_prompt_reports, {})]() mutable {
+  const bool has_news = !m_loads.empty() || !m_received_prompt_reports.empty() || !m_received_rate_reports.empty();
+  if (!has_news && !is_due) return;
+  m_loop.Post([this, view = MakeEntryView(), loads = std::exchange(m_loads, {}),
+               prompt_reports = std::exchange(m_received_prompt_reports, {}),
+               rate_reports = std::exchange(m_received_rate_reports, {})]() mutable {
     if (m_traffic == nullptr) return;
-    entries.push_back({m_parts.vm, m_traffic->GetDemand()});
-    ShareState(entries.back().requests_per_s);
-    m_traffic->SetEntries(std::move(entries));
+    view.entries.push_back({m_parts.vm, m_traffic->GetDemand()});
+    ShareState(view.entries.back().requests_per_s);
+    m_traffic->SetEntries(std::move(view));
     m_traffic->ApplyPromptReports(prompt_reports);
+    for (const auto& [from, report] : rate_reports) m_traffic->ApplyRateReport(from, report);
     m_traffic->OnLoad(loads);
   });
 }
 
+// Returns the other live entries, and which entries they and the agents name.
+EntryView ForwardService::MakeEntryView() const {
+  EntryView view;
+  for (const BeaconInfo* beacon : m_relay.GetBeacons().GetLiveBeacons()) {
+    view.named.insert(beacon->entries.begin(), beacon->entries.end());
+    if (!beacon->is_entry) continue;
+    view.entries.push_back({beacon->vm, beacon->demand});
+    const auto heard = std::find(beacon->entries.begin(), beacon->entries.end(), m_parts.vm);
+    view.is_heard_by_all = view.is_heard_by_all && heard != beacon->entries.end();
+  }
+  return view;
+}
+
 // Makes the traffic loop's state available for beacons.
 void ForwardService::ShareState(std::map<PoolName, double> demand) {
   std::vector<PromptPartReport> prompt_reports = m_traffic->GetPromptReports();
+  RateReport rate_report = m_traffic->GetRateReport();
   const std::lock_guard lock(m_beacon_mutex);
   m_demand = std::move(demand);
   m_prompt_reports = std::move(prompt_reports);
+  m_rate_report = std::move(rate_report);
 }
 
 void ForwardService::Tick() {
   m_traffic->CheckDue();
   m_in_flight = std::max(m_traffic->GetInFlight(), m_server->GetInFlight());
-  if (!m_traffic->TakeHasPromptNews()) return;
+  if (!m_traffic->TakeHasNews()) return;
   ShareState(m_traffic->GetDemand());
   m_parts.control_loop.Post([this] { m_relay.SendNow(); });
 }
--- a/src/forward_service.h
+++ b/src/forward_service.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <utility>
 #include <vector>
 
 #include "admin_http.h"
@@ -43,6 +44,7 @@
   void OnFleetUpdate(const std::shared_ptr<const FleetView>& fleet);
   void OnBeacon(const BeaconInfo& beacon);
   void TransferBeacons();
+  EntryView MakeEntryView() const;
   void ShareState(std::map<PoolName, double> demand);
   void Tick();
   void CheckDrained();
@@ -59,14 +61,17 @@
   std::unique_ptr<HttpServer> m_server;
   std::unique_ptr<Timer> m_tick_timer;
   std::atomic<size_t> m_in_flight = 0;
-  // Guards m_demand and m_prompt_reports, which the traffic loop writes and the control thread reads.
+  // Guards the next three, which the traffic loop writes and the control thread reads.
   std::mutex m_beacon_mutex;
   std::map<PoolName, double> m_demand;
   std::vector<PromptPartReport> m_prompt_reports;
+  RateReport m_rate_report;
   // Loads received since the last transfer to the traffic loop. Accessed only on the control thread.
   std::vector<EndpointLoad> m_loads;
   // The same for reports of other entries about prompt parts.
   std::vector<PromptPartReport> m_received_prompt_reports;
+  // The same for reports about the request rates of endpoints, by sender.
+  std::vector<std::pair<VmId, RateReport>> m_received_rate_reports;
   uint64_t m_transfer_number = 0;
   std::unique_ptr<Timer> m_load_timer;
   std::atomic<bool> m_is_draining = false;
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -74,11 +74,17 @@
   for (const auto& [pool, state] : m_pools) DispatchQueued(pool);
 }
 
-void ForwardTraffic::SetEntries(std::vector<EntryDemand> entries) {
-  const auto first = std::min_element(entries.begin(), entries.end(),
+void ForwardTraffic::SetEntries(EntryView view) {
+  const auto first = std::min_element(view.entries.begin(), view.entries.end(),
                                       [](const EntryDemand& a, const EntryDemand& b) { return a.entry < b.entry; });
-  m_quarantine.SetTrialOwner(first == entries.end() || first->entry == m_options.balancer.self);
-  m_balancer.SetEntries(std::move(entries));
+  m_quarantine.SetTrialOwner(first == view.entries.end() || first->entry == m_options.balancer.self);
+  m_balancer.SetEntries(view.entries);
+  m_balancer.GetRateLimits().SetEntries(std::move(view));
+}
+
+bool ForwardTraffic::TakeHasNews() {
+  const bool has_prompt_news = m_quarantine.TakeHasNews();
+  return std::exchange(m_has_rate_news, false) || has_prompt_news;
 }
 
 std::map<PoolName, double> ForwardTraffic::GetDemand() const {
@@ -314,6 +320,8 @@
   const TimePoint now = m_clock.GetNow();
   m_ended_requests.clear();
   ApplyPromptChanges();
+  m_balancer.GetRateLimits().GrantDue();
+  LogRateChanges();
   for (auto& [pool, state] : m_pools) {
     for (const WaitTicket ticket : state.wait_queue.RemoveExpired(now)) {
       const auto found = m_active_requests.find(ticket);
@@ -342,6 +350,25 @@
   m_balancer.OnPrefillDone(endpoint, active.GetRequest().prompt_tokens);
 }
 
+void ForwardTraffic::OnResponseHead(const EndpointId& endpoint, const ResponseHead& head) {
+  if (!head.malformed_rate.empty()) {
+    LogEvent(LogLevel::kWarn, "endpoint_rate_malformed", {{"endpoint", endpoint}, {"value", head.malformed_rate}});
+    return;
+  }
+  if (m_balancer.GetRateLimits().OnResponse(endpoint, head.requests_per_s)) m_has_rate_news = true;
+}
+
+void ForwardTraffic::LogRateChanges() {
+  for (const EndpointRateLimits::Change& change : m_balancer.GetRateLimits().TakeChanges()) {
+    LogEvent(LogLevel::kInfo, "endpoint_rate",
+             {{"endpoint", change.endpoint},
+              {"per_s", change.per_s.has_value() ? std::to_string(*change.per_s) : "none"},
+              {"source", change.is_from_peer ? "peer" : "own"},
+              {"is_granting", change.is_granting}});
+  }
+  m_metrics.SetLimitedEndpoints(m_balancer.GetRateLimits().GetLimitCount());
+}
+
 void ForwardTraffic::OnAnswerBegun(ActiveRequest& active) { m_quarantine.OnAnswered(active.GetRequest().shared_parts); }
 
 void ForwardTraffic::OnAttemptEnded(ActiveRequest& active, const EndedAttempt& attempt) {
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -47,13 +47,18 @@
   ForwardTraffic& operator=(const ForwardTraffic&) = delete;
 
   void SetFleet(const std::shared_ptr<const FleetView>& fleet);
-  // Sets the demand of all entries, including this one.
-  void SetEntries(std::vector<EntryDemand> entries);
+  // Sets what is known of all entries, including this one.
+  void SetEntries(EntryView view);
+  // Exchange the request rates that endpoints state, and grants.
+  RateReport GetRateReport() const { return m_balancer.GetRateLimits().GetReport(); }
+  void ApplyRateReport(const VmId& from, const RateReport& report) {
+    m_balancer.GetRateLimits().ApplyReport(from, report);
+  }
   // Exchange what entries know about prompt parts at which endpoints crash.
   std::vector<PromptPartReport> GetPromptReports() const { return m_quarantine.GetReports(); }
   void ApplyPromptReports(const std::vector<PromptPartReport>& reports) { m_quarantine.ApplyReports(reports); }
   // Returns whether other entries should get the reports at once, and resets this.
-  bool TakeHasPromptNews() { return m_quarantine.TakeHasNews(); }
+  bool TakeHasNews();
   void OnLoad(const std::vector<EndpointLoad>& loads);
 
   void HandleHttp(HttpRequest http, const std::shared_ptr<HttpResponder>& responder);
@@ -96,12 +101,14 @@
   void RefuseQueued(ActiveRequest& active, ForwardFailure failure);
   void RefuseBlocked(ActiveRequest& active);
   void ApplyPromptChanges();
+  void LogRateChanges();
   void DispatchQueued(const PoolName& pool);
   PoolState& GetPool(const PoolName& pool);
   AttemptWeights MakeAttemptWeights(const EndpointQuery& query, const EndpointChoice& choice) const;
   Duration GetRetryAfter(const ActiveRequest& active);
 
   void OnPrefillDone(ActiveRequest& active, const EndpointId& endpoint) override;
+  void OnResponseHead(const EndpointId& endpoint, const ResponseHead& head) override;
   void OnAnswerBegun(ActiveRequest& active) override;
   bool IsRepeatWorthwhile(const ActiveRequest& active) const override {
     return !m_quarantine.IsSuspect(active.GetRequest().shared_parts);
@@ -122,6 +129,7 @@
   ActiveRequestDeps m_request_deps;
   EndpointBalancer m_balancer;
   PromptQuarantine m_quarantine;
+  bool m_has_rate_news = false;
   std::shared_ptr<const FleetView> m_fleet;
   std::shared_ptr<const RouteMatcher> m_matcher;
   std::map<PoolName, PoolState> m_pools;
--- a/src/forward_type.h
+++ b/src/forward_type.h
@@ -65,6 +65,10 @@
   bool is_misdirected = false;
   bool is_stream = false;
   std::optional<WeightVersion> version;
+  // Requests/s that the endpoint takes from all entries together; unset if it states none.
+  std::optional<double> requests_per_s;
+  // Text of a statement of that rate that is not a number of at least 0; empty if there is none.
+  std::string malformed_rate;
   // End-to-end header fields that are passed to the caller.
   HttpHeaders headers;
 };
--- /dev/null
+++ b/src/rate_grant.cpp
@@ -0,0 +1,247 @@
+#include "rate_grant.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "rendezvous.h"
+
+namespace plantain {
+namespace {
+
+// Longer than the time after which entries take another one for dead, and the delay of the message that tells this.
+constexpr Duration kTakeoverDelay = Milliseconds(3000);
+constexpr Duration kGrantLifetime = Milliseconds(1000);
+// Longest time for which grants accrue at once, for example after the process stood still.
+constexpr Duration kMaxAccrualTime = Milliseconds(500);
+// An endpoint that states less is sent a request this often, so that it can state another limit.
+constexpr double kMinPerS = 0.1;
+// Higher rates are no limit in practice.
+constexpr double kMaxPerS = 10'000;
+// Limits on what is sent to peers.
+constexpr size_t kMaxReported = 16;
+// Time for which the end of a limit is reported.
+constexpr Duration kEndReportTime = std::chrono::seconds(10);
+
+}  // namespace
+
+EndpointRateLimits::EndpointRateLimits(const Clock& clock, VmId self)
+    : m_clock(clock), m_self(std::move(self)), m_entries_changed_at(clock.GetNow()) {
+  m_view.entries.push_back({m_self, {}});
+}
+
+void EndpointRateLimits::SetEndpoints(std::map<EndpointId, PoolName> pools) {
+  m_pools = std::move(pools);
+  std::erase_if(m_limits, [&](const auto& entry) { return !m_pools.contains(entry.first); });
+}
+
+void EndpointRateLimits::SetEntries(EntryView view) {
+  const auto get_ids = [](const EntryView& of) {
+    std::set<VmId> ids = of.named;
+    for (const EntryDemand& entry : of.entries) ids.insert(entry.entry);
+    return ids;
+  };
+  if (get_ids(view) != get_ids(m_view)) m_entries_changed_at = m_clock.GetNow();
+  m_view = std::move(view);
+  for (auto& [endpoint, limit] : m_limits) UpdateOwner(endpoint, limit);
+}
+
+VmId EndpointRateLimits::GetOwner(const EndpointId& endpoint) const {
+  VmId best = m_self;
+  uint64_t best_score = GetRendezvousScore(endpoint.Get(), m_self.Get());
+  const auto consider = [&](const VmId& entry) {
+    const uint64_t score = GetRendezvousScore(endpoint.Get(), entry.Get());
+    if (score < best_score || (score == best_score && !(best < entry))) return;
+    best = entry;
+    best_score = score;
+  };
+  for (const EntryDemand& entry : m_view.entries) consider(entry.entry);
+  for (const VmId& entry : m_view.named) consider(entry);
+  return best;
+}
+
+void EndpointRateLimits::UpdateOwner(const EndpointId& endpoint, Limit& limit) {
+  VmId owner = GetOwner(endpoint);
+  if (owner == limit.owner) return;
+  limit.owner = std::move(owner);
+  limit.owner_since = m_clock.GetNow();
+  limit.epoch = 0;
+}
+
+bool EndpointRateLimits::IsGranting(const Limit& limit) const {
+  return limit.per_s.has_value() && limit.owner == m_self && m_view.is_heard_by_all &&
+         m_clock.GetNow() - limit.owner_since >= kTakeoverDelay;
+}
+
+EndpointRateLimits::Limit* EndpointRateLimits::FindLimit(const EndpointId& endpoint) {
+  const auto found = m_limits.find(endpoint);
+  return found == m_limits.end() ? nullptr : &found->second;
+}
+
+EndpointRateLimits::Limit& EndpointRateLimits::AddLimit(const EndpointId& endpoint) {
+  const auto [found, is_new] = m_limits.try_emplace(endpoint);
+  if (is_new) {
+    found->second.owner = GetOwner(endpoint);
+    found->second.owner_since = m_entries_changed_at;
+  }
+  return found->second;
+}
+
+bool EndpointRateLimits::SetRate(const EndpointId& endpoint, std::optional<double> per_s, TimePoint stated_at,
+                                 bool is_from_peer) {
+  Limit& limit = AddLimit(endpoint);
+  if (per_s.has_value()) per_s = std::clamp(*per_s, kMinPerS, kMaxPerS);
+  limit.stated_at = stated_at;
+  if (std::exchange(limit.per_s, per_s) == per_s) return false;
+  m_changes.push_back({endpoint, per_s, is_from_peer, IsGranting(limit)});
+  return true;
+}
+
+bool EndpointRateLimits::OnResponse(const EndpointId& endpoint, std::optional<double> per_s) {
+  if (!per_s.has_value() && FindLimit(endpoint) == nullptr) return false;
+  if (!m_pools.contains(endpoint)) return false;
+  return SetRate(endpoint, per_s, m_clock.GetNow(), false);
+}
+
+void EndpointRateLimits::GrantDue() {
+  const TimePoint now = m_clock.GetNow();
+  for (auto& [endpoint, limit] : m_limits) {
+    while (!limit.grants.empty() && limit.grants.front() <= now) limit.grants.pop_front();
+    if (IsGranting(limit)) {
+      Grant(endpoint, limit);
+    } else {
+      limit.epoch = 0;
+    }
+  }
+}
+
+void EndpointRateLimits::BeginGrants(const EndpointId& endpoint, Limit& limit) {
+  const TimePoint now = m_clock.GetNow();
+  limit.epoch = static_cast<uint64_t>(now.time_since_epoch().count());
+  limit.due = 0;
+  limit.due_at = now;
+  limit.granted.clear();
+  limit.credit.clear();
+  m_changes.push_back({endpoint, limit.per_s, false, true});
+}
+
+void EndpointRateLimits::Grant(const EndpointId& endpoint, Limit& limit) {
+  const TimePoint now = m_clock.GetNow();
+  if (limit.epoch == 0) BeginGrants(endpoint, limit);
+  const Duration passed = std::min<Duration>(now - limit.due_at, kMaxAccrualTime);
+  limit.due_at = now;
+  limit.due += *limit.per_s * ToSeconds(passed);
+  while (limit.due >= 1) {
+    limit.due -= 1;
+    ++limit.granted[PickReceiver(endpoint, limit)];
+  }
+  const auto own = limit.granted.find(m_self);
+  if (own != limit.granted.end()) Receive(limit, {m_self, limit.epoch, own->second});
+}
+
+// Weighted round robin: each entry's credit grows with its share of the demand, and the one with the most is next.
+VmId EndpointRateLimits::PickReceiver(const EndpointId& endpoint, Limit& limit) const {
+  const auto pool = m_pools.find(endpoint);
+  const auto get_demand = [&](const EntryDemand& entry) {
+    if (pool == m_pools.end()) return 0.0;
+    const auto found = entry.requests_per_s.find(pool->second);
+    return found == entry.requests_per_s.end() ? 0.0 : std::max(0.0, found->second);
+  };
+  double sum = 0;
+  for (const EntryDemand& entry : m_view.entries) sum += get_demand(entry);
+  const EntryDemand* best = nullptr;
+  for (const EntryDemand& entry : m_view.entries) {
+    limit.credit[entry.entry] += sum > 0 ? get_demand(entry) / sum : 1.0 / static_cast<double>(m_view.entries.size());
+    if (best == nullptr || limit.credit[entry.entry] > limit.credit[best->entry]) best = &entry;
+  }
+  const VmId receiver = best == nullptr ? m_self : best->entry;
+  limit.credit[receiver] -= 1;
+  return receiver;
+}
+
+// Adds the grants since the last message of the same epoch. Those of an epoch that began before its first message
+// arrived are left unused.
+void EndpointRateLimits::Receive(Limit& limit, const Received& received) {
+  Received& last = limit.received[received.from];
+  const bool continues = last.epoch == received.epoch;
+  const bool is_own = received.from == m_self;
+  if (continues && received.total <= last.total) return;
+  uint64_t count = 0;
+  if (continues) {
+    count = received.total - last.total;
+  } else if (is_own) {
+    count = received.total;
+  }
+  last = received;
+  // Grants of a message that was held up are more than may be used at once.
+  const uint64_t most = 1 + static_cast<uint64_t>(limit.per_s.value_or(0) * ToSeconds(kGrantLifetime));
+  const TimePoint expires_at = m_clock.GetNow() + kGrantLifetime;
+  for (uint64_t i = 0; i < std::min(count, most); ++i) limit.grants.push_back(expires_at);
+  while (limit.grants.size() > most) limit.grants.pop_front();
+}
+
+bool EndpointRateLimits::IsAvailable(const EndpointId& endpoint) const {
+  const auto found = m_limits.find(endpoint);
+  if (found == m_limits.end() || !found->second.per_s.has_value()) return true;
+  const std::deque<TimePoint>& grants = found->second.grants;
+  return !grants.empty() && grants.back() > m_clock.GetNow();
+}
+
+void EndpointRateLimits::OnSent(const EndpointId& endpoint) {
+  Limit* limit = FindLimit(endpoint);
+  if (limit != nullptr && !limit->grants.empty()) limit->grants.pop_front();
+}
+
+RateReport EndpointRateLimits::GetReport() const {
+  RateReport report;
+  const TimePoint now = m_clock.GetNow();
+  for (const auto& [endpoint, limit] : m_limits) {
+    const Duration age = now - limit.stated_at;
+    const bool is_news = limit.per_s.has_value() || age < kEndReportTime;
+    if (is_news && report.statements.size() < kMaxReported) report.statements.push_back({endpoint, limit.per_s, age});
+    if (!IsGranting(limit) || limit.epoch == 0 || report.grants.size() >= kMaxReported) continue;
+    RateGrantReport grants{endpoint, limit.epoch, {}};
+    // Totals of all entries are sent, so that each one notices the beginning of an epoch.
+    for (const EntryDemand& entry : m_view.entries) {
+      const auto found = limit.granted.find(entry.entry);
+      if (entry.entry != m_self) {
+        grants.grants.push_back({entry.entry, found == limit.granted.end() ? 0 : found->second});
+      }
+    }
+    report.grants.push_back(std::move(grants));
+  }
+  return report;
+}
+
+void EndpointRateLimits::ApplyReport(const VmId& from, const RateReport& report) {
+  const TimePoint now = m_clock.GetNow();
+  for (const RateStatement& statement : report.statements) {
+    const Limit* known = FindLimit(statement.endpoint);
+    if (known == nullptr && (!statement.per_s.has_value() || !m_pools.contains(statement.endpoint))) continue;
+    const TimePoint stated_at = now - statement.age;
+    if (known == nullptr || stated_at > known->stated_at) {
+      SetRate(statement.endpoint, statement.per_s, stated_at, true);
+    }
+  }
+  for (const RateGrantReport& grants : report.grants) {
+    Limit* limit = FindLimit(grants.endpoint);
+    if (limit == nullptr) continue;
+    for (const RateGrant& grant : grants.grants) {
+      if (grant.entry == m_self) Receive(*limit, {from, grants.epoch, grant.total});
+    }
+  }
+}
+
+std::vector<EndpointRateLimits::Change> EndpointRateLimits::TakeChanges() { return std::exchange(m_changes, {}); }
+
+std::optional<double> EndpointRateLimits::GetLimit(const EndpointId& endpoint) const {
+  const auto found = m_limits.find(endpoint);
+  return found == m_limits.end() ? std::nullopt : found->second.per_s;
+}
+
+size_t EndpointRateLimits::GetLimitCount() const {
+  return static_cast<size_t>(std::count_if(m_limits.begin(), m_limits.end(),
+                                           [](const auto& entry) { return entry.second.per_s.has_value(); }));
+}
+
+}  // namespace plantain
--- a/tests/forward_limit_test.cpp
+++ b/tests/forward_limit_test.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 // Guards against more requests than an endpoint states that it takes: the LIMIT incident.
-TEST_CASE("An endpoint that states a limit in its answers gets no more requests than that", "[!shouldfail]") {
+TEST_CASE("An endpoint that states a limit in its answers gets no more requests than that") {
   ForwardFixture fixture({MakeEndpoint("e1", kEnginePool, "praha", 16)});
   // Other entries would be heard by then.
   fixture.AdvanceTime(std::chrono::seconds(5));
