Divide the retry reserve by the number of entries

Change: it is divided by the number of known entries, at least by 4; entries that only others name count too.

Shares of first attempts add up by themselves. Still open: an entry that restarts begins with a full reserve.

--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -24,10 +24,12 @@
 // Number of queued requests that are tried when an endpoint may have become free. Requests at the head of the queue may
 // need other endpoints than those behind them.
 constexpr size_t kDispatchWindow = 6;
-// Fractions of the fleet-wide retry budget that this entry uses, since entries do not exchange their retry counts.
+// Fractions of the fleet-wide retry budget that all entries together use, since they do not exchange their retry
+// counts. The fixed part is divided by the number of known entries, but at least by kMinEntries: an entry that has just
+// started does not know the others yet.
 constexpr double kRetryShareFraction = 0.75;
 constexpr double kRetrySlackFraction = 0.5;
-constexpr uint32_t kMinEntries = 4;
+constexpr size_t kMinEntries = 4;
 // Values of Retry-After.
 constexpr Duration kMinRetryAfter = Milliseconds(250);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(3);
@@ -78,6 +80,12 @@
   const auto first = std::min_element(view.entries.begin(), view.entries.end(),
                                       [](const EntryDemand& a, const EntryDemand& b) { return a.entry < b.entry; });
   m_quarantine.SetTrialOwner(first == view.entries.end() || first->entry == m_options.balancer.self);
+  std::set<VmId> known = view.named;
+  for (const EntryDemand& entry : view.entries) known.insert(entry.entry);
+  m_entry_count = known.size();
+  for (auto& [pool, state] : m_pools) {
+    if (state.budget != nullptr) state.budget->SetReserve(GetRetryReserve());
+  }
   m_balancer.SetEntries(view.entries);
   m_balancer.GetRateLimits().SetEntries(std::move(view));
 }
@@ -98,11 +106,14 @@
   for (const auto& [pool, state] : m_pools) DispatchQueued(pool);
 }
 
+double ForwardTraffic::GetRetryReserve() const {
+  return m_options.retry_slack * kRetrySlackFraction / static_cast<double>(std::max(kMinEntries, m_entry_count));
+}
+
 ForwardTraffic::PoolState& ForwardTraffic::GetPool(const PoolName& pool) {
   PoolState& state = m_pools[pool];
   if (state.budget == nullptr) {
-    const double reserve = m_options.retry_slack * kRetrySlackFraction / kMinEntries;
-    state.budget = std::make_unique<RetryBudget>(m_options.retry_share * kRetryShareFraction, reserve);
+    state.budget = std::make_unique<RetryBudget>(m_options.retry_share * kRetryShareFraction, GetRetryReserve());
   }
   return state;
 }
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -104,6 +104,7 @@
   void LogRateChanges();
   void DispatchQueued(const PoolName& pool);
   PoolState& GetPool(const PoolName& pool);
+  double GetRetryReserve() const;
   AttemptWeights MakeAttemptWeights(const EndpointQuery& query, const EndpointChoice& choice) const;
   Duration GetRetryAfter(const ActiveRequest& active);
 
@@ -130,6 +131,8 @@
   EndpointBalancer m_balancer;
   PromptQuarantine m_quarantine;
   bool m_has_rate_news = false;
+  // Number of entries that share the retry budget.
+  size_t m_entry_count = 1;
   std::shared_ptr<const FleetView> m_fleet;
   std::shared_ptr<const RouteMatcher> m_matcher;
   std::map<PoolName, PoolState> m_pools;
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -23,11 +23,17 @@
     return true;
   }
 
+  // Changes the maximum balance.
+  void SetReserve(double reserve) {
+    m_reserve = reserve;
+    m_balance = std::min(m_reserve, m_balance);
+  }
+
   double GetBalance() const { return m_balance; }
 
  private:
   const double m_share;
-  const double m_reserve;
+  double m_reserve;
   double m_balance;
 };
 
--- a/tests/forward_traffic_test.cpp
+++ b/tests/forward_traffic_test.cpp
@@ -167,6 +167,34 @@
   }
 }
 
+// Guards against reserves of entries that add up to a multiple of the budget of the fleet.
+TEST_CASE("The retry reserves of all entries together stay within the budget, whatever their number") {
+  for (const size_t entries : {4, 16, 64}) {
+    INFO("entries " << entries);
+    ForwardOptions options = ForwardFixture::MakeOptions();
+    options.retry_slack = 100;
+    options.balancer.self = VmId("vm0");
+    ForwardFixture fixture({MakeEndpoint("g1", kRegisterPool, "praha"), MakeEndpoint("g2", kRegisterPool, "praha")},
+                           options);
+    EntryView view;
+    for (size_t i = 0; i < entries; ++i) view.entries.push_back({VmId("vm" + std::to_string(i)), {}});
+    fixture.traffic->SetEntries(view);
+    size_t retries = 0;
+    for (int i = 0; i < 100; ++i) {
+      fixture.AdvanceTime(Milliseconds(100));
+      const size_t sent = fixture.sender.GetCount();
+      fixture.SendRequest("/seal/1", "1000");
+      REQUIRE(fixture.sender.GetCount() == sent + 1);
+      fixture.sender.At(sent).RefuseAsNotRun();
+      if (fixture.sender.GetCount() == sent + 1) continue;
+      ++retries;
+      fixture.sender.At(sent + 1).SendResponse(200, "sealed");
+    }
+    // 100 first attempts add 15 to what was saved.
+    CHECK(static_cast<double>(retries) <= 16 + 100.0 / static_cast<double>(entries));
+  }
+}
+
 // Guards against overload in which callers wait long before they are refused, or are never refused.
 TEST_CASE("When demand exceeds the endpoints' capacity, callers are refused early") {
   ForwardFixture fixture({MakeEndpoint("e1", kEnginePool, "praha")});
