Use no retry budget for an attempt whose connection failed

Cause: a failed connection was charged like a repeat, but nothing arrives at an endpoint then. The new test failed before: no second attempt without a budget.

--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -196,7 +196,7 @@
     const FailureCode code = GetFailureCode(status);
     if (code == FailureCode::kConnectFailed) {
       EndAttempt(AttemptEnd::kUnreachable);
-      RetryOrFail(false, "connection failed");
+      RetryOrFail(AttemptOutcome::kNotSent, "connection failed");
       return;
     }
     if (code == FailureCode::kTimeout) {
@@ -213,8 +213,8 @@
     FailAttempt(AttemptEnd::kBroken, "response carries another request ID");
   } else if (head.is_not_run || head.is_misdirected) {
     EndAttempt(head.is_misdirected ? AttemptEnd::kMisdirected : AttemptEnd::kFull);
-    RetryOrFail(
-        false, head.is_misdirected ? "wrong endpoint or weight version" : "refused by the endpoint without running it");
+    RetryOrFail(AttemptOutcome::kNotRun, head.is_misdirected ? "wrong endpoint or weight version"
+                                                             : "refused by the endpoint without running it");
   } else if (IsSuccess(head.status) && IsStream() && head.is_stream && head.has_receipt) {
     FinishStream();
   } else if (IsSuccess(head.status) && !head.has_receipt) {
@@ -252,14 +252,14 @@
     // The response to a resumed stream is not a stream.
     m_may_have_run = true;
     m_outcome.executions += 1;
-    RetryOrFail(true, "response to a resumed stream is not a stream");
+    RetryOrFail(AttemptOutcome::kMayHaveRun, "response to a resumed stream is not a stream");
     return;
   }
   m_outcome.executions += 1;
   if (is_error && m_match.rule->IsRepeatable()) {
     m_may_have_run = true;
     m_error_response = std::move(response);
-    RetryOrFail(true, "endpoint returned HTTP status " + std::to_string(head.status));
+    RetryOrFail(AttemptOutcome::kMayHaveRun, "endpoint returned HTTP status " + std::to_string(head.status));
     return;
   }
   m_responder->Send(std::move(response));
@@ -271,7 +271,7 @@
   m_may_have_run = true;
   m_outcome.executions += 1;
   EndAttempt(end);
-  RetryOrFail(true, std::move(reason));
+  RetryOrFail(AttemptOutcome::kMayHaveRun, std::move(reason));
 }
 
 void ActiveRequest::ReportPrefillDone() {
@@ -292,7 +292,8 @@
   return has_begun ? AnswerProgress::kBegun : AnswerProgress::kHeader;
 }
 
-void ActiveRequest::RetryOrFail(bool may_have_run, std::string reason) {
+void ActiveRequest::RetryOrFail(AttemptOutcome outcome, std::string reason) {
+  const bool may_have_run = outcome == AttemptOutcome::kMayHaveRun;
   const TimePoint now = m_deps.clock.GetNow();
   const bool is_allowed = !may_have_run || m_match.rule->IsRepeatable();
   const bool has_executions_left = m_outcome.executions < m_match.rule->attempts;
@@ -307,7 +308,7 @@
     FailWithoutRetry(m_may_have_run, reason + "; endpoints crash at a part of the prompt");
     return;
   }
-  if (!m_deps.host.TryAcquireRetry(*this)) {
+  if (outcome != AttemptOutcome::kNotSent && !m_deps.host.TryAcquireRetry(*this)) {
     FailWithoutRetry(m_may_have_run, reason + "; retry budget exhausted");
     return;
   }
@@ -402,7 +403,7 @@
     return;
   }
   EndAttempt(AttemptEnd::kWithdrawn);
-  RetryOrFail(false, reason);
+  RetryOrFail(AttemptOutcome::kNotSent, reason);
 }
 
 bool ActiveRequest::IsSilent(TimePoint now) const {
--- a/src/active_request.h
+++ b/src/active_request.h
@@ -14,6 +14,7 @@
 #include "forward_type.h"
 #include "http_client.h"
 #include "http_server.h"
+#include "retry_policy.h"
 #include "route_match.h"
 #include "wait_queue.h"
 
@@ -65,7 +66,8 @@
   virtual void RequestAttempt(ActiveRequest& active) = 0;
   // Whether a request that may have run at an endpoint that failed is worth another endpoint.
   virtual bool IsRepeatWorthwhile(const ActiveRequest& active) const = 0;
-  // Takes one retry from the shared budget. Returns false if the budget is exhausted.
+  // Takes one retry from the shared budget, which counts requests that arrive at endpoints. Returns false if the budget
+  // is exhausted.
   virtual bool TryAcquireRetry(ActiveRequest& active) = 0;
   // Returns the Retry-After time for a caller whose request has not run.
   virtual Duration SuggestRetryAfter(ActiveRequest& active) = 0;
@@ -174,7 +176,7 @@
   void EndAttempt(AttemptEnd end);
   void ReportPrefillDone();
   AnswerProgress GetProgress() const;
-  void RetryOrFail(bool may_have_run, std::string reason);
+  void RetryOrFail(AttemptOutcome outcome, std::string reason);
   void FailWithoutRetry(bool may_have_run, std::string reason);
   void FinishRequest(int status, ForwardFailure failure, std::string reason);
   void OnCallerDisconnected();
--- a/tests/forward_traffic_test.cpp
+++ b/tests/forward_traffic_test.cpp
@@ -195,6 +195,18 @@
   }
 }
 
+// Guards against requests that are refused for lack of a retry budget although nothing has arrived anywhere.
+TEST_CASE("An attempt whose connection fails uses no retry budget") {
+  ForwardOptions options = ForwardFixture::MakeOptions();
+  options.retry_slack = 0;
+  ForwardFixture fixture(MakeRegisters(), options);
+  const auto caller = fixture.SendRequest("/seal/1", "1000");
+  fixture.sender.At(0).FinishResponse(MakeFailure(FailureCode::kConnectFailed, "refused"));
+  REQUIRE(fixture.sender.GetCount() == 2);
+  fixture.sender.At(1).SendResponse(200, "sealed");
+  CHECK(caller->status == 200);
+}
+
 // Guards against overload in which callers wait long before they are refused, or are never refused.
 TEST_CASE("When demand exceeds the endpoints' capacity, callers are refused early") {
   ForwardFixture fixture({MakeEndpoint("e1", kEnginePool, "praha")});
