Revert "Reset the connection of a cancelled attempt"

No close or reset reaches a VM that stands still; only an entry that withdraws a request before that could help.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -153,8 +153,6 @@
     m_is_done = true;
     m_timer.cancel();
     m_callbacks = {};
-    // A server that stands still would otherwise run the request once it goes on.
-    if (m_is_sent && m_connection != nullptr) SetResetOnClose(m_connection->socket.native_handle());
     CloseSocket();
   }
 
--- a/src/socket_option.h
+++ b/src/socket_option.h
@@ -19,13 +19,6 @@
   setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &kDeadPeerTimeoutMs, sizeof(kDeadPeerTimeoutMs));
 }
 
-// Makes a close of the socket reset the connection. The peer then discards what it has received but not read, as far as
-// it can, and does not take the close for the regular end of the last request.
-inline void SetResetOnClose(int socket) {
-  const linger reset{1, 0};
-  setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
-}
-
 }  // namespace plantain
 
 #endif  // PLANTAIN_SOCKET_OPTION_H_
