--- a/src/beacon_table.cpp
+++ b/src/beacon_table.cpp
@@ -61,6 +61,7 @@
     added->set_run(crash.run.Get());
     added->set_age_ms(EncodeAge(crash.age));
     added->set_sent_age_ms(EncodeAge(crash.sent_age));
+    added->set_has_header(crash.has_header);
   }
   for (const PromptPartId& companion : report.companions) out.add_companions(companion.Get());
   out.set_is_blocked(report.blocked_age.has_value());
@@ -78,7 +79,8 @@
   PromptPartReport report;
   report.part = PromptPartId(in.part());
   for (const proto::PromptCrash& crash : in.crashes()) {
-    report.crashes.push_back({EndpointRun(crash.run()), DecodeAge(crash.age_ms()), DecodeAge(crash.sent_age_ms())});
+    report.crashes.push_back(
+        {EndpointRun(crash.run()), DecodeAge(crash.age_ms()), DecodeAge(crash.sent_age_ms()), crash.has_header()});
   }
   for (const std::string& companion : in.companions()) report.companions.emplace_back(companion);
   if (in.is_blocked()) report.blocked_age = DecodeAge(in.blocked_age_ms());
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -387,7 +387,8 @@
   m_balancer.OnEnded(attempt.endpoint, attempt.end);
   if (attempt.end == AttemptEnd::kConnectionLost && attempt.progress != AnswerProgress::kBegun) {
     const EndpointRun run(HashName(attempt.endpoint.Get() + '/' + std::to_string(attempt.incarnation.Get())));
-    m_quarantine.OnCrash(active.GetRequest().shared_parts, run, attempt.sent_at);
+    m_quarantine.OnCrash(active.GetRequest().shared_parts, run, attempt.sent_at,
+                         attempt.progress == AnswerProgress::kHeader);
   }
   if (attempt.end == AttemptEnd::kSuccess) return;
   LogEvent(LogLevel::kInfo, "attempt_failed",
--- a/src/prompt_quarantine.cpp
+++ b/src/prompt_quarantine.cpp
@@ -7,12 +7,15 @@
 namespace plantain {
 namespace {
 
-// Ends of endpoint runs after which a part is blocked, and how many of the requests must have been sent after the first
-// end. With fewer, a rare part whose requests happened to be at failing endpoints could be blocked.
-constexpr size_t kCrashesToBlock = 4;
+// Weights of an endpoint's end, without and with the header of the answer.
+constexpr int kWeightWithoutHeader = 1;
+constexpr int kWeightWithHeader = 2;
+// Sum of weights at which a part is blocked, and how many of the requests must have been sent after the first end. With
+// less, a rare part whose requests happened to be at failing endpoints could be blocked.
+constexpr int kWeightToBlock = 8;
 constexpr size_t kLaterSentToBlock = 2;
-// Ends after which a request with the part is not repeated.
-constexpr size_t kCrashesToSuspect = 2;
+// Sum of weights from which a request with the part is not repeated.
+constexpr int kWeightToSuspect = 4;
 // Ends kept for one part.
 constexpr size_t kMaxCrashes = 8;
 // Evidence older than this is dropped.
@@ -28,7 +31,7 @@
                                                   std::chrono::hours(6)};
 // Time after which a trial that had no result is repeated.
 constexpr Duration kTrialTimeout = std::chrono::minutes(1);
-// A part that no request and no peer has named for this time is forgotten.
+// A blocked part that no request at any entry has named for this time is forgotten.
 constexpr Duration kMaxUnusedTime = std::chrono::hours(1);
 // Limits on the memory used, and on what is sent to peers.
 constexpr size_t kMaxParts = 64;
@@ -47,7 +50,8 @@
   return found == m_answered.end() ? std::nullopt : std::optional(found->second);
 }
 
-void PromptQuarantine::OnCrash(const std::vector<PromptPartId>& parts, EndpointRun run, TimePoint sent_at) {
+void PromptQuarantine::OnCrash(const std::vector<PromptPartId>& parts, EndpointRun run, TimePoint sent_at,
+                               bool has_header) {
   const TimePoint now = m_clock.GetNow();
   std::vector<PromptPartId> suspects;
   for (const PromptPartId& part : parts) {
@@ -61,7 +65,7 @@
     std::vector<PromptPartId> others = suspects;
     std::erase(others, part);
     KeepCommon(*state, others);
-    AddCrash(part, *state, {run, now, sent_at});
+    AddCrash(part, *state, {run, now, sent_at, has_header});
     m_has_news = true;
   }
 }
@@ -137,8 +141,14 @@
                            [](const Crash& a, const Crash& b) { return a.at < b.at; });
 }
 
+int PromptQuarantine::GetWeight(const State& state) {
+  int weight = 0;
+  for (const Crash& crash : state.crashes) weight += crash.has_header ? kWeightWithHeader : kWeightWithoutHeader;
+  return weight;
+}
+
 bool PromptQuarantine::HasProof(const State& state) {
-  if (state.crashes.size() < kCrashesToBlock) return false;
+  if (GetWeight(state) < kWeightToBlock) return false;
   const TimePoint first = GetFirstCrash(state).at;
   const auto later_sent = std::count_if(state.crashes.begin(), state.crashes.end(),
                                         [&](const Crash& crash) { return crash.sent_at > first; });
@@ -190,7 +200,7 @@
   return std::any_of(parts.begin(), parts.end(), [&](const PromptPartId& part) {
     const auto found = m_parts.find(part);
     if (found == m_parts.end()) return false;
-    return found->second.crashes.size() >= kCrashesToSuspect || Matches(part, found->second, parts);
+    return GetWeight(found->second) >= kWeightToSuspect || Matches(part, found->second, parts);
   });
 }
 
@@ -241,7 +251,7 @@
       report.last_crash_age = now - state->last_crash_at;
     } else {
       for (const Crash& crash : state->crashes)
-        report.crashes.push_back({crash.run, now - crash.at, now - crash.sent_at});
+        report.crashes.push_back({crash.run, now - crash.at, now - crash.sent_at, crash.has_header});
     }
     if (state->answered_at.has_value()) report.answered_age = now - *state->answered_at;
     reports.push_back(std::move(report));
@@ -276,7 +286,7 @@
     return;
   }
   for (const PromptCrash& crash : report.crashes) {
-    AddCrash(report.part, *state, {crash.run, now - crash.age, now - crash.sent_age});
+    AddCrash(report.part, *state, {crash.run, now - crash.age, now - crash.sent_age, crash.has_header});
   }
 }
 
--- a/src/prompt_quarantine.h
+++ b/src/prompt_quarantine.h
@@ -22,10 +22,11 @@
 
 // Load pattern: requests that share one part arrive at every entry, and each one ends the endpoint that begins to
 // answer it. A part is blocked after the ends of four runs of endpoints, counted over all entries. Evidence for a part
-// is an endpoint that ends before the answer's first event. An answer that begins is proof against it. Endpoints that
-// fail together, for example in a power failure, end requests that were all sent before the first end; so some of the
-// requests must have been sent after it. Parts that always occurred together are blocked only together, because either
-// may be the cause.
+// is an endpoint that ends before the answer's first event; if not even the answer's header had come, the end counts
+// half, because the endpoint may have been at work on other requests. An answer that begins is proof against it.
+// Endpoints that fail together, for example in a power failure, end requests that were all sent before the first end;
+// so some of the requests must have been sent after it. Parts that always occurred together are blocked only together,
+// because either may be the cause.
 //
 // All entries exchange their evidence and answers. Used on one traffic loop.
 class PromptQuarantine {
@@ -33,8 +34,8 @@
   explicit PromptQuarantine(const Clock& clock) : m_clock(clock) {}
 
   // Records that an endpoint's run ended before the first event of the answer to a request sent at `sent_at`. `parts`
-  // are the parts of its prompt that other requests may share.
-  void OnCrash(const std::vector<PromptPartId>& parts, EndpointRun run, TimePoint sent_at);
+  // are the parts of its prompt that other requests may share, `has_header` tells whether the answer's header had come.
+  void OnCrash(const std::vector<PromptPartId>& parts, EndpointRun run, TimePoint sent_at, bool has_header);
   // Records that the answer to a request with these parts has begun.
   void OnAnswered(const std::vector<PromptPartId>& parts);
 
@@ -74,6 +75,7 @@
     EndpointRun run;
     TimePoint at;
     TimePoint sent_at;
+    bool has_header = false;
   };
   struct State {
     std::vector<Crash> crashes;
@@ -96,6 +98,7 @@
   void ApplyReport(const PromptPartReport& report);
   void KeepCommon(State& state, const std::vector<PromptPartId>& others);
   static const Crash& GetFirstCrash(const State& state);
+  static int GetWeight(const State& state);
   static bool HasProof(const State& state);
   bool IsTrialDue(const State& state) const;
   // Returns the time of the last answer with a part that began here, or nothing if none is remembered.
--- a/src/prompt_type.h
+++ b/src/prompt_type.h
@@ -21,6 +21,8 @@
   Duration age{};
   // Time since the request was sent to the endpoint.
   Duration sent_age{};
+  // Whether the header of the answer had come, so that the endpoint ended while it began to answer this request.
+  bool has_header = false;
 };
 
 // What one entry knows about a prompt part, as sent to other entries.
--- a/tests/forward_prompt_test.cpp
+++ b/tests/forward_prompt_test.cpp
@@ -77,6 +77,7 @@
   FakeAttemptSender::Sent& open_attempt = fixture.sender.At(fixture.sender.GetCount() - 2);
   FakeAttemptSender::Sent& sound_attempt = fixture.sender.At(fixture.sender.GetCount() - 1);
   fixture.SendRequest("/draft/1", "6000", MakePrompt("bad0bad0:400"));
+  fixture.sender.At(fixture.sender.GetCount() - 1).BeginStream();
   fixture.sender.At(fixture.sender.GetCount() - 1).FinishResponse(MakeFailure(FailureCode::kConnectionLost, "reset"));
   fixture.AdvanceTime(Milliseconds(20));
   CHECK(open_attempt.is_cancelled);
