--- a/bench/_hosted_fleet.py
+++ b/bench/_hosted_fleet.py
@@ -23,7 +23,7 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 sys.path.insert(0, os.path.join(ROOT, "scripts"))
-from fleet import die_with_parent, wait_until  # noqa: E402
+from fleet import claim_octet, die_with_parent, wait_until  # noqa: E402
 
 CALLER_PORT, READY_PORT, ADMIN_PORT, RELAY_PORT, ENGINE_PORT, STORE_PORT = 8005, 8002, 8081, 7400, 9000, 9100
 ZONES = ["praha", "brno", "ostrava"]
@@ -44,7 +44,7 @@
     events: int = 8
     # Time from a crash until the engine serves again, under another id.
     restart_s: float = 3.0
-    # Prompt part at which an answer that begins crashes the engine; None for none.
+    # Prompt parts at which an answer that begins crashes the engine.
     bad_parts: tuple = ()
     # Requests/s that the first engines state in their answers from some time after their start, and their number.
     limit: float = None
@@ -416,8 +416,9 @@
 class HostedEntries:
     """Real entry processes, and the stand-ins and callers around them."""
 
-    def __init__(self, build, seed, count, octet):
-        self.build, self.seed, self.count, self.octet = build, seed, count, octet
+    def __init__(self, build, seed, count):
+        self.build, self.seed, self.count = build, seed, count
+        self.octet, self.octet_holder = claim_octet()
         self.directory = tempfile.TemporaryDirectory(prefix="hosted-entries-")
         self.processes = {}
         self.standins = self.callers = None
@@ -506,4 +507,5 @@
             if process.poll() is None:
                 process.kill()
                 process.wait()
+        self.octet_holder.close()
         self.directory.cleanup()
--- a/bench/blocked_prompt.py
+++ b/bench/blocked_prompt.py
@@ -11,7 +11,6 @@
 against before the first bad request.
 """
 
-import os
 import random
 import statistics
 import sys
@@ -29,7 +28,6 @@
 ENDS_TO_LEARN = 5
 BAD_PART, POPULAR_PART = "bad0bad0", "5c1e07a2"
 SOUND_PER_S, BAD_PER_S, RARE_PER_S = 60.0, 16.0, 4.0
-OCTET = 61
 
 
 def make_flows(entries, late):
@@ -52,7 +50,7 @@
 
 def play(build, seed, entries, engines, has_churn):
     """Plays one run. Returns the fleet's answers, arrivals and crashes, the start of the load, and processor time."""
-    fleet = HostedEntries(build, seed, entries, OCTET)
+    fleet = HostedEntries(build, seed, entries)
     crash_random = random.Random(seed)
     late, restarted = (entries - 1, 0) if has_churn else (None, None)
     crash_times = [crash_random.uniform(BAD_FROM_S, BAD_UNTIL_S) for _ in range(round(engines * PLAIN_CRASH_SHARE))]
@@ -70,8 +68,6 @@
             fleet.start_entry(restarted)
         answers, arrivals, crashes, _ = fleet.finish()
         cpu = fleet.get_cpu_seconds() - cpu_before
-        if os.environ.get("KEEP_LOGS"):
-            os.system(f"cp -r {fleet.directory.name} {os.environ['KEEP_LOGS']}")
         return answers, arrivals, crashes, fleet.load_begin, cpu, restarted
     finally:
         fleet.stop()
--- a/bench/named_limit.py
+++ b/bench/named_limit.py
@@ -23,7 +23,6 @@
 JOIN_AT_S, RESTART_AT_S = 11.0, 14.0
 MIN_USED_SHARE = 0.9
 SHARED = [("5c1e07a2", f"91bd{i:04x}") for i in range(12)]
-OCTET = 62
 
 
 def get_worst(times):
@@ -32,7 +31,7 @@
 
 
 def play(arguments, entries, engines, model, per_s, has_churn):
-    fleet = HostedEntries(arguments.build, arguments.seed, entries, OCTET)
+    fleet = HostedEntries(arguments.build, arguments.seed, entries)
     late, restarted = (entries - 1, 0) if has_churn else (None, None)
     early = [i for i in range(entries) if i != late]
     try:
