Play each simulated fleet once for each seed

A section inside a loop over seeds made Catch play the whole loop again for each section and seed: 600 fleets where 60 are meant. Under the thread sanitizer one test case took over five minutes. Each section now has its own loop; seeds and checks are the same.

--- a/tests/prompt_quarantine_test.cpp
+++ b/tests/prompt_quarantine_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -369,30 +370,39 @@
 
 // Guards against blocking sound parts on a day on which endpoints fail for other reasons.
 TEST_CASE("Endpoints that fail for other reasons block no part") {
-  for (uint64_t seed = 1; seed <= 10; ++seed) {
-    INFO("seed " << seed);
-    FleetSimulation fleet(4, 16, seed);
-    SeededRandom random(seed);
-    fleet.Run(std::chrono::seconds(2), 150, 0);
-    SECTION("one after the other, seed " + std::to_string(seed)) {
+  const auto play = [](const std::function<void(FleetSimulation&, SeededRandom&)>& disturb) {
+    for (uint64_t seed = 1; seed <= 10; ++seed) {
+      INFO("seed " << seed);
+      FleetSimulation fleet(4, 16, seed);
+      SeededRandom random(seed);
+      fleet.Run(std::chrono::seconds(2), 150, 0);
+      disturb(fleet, random);
+      CHECK(fleet.m_sound_blocked == 0);
+    }
+  };
+  SECTION("one after the other") {
+    play([](FleetSimulation& fleet, SeededRandom& random) {
       for (int i = 0; i < 60; ++i) {
         fleet.CrashEngine(random.GetBits() % 16);
         fleet.Run(Milliseconds(200), 150, 0);
       }
-    }
-    SECTION("a third of them at once, again and again, seed " + std::to_string(seed)) {
+    });
+  }
+  SECTION("a third of them at once, again and again") {
+    play([](FleetSimulation& fleet, SeededRandom& random) {
       for (int i = 0; i < 10; ++i) {
         for (size_t engine = 0; engine < 5; ++engine) fleet.CrashEngine((random.GetBits() % 4) * 4 + engine % 4);
         fleet.Run(std::chrono::seconds(1), 150, 0);
       }
-    }
-    SECTION("all at once, seed " + std::to_string(seed)) {
+    });
+  }
+  SECTION("all at once") {
+    play([](FleetSimulation& fleet, SeededRandom&) {
       for (int i = 0; i < 5; ++i) {
         for (size_t engine = 0; engine < 16; ++engine) fleet.CrashEngine(engine);
         fleet.Run(std::chrono::seconds(5), 150, 0);
       }
-    }
-    CHECK(fleet.m_sound_blocked == 0);
+    });
   }
 }
 
--- a/tests/rate_grant_test.cpp
+++ b/tests/rate_grant_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -199,49 +200,64 @@
 // Guards against shares that no longer add up while entries come, go, stand still or do not hear each other.
 TEST_CASE("The rate holds while entries join, leave, restart, stand still or are cut off") {
   constexpr double kLimit = 2.3;
-  for (uint64_t seed = 1; seed <= 10; ++seed) {
-    INFO("seed " << seed);
-    GrantSimulation fleet(8, kLimit, seed);
-    fleet.Run(std::chrono::seconds(5));
-    fleet.TellAll();
-    fleet.Run(std::chrono::seconds(5));
-    const TimePoint begin = fleet.m_clock.GetNow();
-    SECTION("joining, seed " + std::to_string(seed)) {
+  const auto play = [](const std::function<void(GrantSimulation&)>& disturb) {
+    for (uint64_t seed = 1; seed <= 10; ++seed) {
+      INFO("seed " << seed);
+      GrantSimulation fleet(8, kLimit, seed);
+      fleet.Run(std::chrono::seconds(5));
+      fleet.TellAll();
+      fleet.Run(std::chrono::seconds(5));
+      const TimePoint begin = fleet.m_clock.GetNow();
+      disturb(fleet);
+      CHECK(static_cast<double>(fleet.GetMost(begin)) <= GetAllowed(kLimit));
+    }
+  };
+  SECTION("joining") {
+    play([](GrantSimulation& fleet) {
       for (int i = 0; i < 8; ++i) {
         fleet.Join(100);
         fleet.Run(std::chrono::seconds(2));
       }
-    }
-    SECTION("killed and restarted in turn, seed " + std::to_string(seed)) {
+    });
+  }
+  SECTION("killed and restarted in turn") {
+    play([](GrantSimulation& fleet) {
       for (size_t i = 0; i < 8; ++i) {
         fleet.Kill(i);
         fleet.Run(std::chrono::seconds(1 + i % 4));
         fleet.Restart(i);
         fleet.Run(std::chrono::seconds(2));
       }
-    }
-    SECTION("standing still, seed " + std::to_string(seed)) {
+    });
+  }
+  SECTION("standing still") {
+    play([](GrantSimulation& fleet) {
       for (size_t i = 0; i < 8; ++i) {
         fleet.Freeze(i, true);
         fleet.Run(std::chrono::seconds(6));
         fleet.Freeze(i, false);
         fleet.Run(std::chrono::seconds(3));
       }
-    }
-    SECTION("deaf to all others, seed " + std::to_string(seed)) {
+    });
+  }
+  SECTION("deaf to all others") {
+    play([](GrantSimulation& fleet) {
       for (size_t i = 1; i < 8; ++i) fleet.SetCut(i, 0, true);
       fleet.Run(std::chrono::seconds(20));
-    }
-    SECTION("not heard by the others, seed " + std::to_string(seed)) {
+    });
+  }
+  SECTION("not heard by the others") {
+    play([](GrantSimulation& fleet) {
       for (size_t i = 1; i < 8; ++i) fleet.SetCut(0, i, true);
       fleet.Run(std::chrono::seconds(20));
-    }
-    SECTION("two entries that do not hear each other, seed " + std::to_string(seed)) {
+    });
+  }
+  SECTION("two entries that do not hear each other") {
+    play([](GrantSimulation& fleet) {
       fleet.SetCut(0, 1, true);
       fleet.SetCut(1, 0, true);
       fleet.Run(std::chrono::seconds(20));
-    }
-    CHECK(static_cast<double>(fleet.GetMost(begin)) <= GetAllowed(kLimit));
+    });
   }
 }
 
