Forget a blocked prompt part that nobody sends for an hour

Cause: the hour was applied to the reports for peers and when a new part needed room, but not to the decision. A part that nobody had sent for longer was still refused, and the first request after that renewed the block, against what the code and docs/OPERATIONS.md say.

Result: the test that checked only the reports now checks the decision too; both new checks failed before and pass.

--- a/src/prompt_quarantine.cpp
+++ b/src/prompt_quarantine.cpp
@@ -212,6 +212,7 @@
 }
 
 PromptAdmission PromptQuarantine::Admit(const std::vector<PromptPartId>& parts) {
+  RemoveUnused();
   const TimePoint now = m_clock.GetNow();
   State* blocked = nullptr;
   for (const PromptPartId& part : parts) {
--- a/tests/prompt_quarantine_test.cpp
+++ b/tests/prompt_quarantine_test.cpp
@@ -208,6 +208,8 @@
   }
   CHECK(fixture.here.GetReports().empty());
   CHECK(fixture.peer.GetReports().empty());
+  CHECK(fixture.here.Admit(MakeParts({"bad"})) == PromptAdmission::kAllowed);
+  CHECK(fixture.peer.Admit(MakeParts({"bad"})) == PromptAdmission::kAllowed);
 
   SECTION("a caller with countless parts does not displace a blocked one") {
     for (int i = 0; i < 4; ++i) fixture.Crash({"bad2"});
