Take a stated rate above 10,000 requests/s for no limit

Cause: such a rate was clamped to the maximum although the comment calls it no limit, so that an entry would have granted thousands of requests a second one by one. Change: it ends the limit, like a response that states none.

Result: the new checks failed before (a limit of 10,000 was in force) and pass.

--- a/src/rate_grant.cpp
+++ b/src/rate_grant.cpp
@@ -90,7 +90,8 @@
 bool EndpointRateLimits::SetRate(const EndpointId& endpoint, std::optional<double> per_s, TimePoint stated_at,
                                  bool is_from_peer) {
   Limit& limit = AddLimit(endpoint);
-  if (per_s.has_value()) per_s = std::clamp(*per_s, kMinPerS, kMaxPerS);
+  if (per_s.has_value() && *per_s > kMaxPerS) per_s.reset();
+  if (per_s.has_value()) per_s = std::max(*per_s, kMinPerS);
   limit.stated_at = stated_at;
   if (std::exchange(limit.per_s, per_s) == per_s) return false;
   m_changes.push_back({endpoint, per_s, is_from_peer, IsGranting(limit)});
--- a/tests/rate_grant_test.cpp
+++ b/tests/rate_grant_test.cpp
@@ -305,6 +305,11 @@
   }
   CHECK(sent >= 4);
   CHECK(sent <= 7);
+  limits.OnResponse(kLimited, 1e9);
+  CHECK_FALSE(limits.GetLimit(kLimited).has_value());
+  CHECK(limits.IsAvailable(kLimited));
+  limits.OnResponse(kLimited, 0.0);
+  CHECK_FALSE(limits.IsAvailable(kLimited));
   limits.SetEndpoints({});
   CHECK(limits.IsAvailable(kLimited));
   CHECK_FALSE(limits.OnResponse(kLimited, 5.0));
