--- a/tests/caller_protocol_test.cpp
+++ b/tests/caller_protocol_test.cpp
@@ -31,5 +31,27 @@
   }
 }
 
+ResponseHead ParseRate(const std::string& value) {
+  HttpHeaders headers;
+  headers.Add("Plantainmast-Attempt-Id", "r1");
+  if (!value.empty()) headers.Add("Server-Limit", value);
+  return HostedCallerProtocol().ParseResponseHead(RequestId("r1"), 200, headers);
+}
+
+// Guards against a malformed rate that is taken for a number, or for the end of a limit.
+TEST_CASE("The request rate that an endpoint states is a number of at least 0, or malformed") {
+  CHECK(ParseRate("2.3").requests_per_s == 2.3);
+  CHECK(ParseRate("0").requests_per_s == 0.0);
+  CHECK(ParseRate("1e9").requests_per_s == 1e9);
+  CHECK_FALSE(ParseRate("").requests_per_s.has_value());
+  CHECK(ParseRate("").malformed_rate.empty());
+  for (const std::string text : {"-1", "nan", "inf", "many", "2.3x", "2,3"}) {
+    INFO(text);
+    CHECK_FALSE(ParseRate(text).requests_per_s.has_value());
+    CHECK(ParseRate(text).malformed_rate == text);
+  }
+  CHECK(ParseRate(std::string(5000, 'x')).malformed_rate.size() == 32);
+}
+
 }  // namespace
 }  // namespace plantain::hosted
