Fail the hosted benchmarks if what they test did not happen

Cause: if no engine stated a limit, or none ended at the bad part, the bounds on the other figures held without saying anything. Change: the numbers of engines that stated a limit and that ended are figures with a bound of their own; all other bounds stay.

--- a/bench/blocked_prompt.py
+++ b/bench/blocked_prompt.py
@@ -6,6 +6,7 @@
 another reason. With churn, one entry is killed and restarted and one joins while bad requests come.
 
 `bad_after_window`: requests with the bad part that reached engines later than the stable window after the fifth end.
+`ends`: engines that ended at the bad part; without them the other figures would say nothing.
 `sound_blocked`: requests without the part that were refused because of a part.
 `sound_first_ratio`: sound requests that began at their first attempt from two stable windows after the fifth end,
 against before the first bad request.
@@ -90,7 +91,8 @@
     learned = ends[ENDS_TO_LEARN - 1] if len(ends) >= ENDS_TO_LEARN else (ends[-1] if ends else begin)
     after = sum(at > learned + STABLE_WINDOW_S for at in bad)
     report.add("bad_after_window" + name, after, "requests", entries, MAX_AFTER_WINDOW, seed=arguments.seed,
-               ends=len(ends), bad_at_engines=len(bad), bad_sent=sum(a.request.startswith("bad") for a in answers))
+               bad_at_engines=len(bad), bad_sent=sum(a.request.startswith("bad") for a in answers))
+    report.add("ends" + name, len(ends), "engines", entries, 1, "higher")
     blocked = sum("blocked" in a.error for a in answers if BAD_PART not in a.parts)
     report.add("sound_blocked" + name, blocked, "requests", entries, 0)
     before = get_first_share(answers, arrivals, restarted, begin + 1, begin + BAD_FROM_S)
--- a/bench/named_limit.py
+++ b/bench/named_limit.py
@@ -7,6 +7,7 @@
 
 `worst_ratio`: most arrivals at one engine in four seconds, from the stable window after it first stated its limit,
 divided by 1.5 times the limit over that time plus 5.
+`limited_engines`: engines that have stated a limit; without them the other figures would say nothing.
 `used_share`: arrivals divided by the limit over the same time. It is bounded only where callers wait for that engine
 alone and no entry restarts.
 """
@@ -66,7 +67,8 @@
     served = sum(a.is_complete for a in answers) / max(1, len(answers))
     suffix = ("_" + name if name else "") + ("_churn" if has_churn else "")
     report.add("worst_ratio" + suffix, worst / allowed, "ratio", entries, 1.0, seed=arguments.seed, limit=model.limit,
-               worst=worst, allowed=allowed, limited_engines=count, served=round(served, 3))
+               worst=worst, allowed=allowed, served=round(served, 3))
+    report.add("limited_engines" + suffix, count, "engines", entries, model.limited_engines, "higher")
     bound = MIN_USED_SHARE if name == "alone" and not has_churn else None
     report.add("used_share" + suffix, used / max(1, count), "share", entries, bound, "higher")
 
