Show the zones that are out of service in /status

Cause: two entries could not be compared after an incident without reading all zone_out and zone_in lines since their start. No change of logic.

--- a/src/forward_service.cpp
+++ b/src/forward_service.cpp
@@ -217,6 +217,8 @@
   status["config_version"] = fleet->routing == nullptr ? 0 : fleet->routing->version.Get();
   status["store_reachable"] = fleet->is_store_reachable;
   status["endpoints"] = fleet->endpoints.size();
+  status["zones_out"] = nlohmann::json::array();
+  for (const ZoneName& zone : fleet->zones_out) status["zones_out"].push_back(zone.Get());
   status["entries"] = m_relay.GetBeacons().GetEntries().size() + 1;
   status["in_flight"] = m_in_flight.load();
   return status.dump();
