--- a/bench/_hosted_fleet.py
+++ b/bench/_hosted_fleet.py
@@ -6,31 +6,29 @@
 """
 
 import asyncio
-import base64
 import dataclasses
-import json
 import multiprocessing
 import os
 import random
 import signal
 import socket
-import struct
 import subprocess
 import sys
 import tempfile
 import time
-import urllib.parse
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 sys.path.insert(0, os.path.join(ROOT, "scripts"))
+from _hosted_store import DIRECTORY_TOPIC, OPERATOR_TOPIC, Store, read_head, reset  # noqa: E402
 from fleet import claim_octet, die_with_parent, wait_until  # noqa: E402
 
 CALLER_PORT, READY_PORT, ADMIN_PORT, RELAY_PORT, ENGINE_PORT, STORE_PORT = 8005, 8002, 8081, 7400, 9000, 9100
 ZONES = ["praha", "brno", "ostrava"]
 HOST, POOL, MODEL = "h.example", "engines", "m-1"
-OPERATOR_TOPIC, DIRECTORY_TOPIC = "keyed.op", "keyed.servers"
 # Silence after which the platform removes the record of an engine.
 RECORD_TTL_S = 3.6
+# Time for which an engine serves on after it has said that it leaves.
+DRAIN_S = 9.0
 EVENT = "id: {id}\ndata: token\n\n"
 
 
@@ -80,75 +78,6 @@
     retry_after: str
 
 
-class Store:
-    """The part of the platform's store that entries use: listing and following two topics."""
-
-    def __init__(self):
-        self.records = {OPERATOR_TOPIC: [], DIRECTORY_TOPIC: []}
-        self.changed = asyncio.Condition()
-
-    async def put(self, topic, key, value):
-        async with self.changed:
-            self.records[topic].append((key, b"" if value is None else json.dumps(value).encode()))
-            self.changed.notify_all()
-
-    def get_newest(self, topic):
-        newest = {}
-        for offset, (key, value) in enumerate(self.records[topic]):
-            newest.pop(key, None)
-            if value:
-                newest[key] = (offset, value)
-        return {"entries": [{"key": k, "value": base64.b64encode(v).decode(), "offset": o}
-                            for k, (o, v) in sorted(newest.items())],
-                "more_pages": False, "end": len(self.records[topic])}
-
-    async def read(self, topic, offset, wait_s):
-        records = self.records[topic]
-        if len(records) <= offset and wait_s > 0:
-            try:
-                async with self.changed:
-                    await asyncio.wait_for(self.changed.wait_for(lambda: len(records) > offset), wait_s)
-            except asyncio.TimeoutError:
-                pass
-        out = struct.pack(">QQ", len(records), 0)
-        for key, value in records[offset:]:
-            content = bytes([len(key)]) + key.encode() + value
-            out += struct.pack(">I", len(content)) + content
-        return out
-
-    async def handle(self, reader, writer):
-        try:
-            while True:
-                head = await read_head(reader)
-                if head is None:
-                    break
-                url = urllib.parse.urlsplit(head[0].split()[1])
-                query = dict(urllib.parse.parse_qsl(url.query))
-                if url.path == "/log-newest":
-                    body = json.dumps(self.get_newest(query["topic"])).encode()
-                else:
-                    body = await self.read(query["topic"], int(query["from"]), float(query.get("wait_ms", 0)) / 1000)
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
-        except (OSError, asyncio.IncompleteReadError):
-            pass
-        finally:
-            writer.close()
-
-
-async def read_head(reader):
-    """Returns the first line and the lower-case fields of a request or response, or None at the end."""
-    try:
-        raw = await reader.readuntil(b"\r\n\r\n")
-    except asyncio.IncompleteReadError:
-        return None
-    lines = raw.decode().split("\r\n")
-    fields = {}
-    for line in lines[1:]:
-        name, _, value = line.partition(":")
-        fields[name.strip().lower()] = value.strip()
-    return lines[0], fields
-
-
 def parse_parts(text):
     return [part.split(":")[0] for part in text.split(",") if part]
 
@@ -160,15 +89,29 @@
         self.fleet, self.zone, self.address, self.model, self.has_limit = fleet, zone, address, model, has_limit
         self.started_at = time.monotonic()
         self.server, self.writers, self.id, self.active = None, set(), "", 0
+        # What the directory should hold of the engine, and the time at which it was told that the engine leaves.
+        self.record, self.drained_at = None, None
         self.crashes = []
 
     async def start(self):
         self.id = f"i-{self.fleet.random.getrandbits(40):010x}"
         self.server = await asyncio.start_server(self.handle, self.address, ENGINE_PORT, backlog=256)
-        await self.fleet.store.put(DIRECTORY_TOPIC, self.id, {
+        self.record = {
             "service": POOL, "address": f"{self.address}:{ENGINE_PORT}", "zone": ZONES[self.zone], "version": 1,
             "slots": self.model.slots, "state": "ready", "cold_left_ms": 0, "seq": 1,
-            "born": int(time.time() * 1000), "models": [{"name": MODEL, "version": 1, "adapters": []}]})
+            "born": int(time.time() * 1000), "models": [{"name": MODEL, "version": 1, "adapters": []}]}
+        await self.fleet.store.put(DIRECTORY_TOPIC, self.id, self.record)
+
+    async def drain(self):
+        """Says that the engine leaves, serves on for some seconds and ends."""
+        self.record["state"] = "draining"
+        self.drained_at = await self.fleet.store.put(DIRECTORY_TOPIC, self.id, self.record)
+        await asyncio.sleep(DRAIN_S)
+        self.server.close()
+        self.server, self.record = None, None
+        for writer in list(self.writers):
+            reset(writer)
+        await self.fleet.store.put(DIRECTORY_TOPIC, self.id, None)
 
     def crash(self, is_by_prompt):
         """Ends the engine. Records the time, its id and whether a prompt part caused it."""
@@ -248,36 +191,29 @@
         writer.write(b"0\r\n\r\n")
 
 
-def reset(writer):
-    """Closes a connection with a reset, as the kernel does for a process that was killed."""
-    sock = writer.get_extra_info("socket")
-    if sock is not None:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    writer.transport.abort()
-
-
 class StandinFleet:
     """Store and engines, on one event loop."""
 
-    def __init__(self, seed, octet, engines, model, crash_times):
+    def __init__(self, seed, octet, engines, model, crash_times, make_scenario=None):
         self.random = random.Random(seed)
         self.store, self.arrivals, self.engines = None, [], []
         # Time of the first answer with a limit, by engine address.
         self.stated_at = {}
         self.octet, self.count, self.model, self.crash_times = octet, engines, model, crash_times
+        # Makes an object with a coroutine `run`, which plays operators and faults, and a `result` to be returned.
+        self.make_scenario = make_scenario
 
     async def run(self, pipe):
         self.store = Store()
         await asyncio.start_server(self.store.handle, f"127.{self.octet}.200.1", STORE_PORT, backlog=1024)
         await self.store.put(OPERATOR_TOPIC, "config", make_config(self.model))
-        for index in range(self.count):
-            zone = index % len(ZONES)
-            engine = Engine(self, zone, f"127.{self.octet}.{100 + zone}.{1 + index // len(ZONES)}", self.model,
-                            index < self.model.limited_engines)
-            self.engines.append(engine)
-            await engine.start()
+        for _ in range(self.count):
+            await self.add_engine()
         pipe.send("started")
         begin = time.monotonic()
+        scenario = self.make_scenario(self) if self.make_scenario else None
+        if scenario:
+            asyncio.ensure_future(scenario.run())
         crash_times = sorted(self.crash_times)
         while not pipe.poll():
             while crash_times and time.monotonic() - begin >= crash_times[0]:
@@ -285,10 +221,18 @@
                 self.random.choice(self.engines).crash(False)
             await asyncio.sleep(0.02)
         crashes = sorted(c for engine in self.engines for c in engine.crashes)
-        pipe.send((self.arrivals, crashes, self.stated_at))
+        pipe.send((self.arrivals, crashes, self.stated_at, scenario.result if scenario else None))
         # Ends without cancelling the open connections, which would print a traceback for each.
         os._exit(0)
 
+    async def add_engine(self):
+        index = len(self.engines)
+        zone = index % len(ZONES)
+        engine = Engine(self, zone, f"127.{self.octet}.{100 + zone}.{1 + index // len(ZONES)}", self.model,
+                        index < self.model.limited_engines)
+        self.engines.append(engine)
+        await engine.start()
+
 
 def make_config(model):
     route = {"name": "draft", "host": HOST, "path_prefix": "/draft/", "service": POOL, "type": "stream",
@@ -430,10 +374,10 @@
     def get_log(self, index):
         return os.path.join(self.directory.name, f"entry-{index}.log")
 
-    def start_standins(self, engines, model, crash_times=()):
+    def start_standins(self, engines, model, crash_times=(), make_scenario=None):
         self.standins, child = multiprocessing.Pipe()
         multiprocessing.Process(target=run_standins, daemon=True, args=(
-            child, self.seed, self.octet, engines, model, list(crash_times))).start()
+            child, self.seed, self.octet, engines, model, list(crash_times), make_scenario)).start()
         self.standins.recv()
 
     def start_entry(self, index, relay_port=RELAY_PORT):
@@ -485,7 +429,7 @@
         self.load_begin = self.callers.recv()
 
     def finish(self):
-        """Waits for the callers and returns (answers, arrivals, crashes, times of the first stated limits)."""
+        """Waits for the callers and returns (answers, arrivals, crashes, first stated limits, scenario's result)."""
         answers = self.callers.recv()
         self.standins.send("stop")
         return answers, *self.standins.recv()
--- a/bench/blocked_prompt.py
+++ b/bench/blocked_prompt.py
@@ -67,7 +67,7 @@
             time.sleep(max(0.0, fleet.load_begin + RESTART_AT_S - time.monotonic()))
             fleet.kill_entry(restarted)
             fleet.start_entry(restarted)
-        answers, arrivals, crashes, _ = fleet.finish()
+        answers, arrivals, crashes, _, _ = fleet.finish()
         cpu = fleet.get_cpu_seconds() - cpu_before
         return answers, arrivals, crashes, fleet.load_begin, cpu, restarted
     finally:
--- a/bench/named_limit.py
+++ b/bench/named_limit.py
@@ -49,7 +49,7 @@
             time.sleep(max(0.0, fleet.load_begin + RESTART_AT_S - time.monotonic()))
             fleet.kill_entry(restarted)
             fleet.start_entry(restarted)
-        answers, arrivals, _, stated_at = fleet.finish()
+        answers, arrivals, _, stated_at, _ = fleet.finish()
         return answers, arrivals, stated_at, fleet.load_begin + DURATION_S
     finally:
         fleet.stop()
