Show in the logs which content a lost request had

Cause: attempt_failed names the prompt parts of a request only, so that ends of endpoints under equal requests without a prompt cannot be related to each other. It now shows a digest of workspace, method, host, target and body when the connection was lost.

--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -71,6 +71,14 @@
   });
 }
 
+const ContentKey& ActiveRequest::GetRequestKey() const {
+  if (!m_request_key.has_value()) {
+    const WorkspaceName workspace = m_match.workspace == nullptr ? WorkspaceName() : m_match.workspace->name;
+    m_request_key = MakeRequestKey(workspace, m_request.host, m_request.http);
+  }
+  return *m_request_key;
+}
+
 HttpCallOptions ActiveRequest::MakeOptions(TimePoint now) const {
   HttpCallOptions options;
   options.timeout = std::max<Duration>(m_deadline - now, kMinAttemptTime);
--- a/src/active_request.h
+++ b/src/active_request.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "clock.h"
+#include "content_key.h"
 #include "endpoint_balancer.h"
 #include "event_splitter.h"
 #include "forward_type.h"
@@ -146,6 +147,9 @@
   // Handles the deadline and the inactivity timeout. Must be called regularly.
   void CheckDue(TimePoint now);
 
+  // Returns the key of the whole request. It is computed when it is first needed.
+  const ContentKey& GetRequestKey() const;
+
   bool IsEnded() const { return m_is_ended; }
   bool IsWaiting() const { return m_call == nullptr && !m_is_ended; }
   const ForwardRequest& GetRequest() const { return m_request; }
@@ -223,6 +227,7 @@
   std::optional<HttpResponse> m_error_response;
   bool m_is_ended = false;
   ActiveRequestOutcome m_outcome;
+  mutable std::optional<ContentKey> m_request_key;
 };
 
 }  // namespace plantain
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -401,6 +401,7 @@
             {"sent_ms", ToMilliseconds(attempt.sent_at - active.GetStart())},
             {"attempt", active.GetOutcome().attempts},
             {"prompt", FormatParts(active.GetRequest().shared_parts)},
+            {"content", attempt.end == AttemptEnd::kConnectionLost ? active.GetRequestKey().id : ""},
             {"version", GetVersionNumber(active.GetOutcome().version)},
             {"min_version", GetVersionNumber(active.GetOutcome().min_version)}});
 }
