Add a failing benchmark of a request that crashes each endpoint that runs it

What callers saw: a service with three endpoints is away again and again, because one request ends all of them whenever they are back. bench/crashing_request.py plays it with real entries; sound lookups, one of them popular, and calls that must run once come beside it, one entry is restarted and one joins.

--- a/bench/_hosted_fleet.py
+++ b/bench/_hosted_fleet.py
@@ -25,6 +25,9 @@
 CALLER_PORT, READY_PORT, ADMIN_PORT, RELAY_PORT, ENGINE_PORT, STORE_PORT = 8005, 8002, 8081, 7400, 9000, 9100
 ZONES = ["praha", "brno", "ostrava"]
 HOST, POOL, MODEL = "h.example", "engines", "m-1"
+PROMPT_PATH = "/draft/"
+# API keys of the callers of plain requests, each of its own workspace.
+API_KEYS = [f"key-{number}" for number in range(4)]
 # Silence after which the platform removes the record of an engine.
 RECORD_TTL_S = 3.6
 # Time for which an engine serves on after it has said that it leaves.
@@ -44,6 +47,11 @@
     restart_s: float = 3.0
     # Prompt parts at which an answer that begins crashes the engine.
     bad_parts: tuple = ()
+    # Time of a request without a prompt, and paths at which such a request crashes the engine that begins it.
+    service_s: float = 0.015
+    bad_paths: tuple = ()
+    # Time that an engine runs such a request before it ends.
+    crash_after_s: float = 0.06
     # Requests/s that the first engines state in their answers from some time after their start, and their number.
     limit: float = None
     limit_from_s: float = 0
@@ -60,6 +68,7 @@
     request: str
     parts: list
     begun_at: float = None
+    path: str = ""
 
 
 @dataclasses.dataclass
@@ -76,6 +85,7 @@
     total_s: float
     error: str
     retry_after: str
+    path: str = ""
 
 
 def parse_parts(text):
@@ -134,9 +144,9 @@
         self.writers.add(writer)
         try:
             while (head := await read_head(reader)) is not None:
-                _, fields = head
+                line, fields = head
                 await reader.readexactly(int(fields.get("content-length", 0)))
-                if not await self.answer(fields, writer):
+                if not await self.answer(line.split()[1], fields, writer):
                     break
         except (OSError, asyncio.IncompleteReadError):
             pass
@@ -144,7 +154,7 @@
             self.writers.discard(writer)
             writer.close()
 
-    async def answer(self, fields, writer):
+    async def answer(self, path, fields, writer):
         request = fields.get("plantainmast-attempt-id", "")
         prefix = f"Plantainmast-Attempt-Id: {request}\r\n"
         if self.has_limit and time.monotonic() - self.started_at >= self.model.limit_from_s:
@@ -154,7 +164,7 @@
             writer.write(f"HTTP/1.1 421 Misdirected\r\n{prefix}Content-Length: 0\r\n\r\n".encode())
             return True
         arrival = Arrival(time.monotonic(), self.id, self.address, request,
-                          parse_parts(fields.get("plantainmast-prefix-hash", "")))
+                          parse_parts(fields.get("plantainmast-prefix-hash", "")), path=path)
         self.fleet.arrivals.append(arrival)
         if self.active >= 2 * self.model.slots:
             writer.write(f"HTTP/1.1 503 Full\r\n{prefix}Plantainmast-Not-Executed: 1\r\n"
@@ -162,11 +172,27 @@
             return True
         self.active += 1
         try:
-            await self.write_stream(arrival, prefix, int(fields.get("last-event-id", -1)) + 1, writer)
+            if path.startswith(PROMPT_PATH):
+                await self.write_stream(arrival, prefix, int(fields.get("last-event-id", -1)) + 1, writer)
+            else:
+                await self.write_answer(arrival, prefix, writer)
         finally:
             self.active -= 1
         return True
 
+    async def write_answer(self, arrival, prefix, writer):
+        id_at_start = self.id
+        if arrival.path in self.model.bad_paths:
+            await asyncio.sleep(self.model.crash_after_s)
+            if self.id == id_at_start:
+                self.crash(True)
+            raise ConnectionResetError
+        await asyncio.sleep(self.model.service_s * (0.5 + self.fleet.random.random()))
+        if writer.is_closing() or self.id != id_at_start:
+            raise ConnectionResetError
+        arrival.begun_at = time.monotonic()
+        writer.write(f"HTTP/1.1 200 OK\r\n{prefix}Plantainmast-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nok".encode())
+
     async def write_stream(self, arrival, prefix, first, writer):
         id_at_start = self.id
         await asyncio.sleep(self.model.prefill_s * (0.5 + self.fleet.random.random()))
@@ -240,8 +266,13 @@
              "public": True, "resumable": True, "sticky": True}
     engine = {"models": [{"name": MODEL}], "slots": model.slots, "step_ms": 6.7, "per_seq_ms": 0.02,
               "context_per_k": 0.01, "read_per_s": 30600, "usual": {"prompt": 900, "answer": 100}}
+    # Requests without a prompt: some may be repeated, others must run once.
+    plain = [{"name": name, "host": HOST, "path_prefix": f"/{name}/", "service": POOL, "type": kind, "timeout_ms": 600,
+              "latency_target_ms": 100, "attempts": attempts, "priority": 0, "public": False}
+             for name, kind, attempts in (("status", "idempotent", 2), ("confirm", "non_idempotent", 1))]
+    tenants = [{"name": f"tenant-{number}", "api_keys": [key]} for number, key in enumerate(API_KEYS)]
     service = {"name": POOL, "max_conns": 400, "cold_start_s": 0, "cold_per_s": 0, "engine": engine}
-    return {"version": 3, "routes": [route], "services": [service],
+    return {"version": 3, "routes": [route, *plain], "services": [service], "tenants": tenants,
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 1048576, "header_timeout_ms": 5000,
                        "idle_timeout_ms": 30000}}
 
@@ -265,6 +296,9 @@
     end_s: float
     shared: list
     entries: list = None
+    # Requests without a prompt, as (method, path, API key); `{}` in a path stands for a number of its own. Each request
+    # takes one.
+    plain: list = None
 
 
 class Callers:
@@ -297,30 +331,34 @@
             await asyncio.wait(running, timeout=10)
 
     async def call(self, flow, entry):
-        shared = self.random.choice(flow.shared)
         own = f"{self.random.getrandbits(32):08x}"
+        if flow.plain:
+            method, path, key = self.random.choice(flow.plain)
+            head, parts = make_plain_head(method, path.format(own), key), []
+        else:
+            parts = [*self.random.choice(flow.shared), own]
+            path, head = PROMPT_PATH + "1", make_prompt_head(parts)
         for attempt in range(2):
-            answer = await self.send(flow, entry, [*shared, own])
+            answer = await self.send(flow, entry, head, parts)
+            answer.path = path.format(own)
             self.answers.append(answer)
             is_not_run = answer.status in (429, 503)
-            if answer.is_complete or (is_not_run and not answer.retry_after) or attempt == 1:
+            is_repeatable = is_not_run or not head.startswith("POST /confirm")
+            if answer.is_complete or (is_not_run and not answer.retry_after) or not is_repeatable or attempt == 1:
                 return
             entry = (entry + 1 + self.random.randrange(len(self.addresses))) % len(self.addresses)
             await asyncio.sleep(min(1.5, float(answer.retry_after or 0.05)))
 
-    async def send(self, flow, entry, parts):
+    async def send(self, flow, entry, head, parts):
         self.number += 1
         request = f"{flow.name}-{self.number}"
-        prefix = ",".join(f"{part}:{300 if i else 40}" for i, part in enumerate(parts))
         sent_at = time.monotonic()
         answer = Answer(sent_at, entry, request, parts, 0, False, None, 0, "", "")
         try:
             reader, writer = await asyncio.wait_for(
                 asyncio.open_connection(self.addresses[entry], CALLER_PORT), timeout=1)
-            writer.write((f"POST /draft/1 HTTP/1.1\r\nHost: {HOST}\r\nPlantainmast-Attempt-Id: {request}\r\n"
-                          f"Plantainmast-Deadline-Ms: 6000\r\nPlantainmast-Model: {MODEL}\r\n"
-                          f"Plantainmast-Token-Usage: 900,100\r\nPlantainmast-Prefix-Hash: {prefix}\r\n"
-                          "Connection: close\r\nContent-Length: 2\r\n\r\n{}").encode())
+            writer.write((f"{head}Plantainmast-Attempt-Id: {request}\r\nConnection: close\r\n"
+                          "Content-Length: 2\r\n\r\n{}").encode())
             await asyncio.wait_for(self.read_answer(reader, answer), timeout=7)
             writer.close()
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
@@ -352,6 +390,17 @@
                 answer.first_event_s = time.monotonic() - answer.sent_at
 
 
+def make_prompt_head(parts):
+    prefix = ",".join(f"{part}:{300 if i else 40}" for i, part in enumerate(parts))
+    return (f"POST {PROMPT_PATH}1 HTTP/1.1\r\nHost: {HOST}\r\nPlantainmast-Deadline-Ms: 6000\r\n"
+            f"Plantainmast-Model: {MODEL}\r\nPlantainmast-Token-Usage: 900,100\r\n"
+            f"Plantainmast-Prefix-Hash: {prefix}\r\n")
+
+
+def make_plain_head(method, path, key):
+    return f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nPlantainmast-Deadline-Ms: 600\r\nX-Api-Key: {key}\r\n"
+
+
 def run_callers(pipe, *arguments):
     die_with_parent()
     asyncio.run(Callers(*arguments).run(pipe))
