Name the quarantine and its reports after contents instead of prompt parts

Preparation: a prompt part becomes one kind of key of content, so that a whole request can be another kind of key in the same table, with the same reports. No change of behaviour; the tests are the same.

--- a/src/beacon_table.cpp
+++ b/src/beacon_table.cpp
@@ -21,8 +21,8 @@
 constexpr int64_t kMaxWantedAgeMs = 3'600'000;
 // The same for ages of what is known about prompt parts, which is forgotten after hours.
 constexpr uint64_t kMaxPromptAgeMs = 24 * 3'600'000;
-constexpr int kMaxPromptParts = 16;
-constexpr int kMaxPromptListSize = 16;
+constexpr int kMaxContentReports = 16;
+constexpr int kMaxContentListSize = 16;
 constexpr int kMaxRates = 32;
 
 void EncodeLoad(const EndpointLoad& load, proto::LoadReport& out) {
@@ -55,16 +55,16 @@
 
 Duration DecodeAge(uint64_t age_ms) { return Milliseconds(std::min(age_ms, kMaxPromptAgeMs)); }
 
-void EncodePromptPart(const PromptPartReport& report, proto::PromptPart& out) {
-  out.set_part(report.part.Get());
-  for (const PromptCrash& crash : report.crashes) {
-    proto::PromptCrash* added = out.add_crashes();
+void EncodeContent(const ContentReport& report, proto::ContentEvidence& out) {
+  out.set_id(report.key.id);
+  for (const ContentCrash& crash : report.crashes) {
+    proto::ContentCrash* added = out.add_crashes();
     added->set_run(crash.run.Get());
     added->set_age_ms(EncodeAge(crash.age));
     added->set_sent_age_ms(EncodeAge(crash.sent_age));
     added->set_has_header(crash.has_header);
   }
-  for (const PromptPartId& companion : report.companions) out.add_companions(companion.Get());
+  for (const ContentKey& companion : report.companions) out.add_companions(companion.id);
   out.set_is_blocked(report.blocked_age.has_value());
   if (report.blocked_age.has_value()) {
     out.set_blocked_age_ms(EncodeAge(*report.blocked_age));
@@ -76,14 +76,14 @@
   if (report.answered_age.has_value()) out.set_answered_age_ms(EncodeAge(*report.answered_age));
 }
 
-PromptPartReport DecodePromptPart(const proto::PromptPart& in) {
-  PromptPartReport report;
-  report.part = PromptPartId(in.part());
-  for (const proto::PromptCrash& crash : in.crashes()) {
+ContentReport DecodeContent(const proto::ContentEvidence& in) {
+  ContentReport report;
+  report.key = {ContentKind::kPromptPart, in.id()};
+  for (const proto::ContentCrash& crash : in.crashes()) {
     report.crashes.push_back(
         {EndpointRun(crash.run()), DecodeAge(crash.age_ms()), DecodeAge(crash.sent_age_ms()), crash.has_header()});
   }
-  for (const std::string& companion : in.companions()) report.companions.emplace_back(companion);
+  for (const std::string& id : in.companions()) report.companions.push_back({report.key.kind, id});
   if (in.is_blocked()) report.blocked_age = DecodeAge(in.blocked_age_ms());
   report.last_crash_age = DecodeAge(in.last_crash_age_ms());
   report.used_age = DecodeAge(in.used_age_ms());
@@ -92,8 +92,8 @@
   return report;
 }
 
-bool IsBounded(const proto::PromptPart& part) {
-  return part.crashes_size() <= kMaxPromptListSize && part.companions_size() <= kMaxPromptListSize;
+bool IsBounded(const proto::ContentEvidence& content) {
+  return content.crashes_size() <= kMaxContentListSize && content.companions_size() <= kMaxContentListSize;
 }
 
 void EncodeRates(const RateReport& rates, proto::Beacon& out) {
@@ -198,7 +198,7 @@
     out->set_version(wanted.version.Get());
     out->set_age_ms(static_cast<uint64_t>(std::clamp<int64_t>(ToMilliseconds(wanted.age), 0, kMaxWantedAgeMs)));
   }
-  for (const PromptPartReport& report : beacon.prompt_parts) EncodePromptPart(report, *message.add_prompt_parts());
+  for (const ContentReport& report : beacon.content_reports) EncodeContent(report, *message.add_content_evidence());
   EncodeRates(beacon.rates, message);
   return message.SerializeAsString();
 }
@@ -209,8 +209,8 @@
   const bool is_bounded = message.entries_size() <= kMaxNamedEntries && message.fetches_size() <= kMaxFetches &&
                           message.demand_size() <= kMaxPools &&
                           message.wanted_size() <= static_cast<int>(kMaxWantedAges) &&
-                          message.prompt_parts_size() <= kMaxPromptParts &&
-                          std::all_of(message.prompt_parts().begin(), message.prompt_parts().end(), IsBounded);
+                          message.content_evidence_size() <= kMaxContentReports &&
+                          std::all_of(message.content_evidence().begin(), message.content_evidence().end(), IsBounded);
   if (message.vm().empty() || !is_bounded || !HasBoundedRates(message)) return std::nullopt;
   BeaconInfo beacon;
   beacon.vm = VmId(message.vm());
@@ -236,7 +236,8 @@
     beacon.wanted.push_back({ModelName(wanted.model()), WeightVersion(wanted.version()),
                              Milliseconds(std::min<uint64_t>(wanted.age_ms(), kMaxWantedAgeMs))});
   }
-  for (const proto::PromptPart& part : message.prompt_parts()) beacon.prompt_parts.push_back(DecodePromptPart(part));
+  for (const proto::ContentEvidence& content : message.content_evidence())
+    beacon.content_reports.push_back(DecodeContent(content));
   beacon.rates = DecodeRates(message);
   return beacon;
 }
--- a/src/beacon_table.h
+++ b/src/beacon_table.h
@@ -10,11 +10,11 @@
 
 #include "clock.h"
 #include "core_type.h"
+#include "crash_report_type.h"
 #include "endpoint_balancer.h"
 #include "era_table.h"
 #include "log_position.h"
 #include "member_type.h"
-#include "prompt_type.h"
 #include "rate_grant_type.h"
 
 namespace plantain::proto {
@@ -48,8 +48,8 @@
   std::map<PoolName, double> demand;
   // Ages of the weight versions that it knows to be wanted.
   std::vector<WantedAge> wanted;
-  // Prompt parts at which endpoints may crash, as an entry knows them.
-  std::vector<PromptPartReport> prompt_parts;
+  // Contents at which endpoints may crash, as an entry knows them.
+  std::vector<ContentReport> content_reports;
   // Request rates that endpoints state, and what the sender grants to entries.
   RateReport rates;
 };
--- a/src/prompt_quarantine.cpp
+++ b/src/crash_quarantine.cpp
@@ -1,4 +1,4 @@
-#include "prompt_quarantine.h"
+#include "crash_quarantine.h"
 
 #include <algorithm>
 #include <array>
@@ -10,113 +10,113 @@
 // Weights of an endpoint's end, without and with the header of the answer.
 constexpr int kWeightWithoutHeader = 1;
 constexpr int kWeightWithHeader = 2;
-// Sum of weights at which a part is blocked, and how many of the requests must have been sent after the first end. With
-// less, a rare part whose requests happened to be at failing endpoints could be blocked.
+// Sum of weights at which a key is blocked, and how many of the requests must have been sent after the first end. With
+// less, a rare key whose requests happened to be at failing endpoints could be blocked.
 constexpr int kWeightToBlock = 8;
 constexpr size_t kLaterSentToBlock = 2;
-// Sum of weights from which a request with the part is not repeated.
+// Sum of weights from which a request with the key is not repeated.
 constexpr int kWeightToSuspect = 4;
-// Ends kept for one part.
+// Ends kept for one key.
 constexpr size_t kMaxCrashes = 8;
 // Evidence older than this is dropped.
 constexpr Duration kMaxCrashAge = std::chrono::seconds(60);
-// An endpoint's end is no evidence against a part if an answer with it began at some entry this long before it or
-// later. It protects frequent parts while endpoints fail together and reports of answers are still on their way.
+// An endpoint's end is no evidence against a key if an answer with it began at some entry this long before it or
+// later. It protects frequent keys while endpoints fail together and reports of answers are still on their way.
 constexpr Duration kAnswerProtection = Milliseconds(1000);
 // Time for which an answer is reported to peers that may hold older evidence.
 constexpr Duration kAnswerReportTime = std::chrono::seconds(10);
-// Delays from the last end to a trial whether a blocked part still ends endpoints. After these the part stays blocked
+// Delays from the last end to a trial whether a blocked key still ends endpoints. After these the key stays blocked
 // while callers send it.
 constexpr std::array<Duration, 3> kTrialDelays = {std::chrono::minutes(10), std::chrono::hours(1),
                                                   std::chrono::hours(6)};
 // Time after which a trial that had no result is repeated.
 constexpr Duration kTrialTimeout = std::chrono::minutes(1);
-// A blocked part that no request at any entry has named for this time is forgotten.
+// A blocked key that no request at any entry has named for this time is forgotten.
 constexpr Duration kMaxUnusedTime = std::chrono::hours(1);
 // Limits on the memory used, and on what is sent to peers.
-constexpr size_t kMaxParts = 64;
+constexpr size_t kMaxContents = 64;
 constexpr size_t kMaxReports = 8;
 constexpr size_t kMaxAnswered = 512;
 constexpr size_t kMaxCompanions = 8;
 
-bool Contains(const std::vector<PromptPartId>& parts, const PromptPartId& part) {
-  return std::find(parts.begin(), parts.end(), part) != parts.end();
+bool Contains(const std::vector<ContentKey>& keys, const ContentKey& key) {
+  return std::find(keys.begin(), keys.end(), key) != keys.end();
 }
 
 }  // namespace
 
-std::optional<TimePoint> PromptQuarantine::GetLastAnswer(const PromptPartId& part) const {
-  const auto found = m_answered.find(part);
+std::optional<TimePoint> CrashQuarantine::GetLastAnswer(const ContentKey& key) const {
+  const auto found = m_answered.find(key);
   return found == m_answered.end() ? std::nullopt : std::optional(found->second);
 }
 
-void PromptQuarantine::OnCrash(const std::vector<PromptPartId>& parts, EndpointRun run, TimePoint sent_at,
-                               bool has_header) {
+void CrashQuarantine::OnCrash(const std::vector<ContentKey>& keys, EndpointRun run, TimePoint sent_at,
+                              bool has_header) {
   const TimePoint now = m_clock.GetNow();
-  std::vector<PromptPartId> suspects;
-  for (const PromptPartId& part : parts) {
-    const std::optional<TimePoint> answered = GetLastAnswer(part);
+  std::vector<ContentKey> suspects;
+  for (const ContentKey& key : keys) {
+    const std::optional<TimePoint> answered = GetLastAnswer(key);
     const bool is_sound = answered.has_value() && now - *answered < kAnswerProtection;
-    if (!is_sound && !Contains(suspects, part)) suspects.push_back(part);
+    if (!is_sound && !Contains(suspects, key)) suspects.push_back(key);
   }
-  for (const PromptPartId& part : suspects) {
-    State* state = FindOrAdd(part, false);
+  for (const ContentKey& key : suspects) {
+    State* state = FindOrAdd(key, false);
     if (state == nullptr) continue;
-    std::vector<PromptPartId> others = suspects;
-    std::erase(others, part);
+    std::vector<ContentKey> others = suspects;
+    std::erase(others, key);
     KeepCommon(*state, others);
-    AddCrash(part, *state, {run, now, sent_at, has_header});
+    AddCrash(key, *state, {run, now, sent_at, has_header});
     m_has_news = true;
   }
 }
 
-void PromptQuarantine::OnAnswered(const std::vector<PromptPartId>& parts) {
+void CrashQuarantine::OnAnswered(const std::vector<ContentKey>& keys) {
   const TimePoint now = m_clock.GetNow();
-  for (const PromptPartId& part : parts) {
-    m_answered[part] = now;
-    const auto found = m_parts.find(part);
-    if (found != m_parts.end()) Clear(part, found->second, now, false);
+  for (const ContentKey& key : keys) {
+    m_answered[key] = now;
+    const auto found = m_contents.find(key);
+    if (found != m_contents.end()) Clear(key, found->second, now, false);
   }
   if (m_answered.size() <= kMaxAnswered) return;
   std::erase_if(m_answered, [&](const auto& entry) { return now - entry.second >= kAnswerProtection; });
 }
 
-PromptQuarantine::State* PromptQuarantine::FindOrAdd(const PromptPartId& part, bool is_blocked) {
-  const auto found = m_parts.find(part);
-  if (found != m_parts.end()) return &found->second;
+CrashQuarantine::State* CrashQuarantine::FindOrAdd(const ContentKey& key, bool is_blocked) {
+  const auto found = m_contents.find(key);
+  if (found != m_contents.end()) return &found->second;
   RemoveUnused();
-  if (m_parts.size() >= kMaxParts) {
-    const auto weakest = std::min_element(m_parts.begin(), m_parts.end(), [](const auto& a, const auto& b) {
+  if (m_contents.size() >= kMaxContents) {
+    const auto weakest = std::min_element(m_contents.begin(), m_contents.end(), [](const auto& a, const auto& b) {
       return std::pair(a.second.is_blocked, a.second.used_at) < std::pair(b.second.is_blocked, b.second.used_at);
     });
     if (weakest->second.is_blocked && !is_blocked) return nullptr;
-    m_parts.erase(weakest);
+    m_contents.erase(weakest);
   }
-  State& state = m_parts[part];
+  State& state = m_contents[key];
   state.used_at = m_clock.GetNow();
-  state.answered_at = GetLastAnswer(part);
+  state.answered_at = GetLastAnswer(key);
   return &state;
 }
 
-bool PromptQuarantine::IsUnused(const State& state) const {
+bool CrashQuarantine::IsUnused(const State& state) const {
   const Duration limit = state.is_blocked ? Duration(kMaxUnusedTime) : Duration(kMaxCrashAge);
   return m_clock.GetNow() - state.used_at > limit;
 }
 
-void PromptQuarantine::RemoveUnused() {
-  std::erase_if(m_parts, [&](const auto& entry) { return IsUnused(entry.second); });
+void CrashQuarantine::RemoveUnused() {
+  std::erase_if(m_contents, [&](const auto& entry) { return IsUnused(entry.second); });
 }
 
-// Keeps the companions that the part also has in another request; the first request sets them.
-void PromptQuarantine::KeepCommon(State& state, const std::vector<PromptPartId>& others) {
+// Keeps the companions that the key also has in another request; the first request sets them.
+void CrashQuarantine::KeepCommon(State& state, const std::vector<ContentKey>& others) {
   if (state.crashes.empty() && !state.is_blocked) {
     state.companions.assign(others.begin(), others.begin() + std::min(others.size(), kMaxCompanions));
     return;
   }
-  std::erase_if(state.companions, [&](const PromptPartId& part) { return !Contains(others, part); });
+  std::erase_if(state.companions, [&](const ContentKey& key) { return !Contains(others, key); });
 }
 
-void PromptQuarantine::AddCrash(const PromptPartId& part, State& state, const Crash& crash) {
+void CrashQuarantine::AddCrash(const ContentKey& key, State& state, const Crash& crash) {
   const TimePoint now = m_clock.GetNow();
   state.used_at = std::max(state.used_at, crash.at);
   if (state.answered_at.has_value() && crash.at <= *state.answered_at + kAnswerProtection) return;
@@ -132,22 +132,22 @@
   state.crashes.push_back(crash);
   if (!state.is_blocked && HasProof(state)) {
     state.first_crash_at = GetFirstCrash(state).at;
-    Block(part, state, false);
+    Block(key, state, false);
   }
 }
 
-const PromptQuarantine::Crash& PromptQuarantine::GetFirstCrash(const State& state) {
+const CrashQuarantine::Crash& CrashQuarantine::GetFirstCrash(const State& state) {
   return *std::min_element(state.crashes.begin(), state.crashes.end(),
                            [](const Crash& a, const Crash& b) { return a.at < b.at; });
 }
 
-int PromptQuarantine::GetWeight(const State& state) {
+int CrashQuarantine::GetWeight(const State& state) {
   int weight = 0;
   for (const Crash& crash : state.crashes) weight += crash.has_header ? kWeightWithHeader : kWeightWithoutHeader;
   return weight;
 }
 
-bool PromptQuarantine::HasProof(const State& state) {
+bool CrashQuarantine::HasProof(const State& state) {
   if (GetWeight(state) < kWeightToBlock) return false;
   const TimePoint first = GetFirstCrash(state).at;
   const auto later_sent = std::count_if(state.crashes.begin(), state.crashes.end(),
@@ -155,18 +155,18 @@
   return static_cast<size_t>(later_sent) >= kLaterSentToBlock;
 }
 
-void PromptQuarantine::Block(const PromptPartId& part, State& state, bool is_from_peer) {
+void CrashQuarantine::Block(const ContentKey& key, State& state, bool is_from_peer) {
   state.is_blocked = true;
   state.trial_at.reset();
   m_has_news = m_has_news || !is_from_peer;
   const Duration age = m_clock.GetNow() - state.first_crash_at;
-  m_changes.push_back({part, true, state.crashes.size(), state.companions.size(), age, is_from_peer});
+  m_changes.push_back({key, true, state.crashes.size(), state.companions.size(), age, is_from_peer});
 }
 
-void PromptQuarantine::Clear(const PromptPartId& part, State& state, TimePoint answered_at, bool is_from_peer) {
+void CrashQuarantine::Clear(const ContentKey& key, State& state, TimePoint answered_at, bool is_from_peer) {
   if (state.answered_at.has_value() && answered_at <= *state.answered_at) return;
-  // The part is not the cause where it occurred together with others.
-  for (auto& [other, other_state] : m_parts) std::erase(other_state.companions, part);
+  // The key is not the cause where it occurred together with others.
+  for (auto& [other, other_state] : m_contents) std::erase(other_state.companions, key);
   const bool had_evidence = state.is_blocked || !state.crashes.empty();
   const TimePoint protected_until = answered_at + kAnswerProtection;
   std::erase_if(state.crashes, [&](const Crash& crash) { return crash.at <= protected_until; });
@@ -176,74 +176,73 @@
     state.trials = 0;
     state.trial_at.reset();
     const Duration age = m_clock.GetNow() - state.first_crash_at;
-    m_changes.push_back({part, false, state.crashes.size(), state.companions.size(), age, is_from_peer});
+    m_changes.push_back({key, false, state.crashes.size(), state.companions.size(), age, is_from_peer});
   }
   if (state.crashes.empty()) state.companions.clear();
   m_has_news = m_has_news || (!is_from_peer && had_evidence);
 }
 
-bool PromptQuarantine::Matches(const PromptPartId& part, const State& state,
-                               const std::vector<PromptPartId>& parts) const {
-  if (!state.is_blocked || !Contains(parts, part)) return false;
+bool CrashQuarantine::Matches(const ContentKey& key, const State& state, const std::vector<ContentKey>& keys) const {
+  if (!state.is_blocked || !Contains(keys, key)) return false;
   return std::all_of(state.companions.begin(), state.companions.end(),
-                     [&](const PromptPartId& companion) { return Contains(parts, companion); });
+                     [&](const ContentKey& companion) { return Contains(keys, companion); });
 }
 
-bool PromptQuarantine::IsBlocked(const std::vector<PromptPartId>& parts) const {
-  return std::any_of(parts.begin(), parts.end(), [&](const PromptPartId& part) {
-    const auto found = m_parts.find(part);
-    return found != m_parts.end() && Matches(part, found->second, parts);
+bool CrashQuarantine::IsBlocked(const std::vector<ContentKey>& keys) const {
+  return std::any_of(keys.begin(), keys.end(), [&](const ContentKey& key) {
+    const auto found = m_contents.find(key);
+    return found != m_contents.end() && Matches(key, found->second, keys);
   });
 }
 
-bool PromptQuarantine::IsSuspect(const std::vector<PromptPartId>& parts) const {
-  return std::any_of(parts.begin(), parts.end(), [&](const PromptPartId& part) {
-    const auto found = m_parts.find(part);
-    if (found == m_parts.end()) return false;
-    return GetWeight(found->second) >= kWeightToSuspect || Matches(part, found->second, parts);
+bool CrashQuarantine::IsSuspect(const std::vector<ContentKey>& keys) const {
+  return std::any_of(keys.begin(), keys.end(), [&](const ContentKey& key) {
+    const auto found = m_contents.find(key);
+    if (found == m_contents.end()) return false;
+    return GetWeight(found->second) >= kWeightToSuspect || Matches(key, found->second, keys);
   });
 }
 
-bool PromptQuarantine::IsTrialDue(const State& state) const {
+bool CrashQuarantine::IsTrialDue(const State& state) const {
   if (!m_is_trial_owner || state.trials >= kTrialDelays.size()) return false;
   const TimePoint now = m_clock.GetNow();
   if (state.trial_at.has_value() && now - *state.trial_at < kTrialTimeout) return false;
   return now - state.last_crash_at >= kTrialDelays.at(state.trials);
 }
 
-PromptAdmission PromptQuarantine::Admit(const std::vector<PromptPartId>& parts) {
+ContentAdmission CrashQuarantine::Admit(const std::vector<ContentKey>& keys) {
   RemoveUnused();
   const TimePoint now = m_clock.GetNow();
   State* blocked = nullptr;
-  for (const PromptPartId& part : parts) {
-    const auto found = m_parts.find(part);
-    if (found == m_parts.end() || !Matches(part, found->second, parts)) continue;
+  for (const ContentKey& key : keys) {
+    const auto found = m_contents.find(key);
+    if (found == m_contents.end() || !Matches(key, found->second, keys)) continue;
     found->second.used_at = now;
-    if (!IsTrialDue(found->second)) return PromptAdmission::kBlocked;
+    if (!IsTrialDue(found->second)) return ContentAdmission::kBlocked;
     blocked = &found->second;
   }
-  if (blocked == nullptr) return PromptAdmission::kAllowed;
+  if (blocked == nullptr) return ContentAdmission::kAllowed;
   blocked->trial_at = now;
-  return PromptAdmission::kTrial;
+  return ContentAdmission::kTrial;
 }
 
-std::vector<PromptPartReport> PromptQuarantine::GetReports() const {
+std::vector<ContentReport> CrashQuarantine::GetReports() const {
   const TimePoint now = m_clock.GetNow();
-  std::vector<std::pair<const PromptPartId*, const State*>> chosen;
-  for (const auto& [part, state] : m_parts) {
+  std::vector<std::pair<const ContentKey*, const State*>> chosen;
+  for (const auto& [key, state] : m_contents) {
     if (IsUnused(state)) continue;
     const bool is_answer_news = state.answered_at.has_value() && now - *state.answered_at < kAnswerReportTime;
-    if (state.is_blocked || !state.crashes.empty() || is_answer_news) chosen.emplace_back(&part, &state);
+    if (state.is_blocked || !state.crashes.empty() || is_answer_news) chosen.emplace_back(&key, &state);
   }
   std::stable_sort(chosen.begin(), chosen.end(), [](const auto& a, const auto& b) {
     return std::pair(a.second->is_blocked, a.second->crashes.size()) >
            std::pair(b.second->is_blocked, b.second->crashes.size());
   });
   if (chosen.size() > kMaxReports) chosen.resize(kMaxReports);
-  std::vector<PromptPartReport> reports;
-  for (const auto& [part, state] : chosen) {
-    PromptPartReport report;
-    report.part = *part;
+  std::vector<ContentReport> reports;
+  for (const auto& [key, state] : chosen) {
+    ContentReport report;
+    report.key = *key;
     report.companions = state->companions;
     report.trials = state->trials;
     report.used_age = now - state->used_at;
@@ -260,20 +259,20 @@
   return reports;
 }
 
-void PromptQuarantine::ApplyReports(const std::vector<PromptPartReport>& reports) {
-  for (const PromptPartReport& report : reports) ApplyReport(report);
+void CrashQuarantine::ApplyReports(const std::vector<ContentReport>& reports) {
+  for (const ContentReport& report : reports) ApplyReport(report);
 }
 
-void PromptQuarantine::ApplyReport(const PromptPartReport& report) {
+void CrashQuarantine::ApplyReport(const ContentReport& report) {
   const TimePoint now = m_clock.GetNow();
   const bool is_blocked = report.blocked_age.has_value();
-  if (!is_blocked && report.crashes.empty() && !m_parts.contains(report.part)) return;
-  const bool is_new = !m_parts.contains(report.part);
-  State* state = FindOrAdd(report.part, is_blocked);
+  if (!is_blocked && report.crashes.empty() && !m_contents.contains(report.key)) return;
+  const bool is_new = !m_contents.contains(report.key);
+  State* state = FindOrAdd(report.key, is_blocked);
   if (state == nullptr) return;
   const TimePoint used_at = now - report.used_age;
   state->used_at = is_new ? used_at : std::max(state->used_at, used_at);
-  if (report.answered_age.has_value()) Clear(report.part, *state, now - *report.answered_age, true);
+  if (report.answered_age.has_value()) Clear(report.key, *state, now - *report.answered_age, true);
   if (!is_blocked && report.crashes.empty()) return;
   KeepCommon(*state, report.companions);
   if (is_blocked) {
@@ -283,21 +282,21 @@
     state->trials = std::max(state->trials, report.trials);
     if (state->is_blocked) return;
     state->first_crash_at = first_crash_at;
-    Block(report.part, *state, true);
+    Block(report.key, *state, true);
     return;
   }
-  for (const PromptCrash& crash : report.crashes) {
-    AddCrash(report.part, *state, {crash.run, now - crash.age, now - crash.sent_age, crash.has_header});
+  for (const ContentCrash& crash : report.crashes) {
+    AddCrash(report.key, *state, {crash.run, now - crash.age, now - crash.sent_age, crash.has_header});
   }
 }
 
-std::vector<PromptQuarantine::Change> PromptQuarantine::TakeChanges() { return std::exchange(m_changes, {}); }
+std::vector<CrashQuarantine::Change> CrashQuarantine::TakeChanges() { return std::exchange(m_changes, {}); }
 
-bool PromptQuarantine::TakeHasNews() { return std::exchange(m_has_news, false); }
+bool CrashQuarantine::TakeHasNews() { return std::exchange(m_has_news, false); }
 
-size_t PromptQuarantine::GetBlockedCount() const {
+size_t CrashQuarantine::GetBlockedCount() const {
   return static_cast<size_t>(
-      std::count_if(m_parts.begin(), m_parts.end(), [](const auto& entry) { return entry.second.is_blocked; }));
+      std::count_if(m_contents.begin(), m_contents.end(), [](const auto& entry) { return entry.second.is_blocked; }));
 }
 
 }  // namespace plantain
--- /dev/null
+++ b/src/crash_report_type.h
@@ -0,0 +1,49 @@
+// What entries tell each other about contents at which endpoints crash.
+
+#ifndef PLANTAIN_CRASH_REPORT_TYPE_H_
+#define PLANTAIN_CRASH_REPORT_TYPE_H_
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "content_key.h"
+#include "core_type.h"
+#include "strong_type.h"
+
+namespace plantain {
+
+// Hash that identifies one run of an endpoint, from its start to its end.
+using EndpointRun = StrongNumber<struct EndpointRunTag, uint64_t>;
+
+// The end of an endpoint's run while it was about to answer a request.
+struct ContentCrash {
+  EndpointRun run;
+  Duration age{};
+  // Time since the request was sent to the endpoint.
+  Duration sent_age{};
+  // Whether the header of the answer had come, so that the endpoint ended while it began to answer this request.
+  bool has_header = false;
+};
+
+// What one entry knows about a content, as sent to other entries.
+struct ContentReport {
+  ContentKey key;
+  // Not sent once the key is blocked.
+  std::vector<ContentCrash> crashes;
+  // Other keys that all requests had whose endpoints ended.
+  std::vector<ContentKey> companions;
+  // Time since the first and the last of a blocked key's crashes; `blocked_age` is unset for one that is not blocked.
+  std::optional<Duration> blocked_age;
+  Duration last_crash_age{};
+  // Time since an entry last saw a request with this key.
+  Duration used_age{};
+  // Number of trials after which the key stayed blocked.
+  uint32_t trials = 0;
+  // Time since an answer to a request with this key began; unset if none is known.
+  std::optional<Duration> answered_age;
+};
+
+}  // namespace plantain
+
+#endif  // PLANTAIN_CRASH_REPORT_TYPE_H_
--- a/src/fleet_type.h
+++ b/src/fleet_type.h
@@ -21,9 +21,6 @@
 // Version number of a model's weights; only increases.
 using WeightVersion = StrongNumber<struct WeightVersionTag, uint64_t>;
 
-// Id of a part of a prompt. Equal parts of different prompts have the same id.
-using PromptPartId = StrongString<struct PromptPartIdTag>;
-
 // Determines whether a request may be retried after its first attempt failed.
 enum class RequestKind {
   // May run any number of times.
--- a/src/forward_service.cpp
+++ b/src/forward_service.cpp
@@ -103,8 +103,8 @@
 
 void ForwardService::OnBeacon(const BeaconInfo& beacon) {
   if (beacon.load.has_value()) m_loads.push_back(*beacon.load);
-  m_received_prompt_reports.insert(m_received_prompt_reports.end(), beacon.prompt_parts.begin(),
-                                   beacon.prompt_parts.end());
+  m_received_content_reports.insert(m_received_content_reports.end(), beacon.content_reports.begin(),
+                                    beacon.content_reports.end());
   const RateReport& rates = beacon.rates;
   if (!rates.statements.empty() || !rates.grants.empty()) m_received_rate_reports.emplace_back(beacon.vm, rates);
 }
@@ -112,7 +112,7 @@
 void ForwardService::FillBeacon(BeaconInfo& beacon) {
   const std::lock_guard lock(m_beacon_mutex);
   beacon.demand = m_demand;
-  beacon.prompt_parts = m_prompt_reports;
+  beacon.content_reports = m_content_reports;
   beacon.rates = m_rate_report;
 }
 
@@ -126,16 +126,16 @@
 
 void ForwardService::TransferBeacons() {
   const bool is_due = ++m_transfer_number % kQuietTransferDivisor == 0;
-  const bool has_news = !m_loads.empty() || !m_received_prompt_reports.empty() || !m_received_rate_reports.empty();
+  const bool has_news = !m_loads.empty() || !m_received_content_reports.empty() || !m_received_rate_reports.empty();
   if (!has_news && !is_due) return;
   m_loop.Post([this, view = MakeEntryView(), loads = std::exchange(m_loads, {}),
-               prompt_reports = std::exchange(m_received_prompt_reports, {}),
+               content_reports = std::exchange(m_received_content_reports, {}),
                rate_reports = std::exchange(m_received_rate_reports, {})]() mutable {
     if (m_traffic == nullptr) return;
     view.entries.push_back({m_parts.vm, m_traffic->GetDemand()});
     ShareState(view.entries.back().requests_per_s);
     m_traffic->SetEntries(std::move(view));
-    m_traffic->ApplyPromptReports(prompt_reports);
+    m_traffic->ApplyContentReports(content_reports);
     for (const auto& [from, report] : rate_reports) m_traffic->ApplyRateReport(from, report);
     m_traffic->OnLoad(loads);
   });
@@ -156,11 +156,11 @@
 
 // Makes the traffic loop's state available for beacons.
 void ForwardService::ShareState(std::map<PoolName, double> demand) {
-  std::vector<PromptPartReport> prompt_reports = m_traffic->GetPromptReports();
+  std::vector<ContentReport> content_reports = m_traffic->GetContentReports();
   RateReport rate_report = m_traffic->GetRateReport();
   const std::lock_guard lock(m_beacon_mutex);
   m_demand = std::move(demand);
-  m_prompt_reports = std::move(prompt_reports);
+  m_content_reports = std::move(content_reports);
   m_rate_report = std::move(rate_report);
 }
 
--- a/src/forward_service.h
+++ b/src/forward_service.h
@@ -64,12 +64,12 @@
   // Guards the next three, which the traffic loop writes and the control thread reads.
   std::mutex m_beacon_mutex;
   std::map<PoolName, double> m_demand;
-  std::vector<PromptPartReport> m_prompt_reports;
+  std::vector<ContentReport> m_content_reports;
   RateReport m_rate_report;
   // Loads received since the last transfer to the traffic loop. Accessed only on the control thread.
   std::vector<EndpointLoad> m_loads;
   // The same for reports of other entries about prompt parts.
-  std::vector<PromptPartReport> m_received_prompt_reports;
+  std::vector<ContentReport> m_received_content_reports;
   // The same for reports about the request rates of endpoints, by sender.
   std::vector<std::pair<VmId, RateReport>> m_received_rate_reports;
   uint64_t m_transfer_number = 0;
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -43,11 +43,11 @@
   return version.value_or(WeightVersion()).Get();
 }
 
-std::string FormatParts(const std::vector<PromptPartId>& parts) {
+std::string FormatParts(const std::vector<ContentKey>& parts) {
   std::string text;
-  for (const PromptPartId& part : parts) {
+  for (const ContentKey& part : parts) {
     if (!text.empty()) text += ',';
-    text += part.Get();
+    text += part.id;
   }
   return text;
 }
@@ -91,8 +91,8 @@
 }
 
 bool ForwardTraffic::TakeHasNews() {
-  const bool has_prompt_news = m_quarantine.TakeHasNews();
-  return std::exchange(m_has_rate_news, false) || has_prompt_news;
+  const bool has_content_news = m_quarantine.TakeHasNews();
+  return std::exchange(m_has_rate_news, false) || has_content_news;
 }
 
 std::map<PoolName, double> ForwardTraffic::GetDemand() const {
@@ -238,7 +238,7 @@
 }
 
 void ForwardTraffic::Enqueue(ActiveRequest& active) {
-  if (m_quarantine.Admit(active.GetRequest().shared_parts) == PromptAdmission::kBlocked) {
+  if (m_quarantine.Admit(active.GetRequest().shared_parts) == ContentAdmission::kBlocked) {
     RefuseBlocked(active);
     return;
   }
@@ -281,12 +281,12 @@
 }
 
 // Logs parts that have been blocked or cleared, and checks queued and sent requests again if one was blocked.
-void ForwardTraffic::ApplyPromptChanges() {
+void ForwardTraffic::ApplyContentChanges() {
   bool has_blocked = false;
-  for (const PromptQuarantine::Change& change : m_quarantine.TakeChanges()) {
+  for (const CrashQuarantine::Change& change : m_quarantine.TakeChanges()) {
     has_blocked = has_blocked || change.is_blocked;
     LogEvent(LogLevel::kWarn, change.is_blocked ? "prompt_part_blocked" : "prompt_part_cleared",
-             {{"part", change.part},
+             {{"part", change.key.id},
               {"crashes", change.crashes},
               {"companions", change.companions},
               {"age_ms", ToMilliseconds(change.age)},
@@ -330,7 +330,7 @@
 void ForwardTraffic::CheckDue() {
   const TimePoint now = m_clock.GetNow();
   m_ended_requests.clear();
-  ApplyPromptChanges();
+  ApplyContentChanges();
   m_balancer.GetRateLimits().GrantDue();
   LogRateChanges();
   for (auto& [pool, state] : m_pools) {
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -11,12 +11,12 @@
 
 #include "active_request.h"
 #include "clock.h"
+#include "crash_quarantine.h"
 #include "endpoint_balancer.h"
 #include "event_rate.h"
 #include "forward_metrics.h"
 #include "forward_type.h"
 #include "http_server.h"
-#include "prompt_quarantine.h"
 #include "random.h"
 #include "retry_budget.h"
 #include "route_match.h"
@@ -55,8 +55,8 @@
     m_balancer.GetRateLimits().ApplyReport(from, report);
   }
   // Exchange what entries know about prompt parts at which endpoints crash.
-  std::vector<PromptPartReport> GetPromptReports() const { return m_quarantine.GetReports(); }
-  void ApplyPromptReports(const std::vector<PromptPartReport>& reports) { m_quarantine.ApplyReports(reports); }
+  std::vector<ContentReport> GetContentReports() const { return m_quarantine.GetReports(); }
+  void ApplyContentReports(const std::vector<ContentReport>& reports) { m_quarantine.ApplyReports(reports); }
   // Returns whether other entries should get the reports at once, and resets this.
   bool TakeHasNews();
   void OnLoad(const std::vector<EndpointLoad>& loads);
@@ -100,7 +100,7 @@
   bool TryDispatch(ActiveRequest& active, NoEndpointReason& why);
   void RefuseQueued(ActiveRequest& active, ForwardFailure failure);
   void RefuseBlocked(ActiveRequest& active);
-  void ApplyPromptChanges();
+  void ApplyContentChanges();
   void LogRateChanges();
   void DispatchQueued(const PoolName& pool);
   PoolState& GetPool(const PoolName& pool);
@@ -129,7 +129,7 @@
   const ForwardOptions m_options;
   ActiveRequestDeps m_request_deps;
   EndpointBalancer m_balancer;
-  PromptQuarantine m_quarantine;
+  CrashQuarantine m_quarantine;
   bool m_has_rate_news = false;
   // Number of entries that share the retry budget.
   size_t m_entry_count = 1;
--- a/src/forward_type.h
+++ b/src/forward_type.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
+#include "content_key.h"
 #include "fleet_type.h"
 #include "http_type.h"
 
@@ -36,7 +37,7 @@
   // ID of the last stream event that the caller has received.
   std::optional<uint64_t> last_event_id;
   // Parts of the prompt that other requests may share, in order; at most kMaxSharedParts.
-  std::vector<PromptPartId> shared_parts;
+  std::vector<ContentKey> shared_parts;
   HttpRequest http;
 };
 
--- a/tests/prompt_quarantine_test.cpp
+++ b/tests/crash_quarantine_test.cpp
@@ -1,4 +1,4 @@
-#include "prompt_quarantine.h"
+#include "crash_quarantine.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -12,15 +12,15 @@
 namespace plantain {
 namespace {
 
-std::vector<PromptPartId> MakeParts(const std::vector<std::string>& names) {
-  std::vector<PromptPartId> parts;
-  for (const std::string& name : names) parts.emplace_back(name);
+std::vector<ContentKey> MakeParts(const std::vector<std::string>& names) {
+  std::vector<ContentKey> parts;
+  for (const std::string& name : names) parts.push_back({ContentKind::kPromptPart, name});
   return parts;
 }
 
 struct QuarantineFixture {
   // Sends a request after some time and ends the endpoint that works on it.
-  void Crash(const std::vector<std::string>& parts, PromptQuarantine& quarantine) {
+  void Crash(const std::vector<std::string>& parts, CrashQuarantine& quarantine) {
     clock.Advance(Milliseconds(100));
     const TimePoint sent_at = clock.GetNow();
     clock.Advance(Milliseconds(100));
@@ -30,8 +30,8 @@
   bool IsBlocked(const std::vector<std::string>& parts) const { return here.IsBlocked(MakeParts(parts)); }
 
   VirtualClock clock;
-  PromptQuarantine here{clock};
-  PromptQuarantine peer{clock};
+  CrashQuarantine here{clock};
+  CrashQuarantine peer{clock};
   uint64_t run = 0;
 };
 
@@ -85,7 +85,7 @@
     fixture.here.ApplyReports(fixture.peer.GetReports());
     CHECK_FALSE(fixture.IsBlocked({"bad"}));
     SECTION("also when a third entry repeats the old evidence") {
-      PromptQuarantine third(fixture.clock);
+      CrashQuarantine third(fixture.clock);
       fixture.here.ApplyReports(third.GetReports());
       CHECK_FALSE(fixture.IsBlocked({"bad"}));
     }
@@ -165,23 +165,23 @@
   fixture.peer.ApplyReports(fixture.here.GetReports());
   fixture.here.SetTrialOwner(true);
   const auto bad = MakeParts({"bad"});
-  CHECK(fixture.here.Admit(bad) == PromptAdmission::kBlocked);
+  CHECK(fixture.here.Admit(bad) == ContentAdmission::kBlocked);
   fixture.clock.Advance(std::chrono::minutes(11));
-  CHECK(fixture.peer.Admit(bad) == PromptAdmission::kBlocked);
-  REQUIRE(fixture.here.Admit(bad) == PromptAdmission::kTrial);
-  CHECK(fixture.here.Admit(bad) == PromptAdmission::kBlocked);
+  CHECK(fixture.peer.Admit(bad) == ContentAdmission::kBlocked);
+  REQUIRE(fixture.here.Admit(bad) == ContentAdmission::kTrial);
+  CHECK(fixture.here.Admit(bad) == ContentAdmission::kBlocked);
 
   SECTION("an endpoint that ends again delays the next trial, for all entries") {
     fixture.here.OnCrash(bad, EndpointRun(99), fixture.clock.GetNow(), true);
     fixture.peer.ApplyReports(fixture.here.GetReports());
     fixture.peer.SetTrialOwner(true);
     fixture.clock.Advance(std::chrono::minutes(11));
-    CHECK(fixture.here.Admit(bad) == PromptAdmission::kBlocked);
-    CHECK(fixture.peer.Admit(bad) == PromptAdmission::kBlocked);
+    CHECK(fixture.here.Admit(bad) == ContentAdmission::kBlocked);
+    CHECK(fixture.peer.Admit(bad) == ContentAdmission::kBlocked);
     SECTION("and after three trials there is none any more") {
       for (int hours = 0; hours < 48; ++hours) {
         fixture.clock.Advance(std::chrono::minutes(59));
-        if (fixture.here.Admit(bad) == PromptAdmission::kTrial) {
+        if (fixture.here.Admit(bad) == ContentAdmission::kTrial) {
           fixture.here.OnCrash(bad, EndpointRun(200 + hours), fixture.clock.GetNow(), true);
         }
       }
@@ -192,8 +192,8 @@
     fixture.clock.Advance(Milliseconds(100));
     fixture.here.OnAnswered(bad);
     fixture.peer.ApplyReports(fixture.here.GetReports());
-    CHECK(fixture.here.Admit(bad) == PromptAdmission::kAllowed);
-    CHECK(fixture.peer.Admit(bad) == PromptAdmission::kAllowed);
+    CHECK(fixture.here.Admit(bad) == ContentAdmission::kAllowed);
+    CHECK(fixture.peer.Admit(bad) == ContentAdmission::kAllowed);
   }
 }
 
@@ -208,8 +208,8 @@
   }
   CHECK(fixture.here.GetReports().empty());
   CHECK(fixture.peer.GetReports().empty());
-  CHECK(fixture.here.Admit(MakeParts({"bad"})) == PromptAdmission::kAllowed);
-  CHECK(fixture.peer.Admit(MakeParts({"bad"})) == PromptAdmission::kAllowed);
+  CHECK(fixture.here.Admit(MakeParts({"bad"})) == ContentAdmission::kAllowed);
+  CHECK(fixture.peer.Admit(MakeParts({"bad"})) == ContentAdmission::kAllowed);
 
   SECTION("a caller with countless parts does not displace a blocked one") {
     for (int i = 0; i < 4; ++i) fixture.Crash({"bad2"});
@@ -224,7 +224,7 @@
  public:
   FleetSimulation(size_t entries, size_t engines, uint64_t seed) : m_random(seed), m_engines(engines) {
     for (size_t i = 0; i < entries; ++i) {
-      m_entries.push_back(std::make_unique<PromptQuarantine>(m_clock));
+      m_entries.push_back(std::make_unique<CrashQuarantine>(m_clock));
       m_started.push_back(m_clock.GetNow());
     }
   }
@@ -242,13 +242,13 @@
   }
   void CrashEngine(size_t index) { Crash(m_engines.at(index)); }
   void Restart(size_t entry) {
-    m_entries.at(entry) = std::make_unique<PromptQuarantine>(m_clock);
+    m_entries.at(entry) = std::make_unique<CrashQuarantine>(m_clock);
     m_started.at(entry) = m_clock.GetNow();
     ExchangeReports();
   }
   // An entry that starts announces itself and is answered at once.
   void Join() {
-    m_entries.push_back(std::make_unique<PromptQuarantine>(m_clock));
+    m_entries.push_back(std::make_unique<CrashQuarantine>(m_clock));
     m_started.push_back(m_clock.GetNow());
     ExchangeReports();
   }
@@ -268,7 +268,7 @@
 
   struct Attempt {
     size_t entry;
-    std::vector<PromptPartId> parts;
+    std::vector<ContentKey> parts;
     TimePoint sent_at;
     TimePoint begins_at;
   };
@@ -313,7 +313,7 @@
     for (size_t i = 0; i < engine.reading.size(); ++i) {
       if (engine.reading[i].begins_at > now) continue;
       const Attempt attempt = engine.reading[i];
-      if (attempt.parts.back() == PromptPartId("bad")) {
+      if (attempt.parts.back() == ContentKey{ContentKind::kPromptPart, "bad"}) {
         if (++m_bad_ends == 5) m_fifth_end = now;
         Crash(engine);
         return;
@@ -327,7 +327,8 @@
     const EndpointRun run(1000 * ++engine.run + static_cast<uint64_t>(&engine - m_engines.data()));
     for (const Attempt& attempt : engine.reading) {
       // The header of an answer comes with its first event, except at the bad part.
-      const bool has_header = attempt.parts.back() == PromptPartId("bad") && attempt.begins_at <= m_clock.GetNow();
+      const bool has_header =
+          attempt.parts.back() == ContentKey{ContentKind::kPromptPart, "bad"} && attempt.begins_at <= m_clock.GetNow();
       m_entries[attempt.entry]->OnCrash(attempt.parts, run, attempt.sent_at, has_header);
     }
     engine.reading.clear();
@@ -345,7 +346,7 @@
   }
 
   SeededRandom m_random;
-  std::vector<std::unique_ptr<PromptQuarantine>> m_entries;
+  std::vector<std::unique_ptr<CrashQuarantine>> m_entries;
   std::vector<TimePoint> m_started;
   std::vector<Engine> m_engines;
   int m_steps = 0;
