Stop sending a request that crashes each endpoint that runs it

What callers saw: a service with three endpoints was away for seconds, came back and was away again, because one lookup ended all endpoints whenever they were back.

Cause: evidence of endpoints that end was kept for parts of prompts only. A request without a prompt left none, so that its repeat, its caller's repeat and the next equal request took the next endpoints.

Fix: a whole request is a second kind of content in the quarantine: a digest of workspace, method, host, target and body. Three ends over all entries block it, with at least one sent after the first end and no answer since. An end that a blocked content explains, an endpoint that answers a later request, and one that had said that it leaves are no evidence. A request with two ends is not repeated, not sent to the last endpoint, and not sent twice at a time. News of ends reach other entries' traffic loops without waiting for a batch. An error answer of the endpoint counts as an answer.

tests/forward_prompt_test.cpp: its requests were equal but for the prompt, so that three ends now block them as whole requests; each has a path of its own now, as in the incident, and the checks are the same. The failure is called blocked_content.

--- a/bench/_hosted_fleet.py
+++ b/bench/_hosted_fleet.py
@@ -337,7 +337,7 @@
             head, parts = make_plain_head(method, path.format(own), key), []
         else:
             parts = [*self.random.choice(flow.shared), own]
-            path, head = PROMPT_PATH + "1", make_prompt_head(parts)
+            path, head = PROMPT_PATH + own, make_prompt_head(own, parts)
         for attempt in range(2):
             answer = await self.send(flow, entry, head, parts)
             answer.path = path.format(own)
@@ -390,9 +390,9 @@
                 answer.first_event_s = time.monotonic() - answer.sent_at
 
 
-def make_prompt_head(parts):
+def make_prompt_head(own, parts):
     prefix = ",".join(f"{part}:{300 if i else 40}" for i, part in enumerate(parts))
-    return (f"POST {PROMPT_PATH}1 HTTP/1.1\r\nHost: {HOST}\r\nPlantainmast-Deadline-Ms: 6000\r\n"
+    return (f"POST {PROMPT_PATH}{own} HTTP/1.1\r\nHost: {HOST}\r\nPlantainmast-Deadline-Ms: 6000\r\n"
             f"Plantainmast-Model: {MODEL}\r\nPlantainmast-Token-Usage: 900,100\r\n"
             f"Plantainmast-Prefix-Hash: {prefix}\r\n")
 
--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -254,7 +254,7 @@
   }
   HttpResponse response{head.status, head.headers, std::move(m_response_body)};
   const bool is_error = head.status >= kFirstServerError;
-  if (!is_error) m_deps.host.OnAnswerBegun(*this);
+  m_deps.host.OnAnswerBegun(*this);
   EndAttempt(is_error ? AttemptEnd::kError : AttemptEnd::kSuccess);
   if (m_has_events) {
     // The response to a resumed stream is not a stream.
@@ -313,7 +313,7 @@
     return;
   }
   if (may_have_run && !m_deps.host.IsRepeatWorthwhile(*this)) {
-    FailWithoutRetry(m_may_have_run, reason + "; endpoints crash at a part of the prompt");
+    FailWithoutRetry(m_may_have_run, reason + "; endpoints crash at this content");
     return;
   }
   if (outcome != AttemptOutcome::kNotSent && !m_deps.host.TryAcquireRetry(*this)) {
@@ -350,8 +350,8 @@
   }
   // Status 503 guarantees that the request has not run, so it must not be sent for one that may have.
   if (m_may_have_run && GetForwardFailureStatus(failure) == 503) failure = ForwardFailure::kBrokenAnswer;
-  // A repeat of a request with a blocked prompt would be refused too.
-  const bool may_come_back = GetForwardFailureStatus(failure) == 503 && failure != ForwardFailure::kBlockedPrompt;
+  // A repeat of a request with blocked content would be refused too.
+  const bool may_come_back = GetForwardFailureStatus(failure) == 503 && failure != ForwardFailure::kBlockedContent;
   m_responder->Send(
       MakeForwardErrorResponse(failure, may_come_back ? m_deps.host.SuggestRetryAfter(*this) : Duration::zero()));
   FinishRequest(GetForwardFailureStatus(failure), failure, std::move(reason));
--- a/src/active_request.h
+++ b/src/active_request.h
@@ -149,6 +149,10 @@
 
   // Returns the key of the whole request. It is computed when it is first needed.
   const ContentKey& GetRequestKey() const;
+  // Returns the endpoint of the last attempt, its incarnation, and when the attempt was sent.
+  const EndpointId& GetEndpoint() const { return m_endpoint; }
+  Incarnation GetEndpointIncarnation() const { return m_endpoint_incarnation; }
+  TimePoint GetSentAt() const { return m_sent_at; }
 
   bool IsEnded() const { return m_is_ended; }
   bool IsWaiting() const { return m_call == nullptr && !m_is_ended; }
--- a/src/beacon_table.cpp
+++ b/src/beacon_table.cpp
@@ -57,6 +57,7 @@
 
 void EncodeContent(const ContentReport& report, proto::ContentEvidence& out) {
   out.set_id(report.key.id);
+  out.set_kind(static_cast<uint32_t>(report.key.kind));
   for (const ContentCrash& crash : report.crashes) {
     proto::ContentCrash* added = out.add_crashes();
     added->set_run(crash.run.Get());
@@ -78,7 +79,7 @@
 
 ContentReport DecodeContent(const proto::ContentEvidence& in) {
   ContentReport report;
-  report.key = {ContentKind::kPromptPart, in.id()};
+  report.key = {static_cast<ContentKind>(in.kind()), in.id()};
   for (const proto::ContentCrash& crash : in.crashes()) {
     report.crashes.push_back(
         {EndpointRun(crash.run()), DecodeAge(crash.age_ms()), DecodeAge(crash.sent_age_ms()), crash.has_header()});
@@ -93,7 +94,9 @@
 }
 
 bool IsBounded(const proto::ContentEvidence& content) {
-  return content.crashes_size() <= kMaxContentListSize && content.companions_size() <= kMaxContentListSize;
+  const bool is_known_kind = content.kind() <= static_cast<uint32_t>(ContentKind::kRequest);
+  return is_known_kind && content.crashes_size() <= kMaxContentListSize &&
+         content.companions_size() <= kMaxContentListSize;
 }
 
 void EncodeRates(const RateReport& rates, proto::Beacon& out) {
--- a/src/crash_quarantine.cpp
+++ b/src/crash_quarantine.cpp
@@ -2,20 +2,29 @@
 
 #include <algorithm>
 #include <array>
+#include <tuple>
 #include <utility>
 
 namespace plantain {
 namespace {
 
-// Weights of an endpoint's end, without and with the header of the answer.
-constexpr int kWeightWithoutHeader = 1;
-constexpr int kWeightWithHeader = 2;
-// Sum of weights at which a key is blocked, and how many of the requests must have been sent after the first end. With
-// less, a rare key whose requests happened to be at failing endpoints could be blocked.
-constexpr int kWeightToBlock = 8;
-constexpr size_t kLaterSentToBlock = 2;
-// Sum of weights from which a request with the key is not repeated.
-constexpr int kWeightToSuspect = 4;
+// How much evidence of a kind is needed.
+struct EvidenceRules {
+  // Weights of an endpoint's end, without and with the header of the answer.
+  int weight_without_header;
+  int weight_with_header;
+  // Sum of weights at which a key is blocked, and from which a request with it is not repeated.
+  int weight_to_block;
+  int weight_to_suspect;
+  // How many of the requests must have been sent after the first end.
+  size_t later_sent_to_block;
+};
+
+// With less, a rare part whose requests happened to be at failing endpoints could be blocked.
+constexpr EvidenceRules kPromptPartRules = {1, 2, 8, 4, 2};
+// A whole request is in no end by the frequency of its parts; three ends without an answer between are enough.
+constexpr EvidenceRules kRequestRules = {1, 1, 3, 2, 1};
+
 // Ends kept for one key.
 constexpr size_t kMaxCrashes = 8;
 // Evidence older than this is dropped.
@@ -23,6 +32,8 @@
 // An endpoint's end is no evidence against a key if an answer with it began at some entry this long before it or
 // later. It protects frequent keys while endpoints fail together and reports of answers are still on their way.
 constexpr Duration kAnswerProtection = Milliseconds(1000);
+// Exceeds the time in which an endpoint that ended is back.
+constexpr Duration kMaxRestartTime = std::chrono::seconds(10);
 // Time for which an answer is reported to peers that may hold older evidence.
 constexpr Duration kAnswerReportTime = std::chrono::seconds(10);
 // Delays from the last end to a trial whether a blocked key still ends endpoints. After these the key stays blocked
@@ -34,11 +45,15 @@
 // A blocked key that no request at any entry has named for this time is forgotten.
 constexpr Duration kMaxUnusedTime = std::chrono::hours(1);
 // Limits on the memory used, and on what is sent to peers.
-constexpr size_t kMaxContents = 64;
-constexpr size_t kMaxReports = 8;
+constexpr size_t kMaxContents = 128;
+constexpr size_t kMaxReportsPerKind = 8;
 constexpr size_t kMaxAnswered = 512;
 constexpr size_t kMaxCompanions = 8;
 
+const EvidenceRules& GetRules(const ContentKey& key) {
+  return key.kind == ContentKind::kRequest ? kRequestRules : kPromptPartRules;
+}
+
 bool Contains(const std::vector<ContentKey>& keys, const ContentKey& key) {
   return std::find(keys.begin(), keys.end(), key) != keys.end();
 }
@@ -63,7 +78,7 @@
     State* state = FindOrAdd(key, false);
     if (state == nullptr) continue;
     std::vector<ContentKey> others = suspects;
-    std::erase(others, key);
+    std::erase_if(others, [&key](const ContentKey& other) { return other == key || other.kind != key.kind; });
     KeepCommon(*state, others);
     AddCrash(key, *state, {run, now, sent_at, has_header});
     m_has_news = true;
@@ -87,7 +102,10 @@
   RemoveUnused();
   if (m_contents.size() >= kMaxContents) {
     const auto weakest = std::min_element(m_contents.begin(), m_contents.end(), [](const auto& a, const auto& b) {
-      return std::pair(a.second.is_blocked, a.second.used_at) < std::pair(b.second.is_blocked, b.second.used_at);
+      const auto get_rank = [](const State& state) {
+        return std::tuple(state.is_blocked, state.crashes.size(), state.used_at);
+      };
+      return get_rank(a.second) < get_rank(b.second);
     });
     if (weakest->second.is_blocked && !is_blocked) return nullptr;
     m_contents.erase(weakest);
@@ -120,6 +138,7 @@
   const TimePoint now = m_clock.GetNow();
   state.used_at = std::max(state.used_at, crash.at);
   if (state.answered_at.has_value() && crash.at <= *state.answered_at + kAnswerProtection) return;
+  if (IsDisproved(crash) || IsExplained(key, crash.run)) return;
   std::erase_if(state.crashes, [&](const Crash& old) { return now - old.at > kMaxCrashAge; });
   const bool is_known =
       std::any_of(state.crashes.begin(), state.crashes.end(), [&](const Crash& old) { return old.run == crash.run; });
@@ -130,7 +149,7 @@
   state.last_crash_at = std::max(state.last_crash_at, crash.at);
   if (is_known || state.crashes.size() >= kMaxCrashes) return;
   state.crashes.push_back(crash);
-  if (!state.is_blocked && HasProof(state)) {
+  if (!state.is_blocked && HasProof(key, state)) {
     state.first_crash_at = GetFirstCrash(state).at;
     Block(key, state, false);
   }
@@ -141,23 +160,88 @@
                            [](const Crash& a, const Crash& b) { return a.at < b.at; });
 }
 
-int CrashQuarantine::GetWeight(const State& state) {
+int CrashQuarantine::GetWeight(const ContentKey& key, const State& state) {
+  const EvidenceRules& rules = GetRules(key);
   int weight = 0;
-  for (const Crash& crash : state.crashes) weight += crash.has_header ? kWeightWithHeader : kWeightWithoutHeader;
+  for (const Crash& crash : state.crashes) {
+    weight += crash.has_header ? rules.weight_with_header : rules.weight_without_header;
+  }
   return weight;
 }
 
-bool CrashQuarantine::HasProof(const State& state) {
-  if (GetWeight(state) < kWeightToBlock) return false;
+bool CrashQuarantine::HasProof(const ContentKey& key, const State& state) {
+  if (GetWeight(key, state) < GetRules(key).weight_to_block) return false;
   const TimePoint first = GetFirstCrash(state).at;
   const auto later_sent = std::count_if(state.crashes.begin(), state.crashes.end(),
-                                        [&](const Crash& crash) { return crash.sent_at > first; });
-  return static_cast<size_t>(later_sent) >= kLaterSentToBlock;
+                                        [&](const Crash& crash) { return crash.sent_at >= first; });
+  return static_cast<size_t>(later_sent) >= GetRules(key).later_sent_to_block;
+}
+
+// A whole request was at these endpoints together with the blocked content, which explains their ends.
+void CrashQuarantine::Explain(const ContentKey& key, const State& state) {
+  for (auto& [other, other_state] : m_contents) {
+    if (other == key || other.kind != ContentKind::kRequest || other_state.is_blocked) continue;
+    std::erase_if(other_state.crashes, [&](const Crash& crash) {
+      return std::any_of(state.crashes.begin(), state.crashes.end(),
+                         [&](const Crash& explained) { return explained.run == crash.run; });
+    });
+  }
+}
+
+bool CrashQuarantine::IsExplained(const ContentKey& key, EndpointRun run) const {
+  if (key.kind != ContentKind::kRequest) return false;
+  return std::any_of(m_contents.begin(), m_contents.end(), [&](const auto& entry) {
+    const auto& [other, state] = entry;
+    return other != key && state.is_blocked &&
+           std::any_of(state.crashes.begin(), state.crashes.end(),
+                       [&](const Crash& crash) { return crash.run == run; });
+  });
+}
+
+bool CrashQuarantine::IsDisproved(const Crash& crash) const {
+  const auto found = m_alive_runs.find(crash.run);
+  return found != m_alive_runs.end() && crash.at < found->second;
+}
+
+void CrashQuarantine::OnRunAnswered(EndpointRun run, TimePoint sent_at) {
+  bool is_disproved = false;
+  for (auto& [key, state] : m_contents) {
+    if (state.is_blocked) continue;
+    is_disproved |=
+        std::erase_if(state.crashes, [&](const Crash& crash) { return crash.run == run && crash.at < sent_at; }) > 0;
+  }
+  if (!is_disproved) return;
+  const TimePoint now = m_clock.GetNow();
+  std::erase_if(m_alive_runs, [&](const auto& alive) { return now - alive.second > kMaxCrashAge; });
+  // Peers repeat the evidence until they have an answer of their own.
+  m_alive_runs[run] = sent_at;
+}
+
+bool CrashQuarantine::HasEnded(EndpointRun run) const {
+  return std::any_of(m_contents.begin(), m_contents.end(), [&](const auto& entry) {
+    const std::vector<Crash>& crashes = entry.second.crashes;
+    return std::any_of(crashes.begin(), crashes.end(), [&](const Crash& crash) { return crash.run == run; });
+  });
+}
+
+bool CrashQuarantine::HasRecentEnd(const std::vector<ContentKey>& keys) const {
+  const TimePoint now = m_clock.GetNow();
+  return std::any_of(keys.begin(), keys.end(), [&](const ContentKey& key) {
+    const auto found = m_contents.find(key);
+    return found != m_contents.end() && !found->second.crashes.empty() &&
+           now - found->second.last_crash_at < kMaxRestartTime;
+  });
+}
+
+bool CrashQuarantine::KnowsRequests() const {
+  // Keys are ordered by their kind.
+  return !m_contents.empty() && m_contents.rbegin()->first.kind == ContentKind::kRequest;
 }
 
 void CrashQuarantine::Block(const ContentKey& key, State& state, bool is_from_peer) {
   state.is_blocked = true;
   state.trial_at.reset();
+  Explain(key, state);
   m_has_news = m_has_news || !is_from_peer;
   const Duration age = m_clock.GetNow() - state.first_crash_at;
   m_changes.push_back({key, true, state.crashes.size(), state.companions.size(), age, is_from_peer});
@@ -199,7 +283,7 @@
   return std::any_of(keys.begin(), keys.end(), [&](const ContentKey& key) {
     const auto found = m_contents.find(key);
     if (found == m_contents.end()) return false;
-    return GetWeight(found->second) >= kWeightToSuspect || Matches(key, found->second, keys);
+    return GetWeight(key, found->second) >= GetRules(key).weight_to_suspect || Matches(key, found->second, keys);
   });
 }
 
@@ -235,12 +319,15 @@
     if (state.is_blocked || !state.crashes.empty() || is_answer_news) chosen.emplace_back(&key, &state);
   }
   std::stable_sort(chosen.begin(), chosen.end(), [](const auto& a, const auto& b) {
-    return std::pair(a.second->is_blocked, a.second->crashes.size()) >
-           std::pair(b.second->is_blocked, b.second->crashes.size());
+    const auto get_rank = [](const State& state) {
+      return std::tuple(state.is_blocked, state.crashes.size(), state.last_crash_at);
+    };
+    return get_rank(*a.second) > get_rank(*b.second);
   });
-  if (chosen.size() > kMaxReports) chosen.resize(kMaxReports);
   std::vector<ContentReport> reports;
+  std::map<ContentKind, size_t> counts;
   for (const auto& [key, state] : chosen) {
+    if (++counts[key->kind] > kMaxReportsPerKind) continue;
     ContentReport report;
     report.key = *key;
     report.companions = state->companions;
@@ -249,10 +336,9 @@
     if (state->is_blocked) {
       report.blocked_age = now - state->first_crash_at;
       report.last_crash_age = now - state->last_crash_at;
-    } else {
-      for (const Crash& crash : state->crashes)
-        report.crashes.push_back({crash.run, now - crash.at, now - crash.sent_at, crash.has_header});
     }
+    for (const Crash& crash : state->crashes)
+      report.crashes.push_back({crash.run, now - crash.at, now - crash.sent_at, crash.has_header});
     if (state->answered_at.has_value()) report.answered_age = now - *state->answered_at;
     reports.push_back(std::move(report));
   }
@@ -282,6 +368,10 @@
     state->trials = std::max(state->trials, report.trials);
     if (state->is_blocked) return;
     state->first_crash_at = first_crash_at;
+    state->crashes.clear();
+    for (const ContentCrash& crash : report.crashes) {
+      state->crashes.push_back({crash.run, now - crash.age, now - crash.sent_age, crash.has_header});
+    }
     Block(report.key, *state, true);
     return;
   }
--- a/src/crash_quarantine.h
+++ b/src/crash_quarantine.h
@@ -20,13 +20,15 @@
   kBlocked,
 };
 
-// Load pattern: requests that share one key arrive at every entry, and each one ends the endpoint that begins to
-// answer it. A key is blocked after the ends of four runs of endpoints, counted over all entries. Evidence for a key
-// is an endpoint that ends before the answer's first event; if not even the answer's header had come, the end counts
-// half, because the endpoint may have been at work on other requests. An answer that begins is proof against it.
-// Endpoints that fail together, for example in a power failure, end requests that were all sent before the first end;
-// so some of the requests must have been sent after it. Keys that always occurred together are blocked only together,
-// because either may be the cause.
+// Load pattern: requests with a common content arrive at every entry, and each one ends the endpoint that runs it. The
+// content is a part of their prompts, or the whole request that comes again and again. It is blocked after the ends of
+// some runs of endpoints, counted over all entries. Evidence is an endpoint that ends before the answer's first event.
+// An end before the answer's header counts less against a prompt part, because the endpoint may have been at work on
+// other requests; a whole request is no such coincidence if it comes up again. An answer that begins is proof to the
+// contrary, and so is an answer of the endpoint to a request that was sent after its supposed end. Endpoints that fail
+// together, for example in a power failure, end requests that were all sent before the first end; so some of the
+// requests must have been sent after it. Parts that always occurred together are blocked only together, because either
+// may be the cause. Ends at a blocked content are no evidence against the requests that were there too.
 //
 // All entries exchange their evidence and answers. Used on one traffic loop.
 class CrashQuarantine {
@@ -39,9 +41,20 @@
   // Records that the answer to a request with these keys has begun.
   void OnAnswered(const std::vector<ContentKey>& keys);
 
-  // Whether a request that was at an endpoint when it ended is not worth a second endpoint: other endpoints have ended
+  // Records that an endpoint's run answered a request that was sent at `sent_at`, so that it had not ended before.
+  void OnRunAnswered(EndpointRun run, TimePoint sent_at);
+
+  // Whether a request that was at an endpoint when it ended is not worth another endpoint: other endpoints have ended
   // at one of its keys too.
   bool IsSuspect(const std::vector<ContentKey>& keys) const;
+  // Whether an endpoint has ended at one of these keys so lately that it cannot be back.
+  bool HasRecentEnd(const std::vector<ContentKey>& keys) const;
+  // Whether a run is known to have ended.
+  bool HasEnded(EndpointRun run) const;
+  // Whether anything is known about whole requests, so that their keys are needed for more than ends.
+  bool KnowsRequests() const;
+  // Whether anything is known at all.
+  bool IsEmpty() const { return m_contents.empty(); }
   // Whether a request must not be sent to an endpoint.
   bool IsBlocked(const std::vector<ContentKey>& keys) const;
   // Decides about a request that is about to be sent, and records a trial that it allows.
@@ -98,8 +111,11 @@
   void ApplyReport(const ContentReport& report);
   void KeepCommon(State& state, const std::vector<ContentKey>& others);
   static const Crash& GetFirstCrash(const State& state);
-  static int GetWeight(const State& state);
-  static bool HasProof(const State& state);
+  static int GetWeight(const ContentKey& key, const State& state);
+  static bool HasProof(const ContentKey& key, const State& state);
+  void Explain(const ContentKey& key, const State& state);
+  bool IsExplained(const ContentKey& key, EndpointRun run) const;
+  bool IsDisproved(const Crash& crash) const;
   bool IsTrialDue(const State& state) const;
   // Returns the time of the last answer with a key that began here, or nothing if none is remembered.
   std::optional<TimePoint> GetLastAnswer(const ContentKey& key) const;
@@ -111,6 +127,8 @@
   std::map<ContentKey, State> m_contents;
   // Last answers that began here, by key.
   std::map<ContentKey, TimePoint> m_answered;
+  // Runs that answered after their supposed end, with the time at which the answered request was sent.
+  std::map<EndpointRun, TimePoint> m_alive_runs;
   std::vector<Change> m_changes;
   bool m_has_news = false;
   bool m_is_trial_owner = false;
--- a/src/crash_report_type.h
+++ b/src/crash_report_type.h
@@ -29,9 +29,8 @@
 // What one entry knows about a content, as sent to other entries.
 struct ContentReport {
   ContentKey key;
-  // Not sent once the key is blocked.
   std::vector<ContentCrash> crashes;
-  // Other keys that all requests had whose endpoints ended.
+  // Other keys of the same kind that all requests had whose endpoints ended.
   std::vector<ContentKey> companions;
   // Time since the first and the last of a blocked key's crashes; `blocked_age` is unset for one that is not blocked.
   std::optional<Duration> blocked_age;
--- a/src/forward_metrics.cpp
+++ b/src/forward_metrics.cpp
@@ -110,8 +110,8 @@
       .Set(static_cast<double>(count));
 }
 
-void ForwardMetrics::SetBlockedParts(size_t count) {
-  m_metrics.GetGauge("plantain_forward_blocked_prompt_parts", "Prompt parts that are not sent because endpoints crash.")
+void ForwardMetrics::SetBlockedContents(size_t count) {
+  m_metrics.GetGauge("plantain_forward_blocked_contents", "Contents that are not sent because endpoints crash.")
       .Set(static_cast<double>(count));
 }
 
--- a/src/forward_metrics.h
+++ b/src/forward_metrics.h
@@ -18,7 +18,7 @@
   void CountRefusedRequest(ForwardFailure failure);
   void CountAttempt(AttemptEnd end);
   void SetInFlight(size_t count);
-  void SetBlockedParts(size_t count);
+  void SetBlockedContents(size_t count);
   void SetLimitedEndpoints(size_t count);
 
  private:
--- a/src/forward_service.cpp
+++ b/src/forward_service.cpp
@@ -80,6 +80,7 @@
 
 absl::Status ForwardService::Start() {
   if (absl::Status status = m_server->Start(); !status.ok()) return status;
+  m_traffic->SetCrashListener([this] { SendNews(); });
   m_tick_timer = m_loop.RunEvery(kTickInterval, [this] { Tick(); });
   m_load_timer = m_parts.control_loop.RunEvery(kTransferInterval, [this] { TransferBeacons(); });
   return absl::OkStatus();
@@ -103,8 +104,12 @@
 
 void ForwardService::OnBeacon(const BeaconInfo& beacon) {
   if (beacon.load.has_value()) m_loads.push_back(*beacon.load);
-  m_received_content_reports.insert(m_received_content_reports.end(), beacon.content_reports.begin(),
-                                    beacon.content_reports.end());
+  // Not held back for the next batch: a request that crashes endpoints comes to the next entry within milliseconds.
+  if (!beacon.content_reports.empty()) {
+    m_loop.Post([this, reports = beacon.content_reports] {
+      if (m_traffic != nullptr) m_traffic->ApplyContentReports(reports);
+    });
+  }
   const RateReport& rates = beacon.rates;
   if (!rates.statements.empty() || !rates.grants.empty()) m_received_rate_reports.emplace_back(beacon.vm, rates);
 }
@@ -126,16 +131,14 @@
 
 void ForwardService::TransferBeacons() {
   const bool is_due = ++m_transfer_number % kQuietTransferDivisor == 0;
-  const bool has_news = !m_loads.empty() || !m_received_content_reports.empty() || !m_received_rate_reports.empty();
+  const bool has_news = !m_loads.empty() || !m_received_rate_reports.empty();
   if (!has_news && !is_due) return;
   m_loop.Post([this, view = MakeEntryView(), loads = std::exchange(m_loads, {}),
-               content_reports = std::exchange(m_received_content_reports, {}),
                rate_reports = std::exchange(m_received_rate_reports, {})]() mutable {
     if (m_traffic == nullptr) return;
     view.entries.push_back({m_parts.vm, m_traffic->GetDemand()});
     ShareState(view.entries.back().requests_per_s);
     m_traffic->SetEntries(std::move(view));
-    m_traffic->ApplyContentReports(content_reports);
     for (const auto& [from, report] : rate_reports) m_traffic->ApplyRateReport(from, report);
     m_traffic->OnLoad(loads);
   });
@@ -167,6 +170,10 @@
 void ForwardService::Tick() {
   m_traffic->CheckDue();
   m_in_flight = std::max(m_traffic->GetInFlight(), m_server->GetInFlight());
+  SendNews();
+}
+
+void ForwardService::SendNews() {
   if (!m_traffic->TakeHasNews()) return;
   ShareState(m_traffic->GetDemand());
   m_parts.control_loop.Post([this] { m_relay.SendNow(); });
--- a/src/forward_service.h
+++ b/src/forward_service.h
@@ -47,6 +47,8 @@
   EntryView MakeEntryView() const;
   void ShareState(std::map<PoolName, double> demand);
   void Tick();
+  // Sends what other entries need to know at once.
+  void SendNews();
   void CheckDrained();
 
   ProcessParts& m_parts;
@@ -69,7 +71,6 @@
   // Loads received since the last transfer to the traffic loop. Accessed only on the control thread.
   std::vector<EndpointLoad> m_loads;
   // The same for reports of other entries about prompt parts.
-  std::vector<ContentReport> m_received_content_reports;
   // The same for reports about the request rates of endpoints, by sender.
   std::vector<std::pair<VmId, RateReport>> m_received_rate_reports;
   uint64_t m_transfer_number = 0;
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -43,6 +43,10 @@
   return version.value_or(WeightVersion()).Get();
 }
 
+EndpointRun GetRun(const EndpointId& endpoint, Incarnation incarnation) {
+  return EndpointRun(HashName(endpoint.Get() + '/' + std::to_string(incarnation.Get())));
+}
+
 std::string FormatParts(const std::vector<ContentKey>& parts) {
   std::string text;
   for (const ContentKey& part : parts) {
@@ -226,7 +230,38 @@
   return query;
 }
 
+// Returns what is known to end endpoints or not by: the parts of the prompt, and the whole request if any is known.
+std::vector<ContentKey> ForwardTraffic::GetContentKeys(const ActiveRequest& active) const {
+  std::vector<ContentKey> keys = active.GetRequest().shared_parts;
+  if (m_quarantine.KnowsRequests()) keys.push_back(active.GetRequestKey());
+  return keys;
+}
+
+// Whether a request at which endpoints have just crashed would run at the only endpoint left, which is kept for other
+// requests until those endpoints are back, or at another endpoint while it already runs at one.
+bool ForwardTraffic::EndangersEndpoints(const ActiveRequest& active) const {
+  if (m_quarantine.IsEmpty()) return false;
+  const std::vector<ContentKey> keys = GetContentKeys(active);
+  if (!m_quarantine.IsSuspect(keys) || !m_quarantine.HasRecentEnd(keys)) return false;
+  const bool runs_already = std::any_of(m_active_requests.begin(), m_active_requests.end(), [&](const auto& entry) {
+    const ActiveRequest& other = *entry.second;
+    return !other.IsWaiting() && other.GetRequestKey() == active.GetRequestKey();
+  });
+  if (runs_already) return true;
+  const auto usable =
+      std::count_if(m_fleet->endpoints.begin(), m_fleet->endpoints.end(), [&](const EndpointInfo& endpoint) {
+        const bool is_in_service = !endpoint.is_leaving && !m_fleet->zones_out.contains(endpoint.zone);
+        return endpoint.pool == active.GetPool() && is_in_service &&
+               !m_quarantine.HasEnded(GetRun(endpoint.id, endpoint.incarnation));
+      });
+  return usable <= 1;
+}
+
 bool ForwardTraffic::TryDispatch(ActiveRequest& active, NoEndpointReason& why) {
+  if (EndangersEndpoints(active)) {
+    why = NoEndpointReason::kBackedOff;
+    return false;
+  }
   const EndpointQuery query = MakeQuery(active);
   const EndpointChoice choice = m_balancer.Choose(query);
   why = choice.failure;
@@ -238,10 +273,14 @@
 }
 
 void ForwardTraffic::Enqueue(ActiveRequest& active) {
-  if (m_quarantine.Admit(active.GetRequest().shared_parts) == ContentAdmission::kBlocked) {
+  if (!m_quarantine.IsEmpty() && m_quarantine.Admit(GetContentKeys(active)) == ContentAdmission::kBlocked) {
     RefuseBlocked(active);
     return;
   }
+  if (EndangersEndpoints(active)) {
+    active.Fail(ForwardFailure::kNoEndpoint, "kept from the endpoints left: others crashed at this content");
+    return;
+  }
   const TimePoint now = m_clock.GetNow();
   WaitQueue& wait_queue = GetPool(active.GetPool()).wait_queue;
   const WaitingRequest entry{active.GetTicket(), active.GetMatch().priority,
@@ -277,32 +316,33 @@
 }
 
 void ForwardTraffic::RefuseBlocked(ActiveRequest& active) {
-  active.Fail(ForwardFailure::kBlockedPrompt, "endpoints crash at a part of the prompt");
+  active.Fail(ForwardFailure::kBlockedContent, "endpoints crash at this content");
 }
 
-// Logs parts that have been blocked or cleared, and checks queued and sent requests again if one was blocked.
+// Logs contents that have been blocked or cleared, and checks queued and sent requests again if one was blocked.
 void ForwardTraffic::ApplyContentChanges() {
   bool has_blocked = false;
   for (const CrashQuarantine::Change& change : m_quarantine.TakeChanges()) {
     has_blocked = has_blocked || change.is_blocked;
-    LogEvent(LogLevel::kWarn, change.is_blocked ? "prompt_part_blocked" : "prompt_part_cleared",
-             {{"part", change.key.id},
+    LogEvent(LogLevel::kWarn, change.is_blocked ? "content_blocked" : "content_cleared",
+             {{"kind", GetContentKindName(change.key.kind)},
+              {"content", change.key.id},
               {"crashes", change.crashes},
               {"companions", change.companions},
               {"age_ms", ToMilliseconds(change.age)},
               {"source", change.is_from_peer ? "peer" : "own"}});
   }
-  m_metrics.SetBlockedParts(m_quarantine.GetBlockedCount());
+  m_metrics.SetBlockedContents(m_quarantine.GetBlockedCount());
   if (!has_blocked) return;
   std::vector<std::shared_ptr<ActiveRequest>> blocked;
   for (const auto& [ticket, active] : m_active_requests) {
-    if (m_quarantine.IsBlocked(active->GetRequest().shared_parts)) blocked.push_back(active);
+    if (m_quarantine.IsBlocked(GetContentKeys(*active))) blocked.push_back(active);
   }
   for (const auto& active : blocked) {
     if (active->IsWaiting()) {
       RefuseBlocked(*active);
     } else {
-      active->WithdrawAttempt("endpoints crash at a part of the prompt");
+      active->WithdrawAttempt("endpoints crash at this content");
     }
   }
 }
@@ -380,15 +420,32 @@
   m_metrics.SetLimitedEndpoints(m_balancer.GetRateLimits().GetLimitCount());
 }
 
-void ForwardTraffic::OnAnswerBegun(ActiveRequest& active) { m_quarantine.OnAnswered(active.GetRequest().shared_parts); }
+void ForwardTraffic::OnAnswerBegun(ActiveRequest& active) {
+  if (!m_quarantine.IsEmpty()) {
+    m_quarantine.OnRunAnswered(GetRun(active.GetEndpoint(), active.GetEndpointIncarnation()), active.GetSentAt());
+  }
+  m_quarantine.OnAnswered(m_quarantine.KnowsRequests() ? GetContentKeys(active) : active.GetRequest().shared_parts);
+}
+
+// Records a lost connection as the end of the endpoint, unless it was about to end anyway.
+void ForwardTraffic::RecordCrash(const ActiveRequest& active, const EndedAttempt& attempt) {
+  const auto& endpoints = m_fleet->endpoints;
+  const bool is_leaving = std::any_of(endpoints.begin(), endpoints.end(), [&](const EndpointInfo& endpoint) {
+    return endpoint.id == attempt.endpoint && endpoint.is_leaving;
+  });
+  if (is_leaving) return;
+  std::vector<ContentKey> keys = active.GetRequest().shared_parts;
+  keys.push_back(active.GetRequestKey());
+  m_quarantine.OnCrash(keys, GetRun(attempt.endpoint, attempt.incarnation), attempt.sent_at,
+                       attempt.progress == AnswerProgress::kHeader);
+  if (m_on_crash) m_on_crash();
+}
 
 void ForwardTraffic::OnAttemptEnded(ActiveRequest& active, const EndedAttempt& attempt) {
   m_metrics.CountAttempt(attempt.end);
   m_balancer.OnEnded(attempt.endpoint, attempt.end);
   if (attempt.end == AttemptEnd::kConnectionLost && attempt.progress != AnswerProgress::kBegun) {
-    const EndpointRun run(HashName(attempt.endpoint.Get() + '/' + std::to_string(attempt.incarnation.Get())));
-    m_quarantine.OnCrash(active.GetRequest().shared_parts, run, attempt.sent_at,
-                         attempt.progress == AnswerProgress::kHeader);
+    RecordCrash(active, attempt);
   }
   if (attempt.end == AttemptEnd::kSuccess) return;
   LogEvent(LogLevel::kInfo, "attempt_failed",
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -3,6 +3,7 @@
 #ifndef PLANTAIN_FORWARD_TRAFFIC_H_
 #define PLANTAIN_FORWARD_TRAFFIC_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <unordered_map>
@@ -54,11 +55,14 @@
   void ApplyRateReport(const VmId& from, const RateReport& report) {
     m_balancer.GetRateLimits().ApplyReport(from, report);
   }
-  // Exchange what entries know about prompt parts at which endpoints crash.
+  // Exchange what entries know about contents at which endpoints crash.
   std::vector<ContentReport> GetContentReports() const { return m_quarantine.GetReports(); }
   void ApplyContentReports(const std::vector<ContentReport>& reports) { m_quarantine.ApplyReports(reports); }
   // Returns whether other entries should get the reports at once, and resets this.
   bool TakeHasNews();
+  // Calls `listener` when an endpoint has ended at some content, so that other entries hear of it before the caller's
+  // repeat reaches them.
+  void SetCrashListener(std::function<void()> listener) { m_on_crash = std::move(listener); }
   void OnLoad(const std::vector<EndpointLoad>& loads);
 
   void HandleHttp(HttpRequest http, const std::shared_ptr<HttpResponder>& responder);
@@ -99,6 +103,8 @@
   EndpointQuery MakeQuery(const ActiveRequest& active) const;
   bool TryDispatch(ActiveRequest& active, NoEndpointReason& why);
   void RefuseQueued(ActiveRequest& active, ForwardFailure failure);
+  std::vector<ContentKey> GetContentKeys(const ActiveRequest& active) const;
+  bool EndangersEndpoints(const ActiveRequest& active) const;
   void RefuseBlocked(ActiveRequest& active);
   void ApplyContentChanges();
   void LogRateChanges();
@@ -112,9 +118,10 @@
   void OnResponseHead(const EndpointId& endpoint, const ResponseHead& head) override;
   void OnAnswerBegun(ActiveRequest& active) override;
   bool IsRepeatWorthwhile(const ActiveRequest& active) const override {
-    return !m_quarantine.IsSuspect(active.GetRequest().shared_parts);
+    return m_quarantine.IsEmpty() || !m_quarantine.IsSuspect(GetContentKeys(active));
   }
   void OnAttemptEnded(ActiveRequest& active, const EndedAttempt& attempt) override;
+  void RecordCrash(const ActiveRequest& active, const EndedAttempt& attempt);
   void RequestAttempt(ActiveRequest& active) override;
   bool TryAcquireRetry(ActiveRequest& active) override;
   Duration SuggestRetryAfter(ActiveRequest& active) override { return GetRetryAfter(active); }
@@ -130,6 +137,7 @@
   ActiveRequestDeps m_request_deps;
   EndpointBalancer m_balancer;
   CrashQuarantine m_quarantine;
+  std::function<void()> m_on_crash;
   bool m_has_rate_news = false;
   // Number of entries that share the retry budget.
   size_t m_entry_count = 1;
--- a/src/forward_type.cpp
+++ b/src/forward_type.cpp
@@ -65,8 +65,8 @@
       return "broken_answer";
     case ForwardFailure::kTimeout:
       return "timeout";
-    case ForwardFailure::kBlockedPrompt:
-      return "blocked_prompt";
+    case ForwardFailure::kBlockedContent:
+      return "blocked_content";
     case ForwardFailure::kCallerGone:
       return "caller_gone";
   }
--- a/src/forward_type.h
+++ b/src/forward_type.h
@@ -111,8 +111,8 @@
   // The response was truncated or invalid.
   kBrokenAnswer,
   kTimeout,
-  // Endpoints crash at a part of the request's prompt.
-  kBlockedPrompt,
+  // Endpoints crash at the request's content.
+  kBlockedContent,
   // The caller disconnected.
   kCallerGone,
 };
--- a/src/request_diagnosis.cpp
+++ b/src/request_diagnosis.cpp
@@ -142,8 +142,8 @@
       return "endpoint_error";
     case OutcomeCause::kBrokenAnswer:
       return "broken_answer";
-    case OutcomeCause::kBlockedPrompt:
-      return "blocked_prompt";
+    case OutcomeCause::kBlockedContent:
+      return "blocked_content";
     case OutcomeCause::kCallerGone:
       return "caller_gone";
   }
@@ -223,8 +223,8 @@
       return OutcomeCause::kNoConfig;
     case ForwardFailure::kDraining:
       return OutcomeCause::kEntryStopping;
-    case ForwardFailure::kBlockedPrompt:
-      return OutcomeCause::kBlockedPrompt;
+    case ForwardFailure::kBlockedContent:
+      return OutcomeCause::kBlockedContent;
     case ForwardFailure::kCallerGone:
       return OutcomeCause::kCallerGone;
     case ForwardFailure::kOverloaded:
--- a/src/request_diagnosis.h
+++ b/src/request_diagnosis.h
@@ -58,7 +58,7 @@
   // The endpoint answered with an error.
   kEndpointError,
   kBrokenAnswer,
-  kBlockedPrompt,
+  kBlockedContent,
   kCallerGone,
 };
 
--- a/tests/forward_prompt_test.cpp
+++ b/tests/forward_prompt_test.cpp
@@ -23,6 +23,11 @@
     return engines;
   }
 
+  // Sends a request whose prompt has these shared parts. No two requests are alike.
+  std::shared_ptr<FakeForwardCaller> SendPrompt(const std::string& shared) {
+    return SendRequest("/draft/" + std::to_string(++request), "6000", MakePrompt(shared));
+  }
+
   // Ends the engines of all attempts that are open, before any event but after the header of their answers. New engines
   // take their places.
   void CrashAll() {
@@ -38,6 +43,7 @@
     AdvanceTime(Milliseconds(500));
   }
 
+  int request = 0;
   size_t next_open = 0;
   int generation = 0;
 };
@@ -47,7 +53,7 @@
   PromptFixture fixture;
   std::shared_ptr<FakeForwardCaller> caller;
   for (int i = 0; i < 13; ++i) {
-    caller = fixture.SendRequest("/draft/1", "6000", MakePrompt("5c1e07a2:40,bad0bad0:400"));
+    caller = fixture.SendPrompt("5c1e07a2:40,bad0bad0:400");
     fixture.CrashAll();
   }
   CHECK(fixture.sender.GetCount() >= 4);
@@ -55,12 +61,12 @@
 
   SECTION("the caller is told at once that it has not run, and not when to come back") {
     CHECK(caller->status == 503);
-    CHECK(caller->body.find("blocked_prompt") != std::string::npos);
+    CHECK(caller->body.find("blocked_content") != std::string::npos);
     CHECK(caller->headers.Find("Retry-After").empty());
   }
   SECTION("a request with the same other part is sent") {
     const size_t sent = fixture.sender.GetCount();
-    fixture.SendRequest("/draft/1", "6000", MakePrompt("5c1e07a2:40,91bd3f06:400"));
+    fixture.SendPrompt("5c1e07a2:40,91bd3f06:400");
     CHECK(fixture.sender.GetCount() == sent + 1);
   }
 }
@@ -69,14 +75,14 @@
 TEST_CASE("When a prompt part is blocked, requests with it that have not begun are withdrawn and not repeated") {
   PromptFixture fixture;
   for (int i = 0; i < 2; ++i) {
-    fixture.SendRequest("/draft/1", "6000", MakePrompt("bad0bad0:400"));
+    fixture.SendPrompt("bad0bad0:400");
     fixture.CrashAll();
   }
-  const auto open = fixture.SendRequest("/draft/1", "6000", MakePrompt("bad0bad0:400"));
-  const auto sound = fixture.SendRequest("/draft/1", "6000", MakePrompt("91bd3f06:400"));
+  const auto open = fixture.SendPrompt("bad0bad0:400");
+  const auto sound = fixture.SendPrompt("91bd3f06:400");
   FakeAttemptSender::Sent& open_attempt = fixture.sender.At(fixture.sender.GetCount() - 2);
   FakeAttemptSender::Sent& sound_attempt = fixture.sender.At(fixture.sender.GetCount() - 1);
-  fixture.SendRequest("/draft/1", "6000", MakePrompt("bad0bad0:400"));
+  fixture.SendPrompt("bad0bad0:400");
   fixture.sender.At(fixture.sender.GetCount() - 1).BeginStream();
   fixture.sender.At(fixture.sender.GetCount() - 1).FinishResponse(MakeFailure(FailureCode::kConnectionLost, "reset"));
   fixture.AdvanceTime(Milliseconds(20));
