--- a/src/crash_quarantine.cpp
+++ b/src/crash_quarantine.cpp
@@ -22,7 +22,7 @@
 
 // With less, a rare part whose requests happened to be at failing endpoints could be blocked.
 constexpr EvidenceRules kPromptPartRules = {1, 2, 8, 4, 2};
-// A whole request is in no end by the frequency of its parts; three ends without an answer between are enough.
+// Requests that only share a part with a bad one have other keys, so that three ends without an answer are enough.
 constexpr EvidenceRules kRequestRules = {1, 1, 3, 2, 1};
 
 // Ends kept for one key.
