--- a/src/forward_service.cpp
+++ b/src/forward_service.cpp
@@ -80,7 +80,7 @@
 
 absl::Status ForwardService::Start() {
   if (absl::Status status = m_server->Start(); !status.ok()) return status;
-  m_traffic->SetCrashListener([this] { SendNews(); });
+  m_traffic->SetCrashListener([this] { OnCrash(); });
   m_tick_timer = m_loop.RunEvery(kTickInterval, [this] { Tick(); });
   m_load_timer = m_parts.control_loop.RunEvery(kTransferInterval, [this] { TransferBeacons(); });
   return absl::OkStatus();
@@ -173,8 +173,14 @@
   SendNews();
 }
 
+// An endpoint that ends loses many requests at once; the first one is news, and the next tick brings the others.
+void ForwardService::OnCrash() {
+  if (m_parts.clock.GetNow() - m_news_sent_at >= kTickInterval) SendNews();
+}
+
 void ForwardService::SendNews() {
   if (!m_traffic->TakeHasNews()) return;
+  m_news_sent_at = m_parts.clock.GetNow();
   ShareState(m_traffic->GetDemand());
   m_parts.control_loop.Post([this] { m_relay.SendNow(); });
 }
--- a/src/forward_service.h
+++ b/src/forward_service.h
@@ -47,6 +47,7 @@
   EntryView MakeEntryView() const;
   void ShareState(std::map<PoolName, double> demand);
   void Tick();
+  void OnCrash();
   // Sends what other entries need to know at once.
   void SendNews();
   void CheckDrained();
@@ -70,9 +71,10 @@
   RateReport m_rate_report;
   // Loads received since the last transfer to the traffic loop. Accessed only on the control thread.
   std::vector<EndpointLoad> m_loads;
-  // The same for reports of other entries about prompt parts.
   // The same for reports about the request rates of endpoints, by sender.
   std::vector<std::pair<VmId, RateReport>> m_received_rate_reports;
+  // When news were last sent. Accessed only on the traffic loop.
+  TimePoint m_news_sent_at;
   uint64_t m_transfer_number = 0;
   std::unique_ptr<Timer> m_load_timer;
   std::atomic<bool> m_is_draining = false;
