--- a/bench/_hosted_fleet.py
+++ b/bench/_hosted_fleet.py
@@ -477,6 +477,18 @@
             child, self.seed + 1, addresses, flows, duration_s)).start()
         self.load_begin = self.callers.recv()
 
+    def wait_until(self, at_s):
+        """Waits until some seconds after the start of the load."""
+        time.sleep(max(0.0, self.load_begin + at_s - time.monotonic()))
+
+    def churn(self, late, join_at_s, restarted, restart_at_s):
+        """Starts one entry and restarts another during the load."""
+        self.wait_until(join_at_s)
+        self.start_entry(late)
+        self.wait_until(restart_at_s)
+        self.kill_entry(restarted)
+        self.start_entry(restarted)
+
     def finish(self):
         """Waits for the callers and returns (answers, arrivals, crashes, first stated limits, scenario's result)."""
         answers = self.callers.recv()
--- a/bench/crashing_request.py
+++ b/bench/crashing_request.py
@@ -58,11 +58,7 @@
         cpu_before = fleet.get_cpu_seconds()
         fleet.start_callers(make_flows(entries, late, bad), DURATION_S)
         if has_churn:
-            time.sleep(max(0.0, fleet.load_begin + JOIN_AT_S - time.monotonic()))
-            fleet.start_entry(late)
-            time.sleep(max(0.0, fleet.load_begin + RESTART_AT_S - time.monotonic()))
-            fleet.kill_entry(restarted)
-            fleet.start_entry(restarted)
+            fleet.churn(late, JOIN_AT_S, restarted, RESTART_AT_S)
         answers, arrivals, crashes, _, _ = fleet.finish()
         return answers, arrivals, crashes, fleet.load_begin, fleet.get_cpu_seconds() - cpu_before, restarted
     finally:
--- a/bench/named_limit.py
+++ b/bench/named_limit.py
@@ -44,11 +44,7 @@
             flows.append(Flow("sound", per_s / entries, JOIN_AT_S + 1, DURATION_S, SHARED, [late]))
         fleet.start_callers(flows, DURATION_S)
         if has_churn:
-            time.sleep(max(0.0, fleet.load_begin + JOIN_AT_S - time.monotonic()))
-            fleet.start_entry(late)
-            time.sleep(max(0.0, fleet.load_begin + RESTART_AT_S - time.monotonic()))
-            fleet.kill_entry(restarted)
-            fleet.start_entry(restarted)
+            fleet.churn(late, JOIN_AT_S, restarted, RESTART_AT_S)
         answers, arrivals, _, stated_at, _ = fleet.finish()
         return answers, arrivals, stated_at, fleet.load_begin + DURATION_S
     finally:
