--- a/src/crash_quarantine.h
+++ b/src/crash_quarantine.h
@@ -24,7 +24,7 @@
 // content is a part of their prompts, or the whole request that comes again and again. It is blocked after the ends of
 // some runs of endpoints, counted over all entries. Evidence is an endpoint that ends before the answer's first event.
 // An end before the answer's header counts less against a prompt part, because the endpoint may have been at work on
-// other requests; a whole request is no such coincidence if it comes up again. An answer that begins is proof to the
+// other requests; ends under one and the same request are no coincidence. An answer that begins is proof to the
 // contrary, and so is an answer of the endpoint to a request that was sent after its supposed end. Endpoints that fail
 // together, for example in a power failure, end requests that were all sent before the first end; so some of the
 // requests must have been sent after it. Parts that always occurred together are blocked only together, because either
--- a/src/fleet_mirror.cpp
+++ b/src/fleet_mirror.cpp
@@ -95,7 +95,7 @@
   if (mirror.ApplyListing(std::move(records), end)) OnChanged(topic, RecordOrigin::kStore);
 }
 
-// What is written from now on has larger offsets than any record that the store holds.
+// Records at or beyond the end that the first read of an era shows are written in that era.
 void FleetMirror::OnEraSeen(FleetTopic topic, LogPosition end) {
   AddEraBound(topic, {end.era, end.era, end.offset});
   TopicMirror& mirror = GetTopic(topic);
@@ -104,7 +104,7 @@
   mirror.has_accepted_store = false;
 }
 
-// Records of peers show as well as those of the store where the log was cut.
+// A peer's record, too, may show that the store has given out an offset again.
 void FleetMirror::ComparePeerRecord(FleetTopic topic, const KeyedRecord& record) {
   const LogHistory& history = GetTopic(topic).history;
   const StoreEra own_era = history.GetEra();
