--- a/bench/_hosted_fleet.py
+++ b/bench/_hosted_fleet.py
@@ -368,9 +368,10 @@
 
     @staticmethod
     async def read_answer(reader, answer):
+        """Reads an answer and returns its fields, or None if the connection ends before its head."""
         head = await read_head(reader)
         if head is None:
-            return
+            return None
         line, fields = head
         answer.status = int(line.split()[1])
         answer.retry_after = fields.get("retry-after", "")
@@ -379,13 +380,13 @@
             answer.is_complete = answer.status == 200
             if not answer.is_complete:
                 answer.error = body.decode(errors="replace")
-            return
+            return fields
         while True:
             size = int((await reader.readline()).split(b";")[0] or b"0", 16)
             data = await reader.readexactly(size + 2)
             if size == 0:
                 answer.is_complete = data == b"\r\n"
-                return
+                return fields
             if answer.first_event_s is None:
                 answer.first_event_s = time.monotonic() - answer.sent_at
 
@@ -470,10 +471,10 @@
         self.processes[index].send_signal(signal.SIGKILL)
         self.processes[index].wait()
 
-    def start_callers(self, flows, duration_s):
+    def start_callers(self, flows, duration_s, run=run_callers):
         self.callers, child = multiprocessing.Pipe()
         addresses = [self.get_address(i) for i in range(self.count)]
-        multiprocessing.Process(target=run_callers, daemon=True, args=(
+        multiprocessing.Process(target=run, daemon=True, args=(
             child, self.seed + 1, addresses, flows, duration_s)).start()
         self.load_begin = self.callers.recv()
 
--- a/src/forward_service.cpp
+++ b/src/forward_service.cpp
@@ -90,6 +90,7 @@
   m_tick_timer.reset();
   m_load_timer.reset();
   m_drain_timer.reset();
+  LogUnfinished();
   m_server.reset();
   m_traffic.reset();
 }
@@ -157,6 +158,18 @@
   return view;
 }
 
+// Logs what the end of the process cuts. Requests that callers expect answers to are listed by their ids.
+void ForwardService::LogUnfinished() const {
+  const size_t requests = m_traffic->GetInFlight();
+  const size_t answers = m_server->GetInFlight();
+  LogEvent(requests + answers > 0 ? LogLevel::kWarn : LogLevel::kInfo, "connections_left",
+           {{"connections", m_server->GetConnectionCount()},
+            {"unread", m_server->CountUnread()},
+            {"answers", answers},
+            {"requests", requests}});
+  m_traffic->LogUnfinished();
+}
+
 // Makes the traffic loop's state available for beacons.
 void ForwardService::ShareState(std::map<PoolName, double> demand) {
   std::vector<ContentReport> content_reports = m_traffic->GetContentReports();
--- a/src/forward_service.h
+++ b/src/forward_service.h
@@ -51,6 +51,7 @@
   // Sends what other entries need to know at once.
   void SendNews();
   void CheckDrained();
+  void LogUnfinished() const;
 
   ProcessParts& m_parts;
   FleetMirror& m_mirror;
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -463,6 +463,19 @@
             {"min_version", GetVersionNumber(active.GetOutcome().min_version)}});
 }
 
+void ForwardTraffic::LogUnfinished() const {
+  for (const auto& [ticket, active] : m_active_requests) {
+    const ActiveRequestOutcome& outcome = active->GetOutcome();
+    LogEvent(LogLevel::kWarn, "request_cut",
+             {{"request", active->GetRequest().id},
+              {"endpoint", outcome.endpoint},
+              {"attempts", outcome.attempts},
+              {"is_waiting", active->IsWaiting()},
+              {"has_events", active->HasEvents()},
+              {"age_ms", ToMilliseconds(m_clock.GetNow() - active->GetStart())}});
+  }
+}
+
 void ForwardTraffic::RequestAttempt(ActiveRequest& active) { Enqueue(active); }
 
 bool ForwardTraffic::TryAcquireRetry(ActiveRequest& active) { return GetPool(active.GetPool()).budget->TryConsume(); }
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -79,6 +79,9 @@
 
   size_t GetInFlight() const { return m_active_requests.size(); }
 
+  // Logs each request that has no final answer yet. Called when the process ends.
+  void LogUnfinished() const;
+
   // Returns the recent request rate for each pool, in requests/s.
   std::map<PoolName, double> GetDemand() const;
 
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -4,6 +4,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -192,6 +193,12 @@
 
   size_t GetUnsentBytes() const override { return m_pending.size() + m_writing.size(); }
 
+  // Whether bytes of a request have arrived that has not been handled yet, here or in the socket.
+  bool HasUnread() const {
+    ErrorCode error;
+    return (!m_is_busy && HasBegunRequest()) || m_socket.available(error) > 0;
+  }
+
  private:
   bool ShouldKeepAlive() const { return m_keep_alive && m_server->is_keeping_alive; }
 
@@ -445,4 +452,11 @@
 
 size_t HttpServer::GetInFlight() const { return m_impl->in_flight; }
 
+size_t HttpServer::GetConnectionCount() const { return m_impl->sessions.size(); }
+
+size_t HttpServer::CountUnread() const {
+  return static_cast<size_t>(std::count_if(m_impl->sessions.begin(), m_impl->sessions.end(),
+                                           [](const HttpSession* session) { return session->HasUnread(); }));
+}
+
 }  // namespace plantain
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -76,6 +76,10 @@
   // Number of requests whose answer is not complete.
   size_t GetInFlight() const;
 
+  // Number of open connections, and how many of them hold bytes that have not been read as a request.
+  size_t GetConnectionCount() const;
+  size_t CountUnread() const;
+
  private:
   friend class HttpSession;
   struct Impl;
