End an entry only when it has no connection left, counted after it stopped listening

Cause: the traffic loop stored the number of requests in progress every 10 ms, the control loop read it every 50 ms and stopped all loops when it was 0. Nothing stopped accepting or reading first, and callers keep coming if under half of a zone's entries are ready, so a request that was read after the last count was passed on and cut. The class of fault: a decision to stop on a count that what it counts can still change.

Change: DrainControl (no I/O) ends a server only if it has neither request nor connection while its listening socket is closed; HttpDrain counts and carries out in one step of the loop that owns the connections. The server reads a socket only when it is readable and in the same step, so that each byte is either in the socket or in the session. Connections in the backlog are accepted before the listening socket closes; connections with unread bytes are not idle; what is left at the end of the grace period is answered; a caller that has not asked for the close is read until it closes, so that no reset destroys its answer.

--- a/bench/rolling_restart.py
+++ b/bench/rolling_restart.py
@@ -30,8 +30,10 @@
 # Time in which the balancer notices an entry that stops: two questions, one second apart.
 NOTICE_S = 2.6
 FIRST_ROUND_S, ROUND_S = 2.0, 12.0
-PLAIN_PER_S = 240.0
-STREAM_PER_S = 4.0
+# Requests a second and entry. The streams keep an entry busy for some seconds after its callers should have gone.
+PLAIN_PER_S = 40.0
+STREAM_PER_S = 1.0
+STREAM_EVENTS, EVENT_GAP_S = 8, 0.15
 PLAIN = [("GET", "/status/{}", API_KEYS[0]), ("GET", "/status/{}", API_KEYS[1]), ("POST", "/confirm/{}", API_KEYS[2])]
 ANSWER_TIMEOUT_S, CONNECT_TIMEOUT_S = 7.0, 1.0
 READY_PERIOD_S, MISSES = 1.0, 2
@@ -181,11 +183,11 @@
 def measure(report, arguments, entries, rounds):
     fleet = HostedEntries(arguments.build, arguments.seed, entries)
     try:
-        fleet.start_standins(ENGINES, EngineModel(slots=SLOTS, events=3, event_gap_s=0.03))
+        fleet.start_standins(ENGINES, EngineModel(slots=SLOTS, events=STREAM_EVENTS, event_gap_s=EVENT_GAP_S))
         fleet.start_entries(range(entries))
         duration = FIRST_ROUND_S + rounds * ROUND_S
-        flows = [Flow("plain", PLAIN_PER_S / entries, 0.0, duration, [], None, PLAIN),
-                 Flow("stream", STREAM_PER_S / entries, 0.0, duration, [("a",)])]
+        flows = [Flow("plain", PLAIN_PER_S, 0.0, duration, [], None, PLAIN),
+                 Flow("stream", STREAM_PER_S, 0.0, duration, [("a",)])]
         fleet.start_callers(flows, duration, run_callers)
         operator = RollingOperator(fleet, rounds)
         operator.run()
--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -384,13 +384,7 @@
 void ActiveRequest::CheckDue(TimePoint now) {
   if (m_is_ended) return;
   if (now >= m_deadline) {
-    const bool was_sent = m_call != nullptr && m_call->IsSent();
-    if (m_call != nullptr) {
-      m_call->Cancel();
-      m_may_have_run = m_may_have_run || was_sent;
-      EndAttempt(was_sent ? AttemptEnd::kSilent : AttemptEnd::kUnreachable);
-    }
-    Fail(m_may_have_run ? ForwardFailure::kTimeout : ForwardFailure::kNoEndpoint, "deadline");
+    GiveUp(ForwardFailure::kNoEndpoint, "deadline");
     return;
   }
   if (IsPastStartLimit(now)) {
@@ -401,6 +395,17 @@
   }
 }
 
+void ActiveRequest::GiveUp(ForwardFailure if_not_run, std::string reason) {
+  if (m_is_ended) return;
+  if (m_call != nullptr) {
+    const bool was_sent = m_call->IsSent();
+    m_call->Cancel();
+    m_may_have_run = m_may_have_run || was_sent;
+    EndAttempt(was_sent ? AttemptEnd::kSilent : AttemptEnd::kUnreachable);
+  }
+  Fail(m_may_have_run ? ForwardFailure::kTimeout : if_not_run, std::move(reason));
+}
+
 void ActiveRequest::WithdrawAttempt(const std::string& reason) {
   const bool has_begun = GetProgress() == AnswerProgress::kBegun;
   if (m_call == nullptr || has_begun || m_match.rule->kind == RequestKind::kOnce) return;
--- a/src/active_request.h
+++ b/src/active_request.h
@@ -140,6 +140,9 @@
   // Ends the request with a failure. Never reports a request that may have run as not run.
   void Fail(ForwardFailure failure, std::string reason);
 
+  // Ends the request and cancels its attempt. `if_not_run` is the failure if the request cannot have run.
+  void GiveUp(ForwardFailure if_not_run, std::string reason);
+
   // Ends the current attempt if its answer has not begun, and the request unless it may be sent again. Does nothing to
   // a request that must run once, because cancelling would not undo its effects.
   void WithdrawAttempt(const std::string& reason);
--- a/src/forward_service.cpp
+++ b/src/forward_service.cpp
@@ -15,13 +15,16 @@
 constexpr Duration kTransferInterval = Milliseconds(50);
 // One batch in this many is passed although it brings no news of endpoints, because it tells which entries are live.
 constexpr uint64_t kQuietTransferDivisor = 5;
-constexpr Duration kDrainPollInterval = Milliseconds(50);
-// Time within which the load balancer detects that this process is no longer ready.
-constexpr Duration kMinDrainTime = Milliseconds(2600);
+// Time within which the load balancer detects that this process is no longer ready. It polls once a second and needs
+// two failed checks.
+constexpr Duration kDrainNotice = Milliseconds(2600);
 // Time after the start of the drain from which idle keep-alive connections are closed.
 constexpr Duration kIdleCloseDelay = Milliseconds(2200);
-// Time before the end of the grace period at which the drain ends even with requests in flight.
-constexpr Duration kDrainEndMargin = Milliseconds(400);
+// Times before the end of the grace period: the last connections are accepted, requests without an answer are given up,
+// and the process ends with what is left.
+constexpr Duration kListenMargin = Milliseconds(1000);
+constexpr Duration kGiveUpMargin = Milliseconds(400);
+constexpr Duration kEndMargin = Milliseconds(200);
 
 ForwardOptions ReadOptions(const ProcessParts& parts) {
   ForwardOptions options;
@@ -34,6 +37,10 @@
   return options;
 }
 
+DrainTimes MakeDrainTimes(Duration grace) {
+  return {kDrainNotice, kIdleCloseDelay, grace - kListenMargin, grace - kGiveUpMargin, grace - kEndMargin};
+}
+
 HttpLimits MakeLimits(const CallerLimits& limits) {
   return {limits.max_header_bytes, limits.max_body_bytes, limits.header_timeout, limits.idle_timeout};
 }
@@ -89,7 +96,7 @@
 void ForwardService::Stop() {
   m_tick_timer.reset();
   m_load_timer.reset();
-  m_drain_timer.reset();
+  m_drain.reset();
   LogUnfinished();
   m_server.reset();
   m_traffic.reset();
@@ -182,6 +189,7 @@
 
 void ForwardService::Tick() {
   m_traffic->CheckDue();
+  if (m_drain != nullptr) m_drain->Tick();
   m_in_flight = std::max(m_traffic->GetInFlight(), m_server->GetInFlight());
   SendNews();
 }
@@ -200,29 +208,12 @@
 
 void ForwardService::BeginDrain(std::function<void()> done) {
   m_is_draining = true;
-  m_drain_started_at = m_parts.clock.GetNow();
-  m_on_drained = std::move(done);
-  const TimePoint end = m_drain_started_at + m_parts.settings.GetDuration("drain.grace_ms") - kDrainEndMargin;
-  m_loop.Post([this, end] {
+  const Duration grace = m_parts.settings.GetDuration("drain.grace_ms");
+  m_loop.Post([this, grace, done = std::move(done)] {
     if (m_traffic == nullptr) return;
-    m_traffic->BeginDrain(end);
-    m_server->CloseAfterAnswers();
+    m_drain = std::make_unique<HttpDrain>(m_parts.clock, *m_server, *m_traffic, MakeDrainTimes(grace));
+    m_drain->Begin([this, done] { m_parts.control_loop.Post(done); });
   });
-  m_drain_timer = m_parts.control_loop.RunEvery(kDrainPollInterval, [this] { CheckDrained(); });
-}
-
-void ForwardService::CheckDrained() {
-  const Duration passed = m_parts.clock.GetNow() - m_drain_started_at;
-  if (passed >= kIdleCloseDelay) {
-    m_loop.Post([this] {
-      if (m_server != nullptr) m_server->CloseIdle();
-    });
-  }
-  const bool is_over = passed >= m_parts.settings.GetDuration("drain.grace_ms") - kDrainEndMargin;
-  if (!is_over && (passed < kMinDrainTime || m_in_flight > 0)) return;
-  if (m_on_drained == nullptr) return;
-  LogEvent(LogLevel::kInfo, "drained", {{"in_flight", m_in_flight.load()}, {"is_cut", is_over}});
-  std::exchange(m_on_drained, nullptr)();
 }
 
 Readiness ForwardService::GetReadiness() const {
--- a/src/forward_service.h
+++ b/src/forward_service.h
@@ -15,6 +15,7 @@
 #include "fleet_mirror.h"
 #include "fleet_relay.h"
 #include "forward_traffic.h"
+#include "http_drain.h"
 #include "kernel.h"
 #include "process.h"
 
@@ -50,7 +51,6 @@
   void OnCrash();
   // Sends what other entries need to know at once.
   void SendNews();
-  void CheckDrained();
   void LogUnfinished() const;
 
   ProcessParts& m_parts;
@@ -63,7 +63,9 @@
   // Accessed only on the traffic loop while it runs.
   std::unique_ptr<ForwardTraffic> m_traffic;
   std::unique_ptr<HttpServer> m_server;
+  std::unique_ptr<HttpDrain> m_drain;
   std::unique_ptr<Timer> m_tick_timer;
+  // Requests in progress as of the last tick, for /status.
   std::atomic<size_t> m_in_flight = 0;
   // Guards the next three, which the traffic loop writes and the control thread reads.
   std::mutex m_beacon_mutex;
@@ -79,10 +81,6 @@
   uint64_t m_transfer_number = 0;
   std::unique_ptr<Timer> m_load_timer;
   std::atomic<bool> m_is_draining = false;
-  TimePoint m_drain_started_at;
-  bool m_is_closing = false;
-  std::function<void()> m_on_drained;
-  std::unique_ptr<Timer> m_drain_timer;
 };
 
 }  // namespace plantain
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -463,6 +463,19 @@
             {"min_version", GetVersionNumber(active.GetOutcome().min_version)}});
 }
 
+void ForwardTraffic::BeginDrain(TimePoint refuse_from, TimePoint end) {
+  m_drain_refuse_at = refuse_from;
+  m_drain_deadline = end;
+}
+
+void ForwardTraffic::GiveUp() {
+  std::vector<std::shared_ptr<ActiveRequest>> unfinished;
+  for (const auto& [ticket, active] : m_active_requests) unfinished.push_back(active);
+  // A request that ends makes room for a queued one, so the queued ones go first.
+  std::partition(unfinished.begin(), unfinished.end(), [](const auto& active) { return active->IsWaiting(); });
+  for (const auto& active : unfinished) active->GiveUp(ForwardFailure::kDraining, "process stops");
+}
+
 void ForwardTraffic::LogUnfinished() const {
   for (const auto& [ticket, active] : m_active_requests) {
     const ActiveRequestOutcome& outcome = active->GetOutcome();
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -17,6 +17,7 @@
 #include "event_rate.h"
 #include "forward_metrics.h"
 #include "forward_type.h"
+#include "http_drain.h"
 #include "http_server.h"
 #include "random.h"
 #include "retry_budget.h"
@@ -25,10 +26,6 @@
 
 namespace plantain {
 
-// Time within which the load balancer detects that a stopping entry is no longer ready. It polls once a second and
-// needs two failed checks.
-inline constexpr Duration kDrainDetectionTime = Milliseconds(2500);
-
 struct ForwardOptions {
   BalancerOptions balancer;
   // Limit on retries over all entries: a fraction of the first attempts plus a fixed number.
@@ -39,7 +36,7 @@
 };
 
 // Accepts requests and schedules their attempts. Does no I/O itself. Not thread-safe; used on one traffic loop.
-class ForwardTraffic : private ActiveRequestHost {
+class ForwardTraffic : public DrainableRequests, private ActiveRequestHost {
  public:
   ForwardTraffic(const Clock& clock, Random& random, const CallerProtocol& protocol, AttemptSender& sender,
                  ForwardMetrics& metrics, ForwardOptions options);
@@ -70,14 +67,12 @@
   // Handles expired timeouts and dispatches queued requests. Must be called every few milliseconds.
   void CheckDue();
 
-  // Starts the drain of this entry, which must be complete at `end`. New requests are accepted until the load balancer
-  // has had time to detect the drain. Later ones are refused unless the route's full timeout ends before `end`.
-  void BeginDrain(TimePoint end) {
-    m_drain_deadline = end;
-    m_drain_refuse_at = m_clock.GetNow() + kDrainDetectionTime;
-  }
+  // From `refuse_from` on, requests are refused unless the route's full timeout ends before `end`.
+  void BeginDrain(TimePoint refuse_from, TimePoint end) override;
+  // Refuses queued requests as not run. The outcome of requests that were sent is unknown.
+  void GiveUp() override;
 
-  size_t GetInFlight() const { return m_active_requests.size(); }
+  size_t GetInFlight() const override { return m_active_requests.size(); }
 
   // Logs each request that has no final answer yet. Called when the process ends.
   void LogUnfinished() const;
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -63,14 +63,14 @@
   // Call on the loop's thread, or before Start.
   void SetLimits(const HttpLimits& limits);
 
-  // Stops accepting connections and closes idle ones; answers in progress go on, and their connections close after
-  // them. Call on the loop's thread.
+  // Accepts the connections that are waiting, then closes the listening socket. Requests that arrive on open
+  // connections are still handled, and each connection closes after its next answer. Call on the loop's thread.
   void StopAccepting();
 
   // From now on each connection closes after its next answer. Goes on accepting. Call on the loop's thread.
   void CloseAfterAnswers();
 
-  // Closes connections on which no request has begun. Call on the loop's thread.
+  // Closes connections on which no byte of a request has arrived. Call on the loop's thread.
   void CloseIdle();
 
   // Number of requests whose answer is not complete.
--- /dev/null
+++ b/src/http_session_asio.h
@@ -0,0 +1,156 @@
+// One connection of an HTTP server. Only the server's own sources include this header.
+
+#ifndef PLANTAIN_HTTP_SESSION_ASIO_H_
+#define PLANTAIN_HTTP_SESSION_ASIO_H_
+
+#include "http_server.h"
+#include "loop_asio.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace plantain {
+
+class HttpSession;
+
+struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
+  Impl(Loop& loop, IpAddress address_in, Port port_in, size_t max_body, HttpHandler handler_in)
+      : context(loop.GetImpl().context),
+        acceptor(context),
+        address(std::move(address_in)),
+        port(port_in),
+        handler(std::move(handler_in)),
+        sweep_timer(context) {
+    limits.max_body_bytes = max_body;
+  }
+
+  void WaitForConnections();
+  // Accepts all connections that are waiting.
+  void AcceptWaiting();
+  // Closes connections that are over their time limits, as long as there are such limits or lingering connections.
+  void StartSweep();
+  void SweepLater();
+  void Sweep();
+
+  boost::asio::io_context& context;
+  boost::asio::ip::tcp::acceptor acceptor;
+  IpAddress address;
+  Port port;
+  HttpLimits limits;
+  HttpHandler handler;
+  boost::asio::steady_timer sweep_timer;
+  // Sessions whose connections are open.
+  std::set<HttpSession*> sessions;
+  size_t in_flight = 0;
+  size_t lingering = 0;
+  bool is_sweeping = false;
+  // Whether connections may stay open after an answer.
+  bool is_keeping_alive = true;
+};
+
+// One connection. Requests on it are handled one after the other.
+//
+// The socket is read only when it is readable and in the same step of the loop, so that between two steps each byte is
+// either in the socket or in the session's buffer. A stop can thus tell whether a request has been read.
+class HttpSession : public HttpResponder, public std::enable_shared_from_this<HttpSession> {
+ public:
+  HttpSession(boost::asio::ip::tcp::socket socket, std::shared_ptr<HttpServer::Impl> server);
+  ~HttpSession() override;
+  HttpSession(const HttpSession&) = delete;
+  HttpSession& operator=(const HttpSession&) = delete;
+
+  // Reads the first request.
+  void Start();
+
+  // Closes the connection unless a request has begun to arrive or is in progress.
+  void CloseIfIdle();
+
+  // Applies the time limits.
+  void CheckTime(TimePoint now);
+
+  // Whether bytes have arrived that belong to no request that was handled.
+  bool HasUnread() const;
+
+  void Send(HttpResponse response) override;
+  void StartStream(int status, const HttpHeaders& headers) override;
+  void SendChunk(std::string data) override;
+  void EndStream() override;
+  void Abort() override { Close(); }
+  void SetOnClosed(std::function<void()> callback) override { m_on_closed = std::move(callback); }
+  size_t GetUnsentBytes() const override { return m_pending.size() + m_writing.size(); }
+
+ private:
+  using ErrorCode = boost::system::error_code;
+  using RequestParser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  enum class State {
+    // Waits for a request or reads one.
+    kReading,
+    // A request has been read and its answer is not written yet.
+    kAnswering,
+    // The last answer is written; what still arrives is dropped until the caller closes.
+    kLingering,
+    kClosed,
+  };
+
+  bool ShouldKeepAlive() const { return m_keep_alive && m_server->is_keeping_alive; }
+  bool HasBegunRequest() const { return m_parser.has_value() && (m_parser->got_some() || m_buffer.size() > 0); }
+
+  template <typename Message>
+  void AppendMessage(const Message& message);
+
+  void BeginRead();
+  void WaitUntilReadable();
+  void OnReadable();
+  void Receive();
+  void Parse();
+  void HandleRequest();
+  // Answers a request that cannot be read or is not allowed. It has not been handled, and what follows it on the
+  // connection is not looked at.
+  void RefuseRequest(int status);
+  void CheckForDisconnect();
+  // Ends the sending side and drops what still arrives.
+  void Linger();
+  void Discard();
+  // Writes what has gathered once the callback in progress is over, so that head, first piece and end of an answer
+  // that are made in one callback share a system call here and at the receiver.
+  void FlushSoon();
+  void Flush();
+  void OnWritten(const ErrorCode& error);
+  void OnAnswered();
+  void FinishRequest();
+  // Removes the session from those that the server counts as open.
+  void Leave();
+  void Close();
+
+  boost::asio::ip::tcp::socket m_socket;
+  std::shared_ptr<HttpServer::Impl> m_server;
+  State m_state = State::kReading;
+  boost::beast::flat_buffer m_buffer;
+  std::optional<RequestParser> m_parser;
+  std::string m_pending;
+  std::string m_writing;
+  std::function<void()> m_on_closed;
+  bool m_is_waiting = false;
+  bool m_is_last = false;
+  bool m_is_flush_posted = false;
+  // Whether the caller's request allows further requests on the connection.
+  bool m_keep_alive = false;
+  // A request on this connection was refused unread; the connection ends after the answer.
+  bool m_is_refused = false;
+  // Since when the session waits for the next request, or, once it has begun, for its end.
+  TimePoint m_read_since;
+  bool m_has_begun = false;
+};
+
+}  // namespace plantain
+
+#endif  // PLANTAIN_HTTP_SESSION_ASIO_H_
--- a/tests/forward_traffic_test.cpp
+++ b/tests/forward_traffic_test.cpp
@@ -245,7 +245,8 @@
 // Guards against requests that are interrupted because their entry stops.
 TEST_CASE("A draining entry accepts only requests that it can finish") {
   ForwardFixture fixture(MakeEngines());
-  fixture.traffic->BeginDrain(fixture.clock.GetNow() + Milliseconds(7600));
+  const TimePoint now = fixture.clock.GetNow();
+  fixture.traffic->BeginDrain(now + Milliseconds(2600), now + Milliseconds(7600));
   CHECK(fixture.SendRequest("/draft/1", "6000")->status == 0);
   fixture.AdvanceTime(Milliseconds(2600));
   const auto caller = fixture.SendRequest("/draft/1", "6000");
