Stop the entries of the stand-ins' path by the same rule

The path for completions had the same fault: the control loop read sampled counts of its workers, and connections whose answers were still being written, or that had just been accepted, were cut by the end of the loops. Each worker now drains its own server with HttpDrain. What is left after drain.limit_ms is answered instead of cut; a request that was sent makes no promise.

--- a/src/entry_services.cpp
+++ b/src/entry_services.cpp
@@ -8,7 +8,8 @@
 namespace plantain {
 namespace {
 
-constexpr Duration kDrainPollInterval = Milliseconds(20);
+// Time in which callers take the answers to requests that were given up.
+constexpr Duration kAnswerTime = Milliseconds(500);
 
 }  // namespace
 
@@ -31,7 +32,6 @@
 }
 
 void EntryService::Stop() {
-  m_drain_timer.reset();
   for (const auto& worker : m_workers) worker->Stop();
 }
 
@@ -50,28 +50,16 @@
 
 void EntryService::BeginDrain(std::function<void()> done) {
   m_is_draining = true;
-  m_on_drained = std::move(done);
-  const Settings& settings = m_parts.settings;
-  m_drain_deadline =
-      m_parts.clock.GetNow() + settings.GetDuration("drain.notice_ms") + settings.GetDuration("drain.limit_ms");
-  for (const auto& worker : m_workers) worker->CloseAfterAnswers();
-  m_drain_timer = m_parts.control_loop.RunAfter(settings.GetDuration("drain.notice_ms"), [this] { StopAdmission(); });
-}
-
-void EntryService::StopAdmission() {
-  for (const auto& worker : m_workers) worker->RefuseNewRequests();
-  m_drain_timer = m_parts.control_loop.RunEvery(kDrainPollInterval, [this] { CheckDrained(); });
-}
-
-void EntryService::CheckDrained() {
-  bool is_refusing = true;
-  for (const auto& worker : m_workers) is_refusing = is_refusing && worker->IsRefusing();
-  const bool is_past_deadline = m_parts.clock.GetNow() >= m_drain_deadline;
-  if ((!is_refusing || GetInFlight() > 0) && !is_past_deadline) return;
-  if (is_past_deadline) LogEvent(LogLevel::kWarn, "drain_limit_reached", {{"in_flight", GetInFlight()}});
-  m_drain_timer->Cancel();
-  const std::function<void()> done = std::exchange(m_on_drained, nullptr);
-  if (done) done();
+  const Duration notice = m_parts.settings.GetDuration("drain.notice_ms");
+  const Duration give_up = notice + m_parts.settings.GetDuration("drain.limit_ms");
+  const DrainTimes times{notice, notice, give_up, give_up, give_up + kAnswerTime};
+  const auto waiting = std::make_shared<size_t>(m_workers.size());
+  const auto finish_one = [waiting, done = std::move(done)] {
+    if (--*waiting == 0) done();
+  };
+  for (const auto& worker : m_workers) {
+    worker->BeginDrain(times, [this, finish_one] { m_parts.control_loop.Post(finish_one); });
+  }
 }
 
 size_t EntryService::GetInFlight() const {
--- a/src/entry_services.h
+++ b/src/entry_services.h
@@ -22,9 +22,8 @@
 
 // Owns the workers of all traffic loops. Used on the control thread unless stated otherwise.
 //
-// Draining has two phases. For `drain.notice_ms` new requests are still accepted, while the process is not ready and
-// connections close after their answers. Then new requests are refused, and draining ends when none is in progress or
-// `drain.limit_ms` later.
+// For `drain.notice_ms` from the start of a stop new requests are still accepted. Requests in progress have
+// `drain.limit_ms` more.
 class EntryService : public Service, public Drainable {
  public:
   EntryService(ProcessParts& parts, ConfigSource& config, MemberSource& members);
@@ -44,8 +43,6 @@
 
  private:
   void PublishTable();
-  void StopAdmission();
-  void CheckDrained();
 
   ProcessParts& m_parts;
   ConfigSource& m_config;
@@ -53,9 +50,6 @@
   SloCounter m_slo;
   std::vector<std::shared_ptr<EntryWorker>> m_workers;
   std::atomic<bool> m_is_draining = false;
-  std::function<void()> m_on_drained;
-  TimePoint m_drain_deadline;
-  std::unique_ptr<Timer> m_drain_timer;
 };
 
 // Registers the service "entry" (EntryService), which depends on "config" (ConfigSource) and "members"
--- a/src/entry_traffic.cpp
+++ b/src/entry_traffic.cpp
@@ -124,7 +124,8 @@
 }
 
 AdmitResult EntryTraffic::Admit(const EntryRequest& request) {
-  if (m_is_draining) return {EntryFailure::kDraining, kDrainRetryAfter};
+  if (m_refuse_from.has_value() && m_clock.GetNow() >= *m_refuse_from)
+    return {EntryFailure::kDraining, kDrainRetryAfter};
   if (m_clock.GetNow() + GetExpectedLatency(request.key) >= request.deadline) return {EntryFailure::kDeadline, {}};
   AdmitResult result = m_limits.Check(request);
   if (!result.IsAdmitted()) return result;
@@ -188,6 +189,14 @@
   m_metrics.GetRetryBudget().Set(m_retry_budget.GetBalance());
 }
 
+void EntryTraffic::BeginDrain(TimePoint refuse_from, TimePoint) { m_refuse_from = refuse_from; }
+
+void EntryTraffic::GiveUp() {
+  std::vector<RequestExecution*> runs;
+  for (const auto& [answer, active] : m_runs) runs.push_back(active.run.get());
+  for (RequestExecution* run : runs) run->GiveUp();
+}
+
 void EntryTraffic::RecordEvent(const EntryRequest& request, std::string_view event,
                                std::initializer_list<EventField> fields) {
   m_history.Add(request.id.Get(), FormatEvent(event, fields));
--- a/src/entry_traffic.h
+++ b/src/entry_traffic.h
@@ -14,6 +14,7 @@
 #include "entry_parse.h"
 #include "event_log.h"
 #include "fair_share.h"
+#include "http_drain.h"
 #include "http_server.h"
 #include "join_table.h"
 #include "request_execution.h"
@@ -46,7 +47,7 @@
 };
 
 // Parses, admits and runs requests. Does no I/O itself. Used on one traffic loop.
-class EntryTraffic : private RequestObserver, private AttemptObserver {
+class EntryTraffic : public DrainableRequests, private RequestObserver, private AttemptObserver {
  public:
   EntryTraffic(const Clock& clock, Random& random, AttemptTransport& transport, Metrics& metrics,
                RequestHistory& history, SloCounter& slo, TrafficOptions options);
@@ -69,11 +70,13 @@
   // Runs due timeouts, retries and deadlines. Call every few milliseconds.
   void CheckDue();
 
-  // Refuses new requests from now on. Requests in progress continue, and callers' retries can still join them.
-  void RefuseNewRequests() { m_is_draining = true; }
+  // New requests are refused from `refuse_from` on. Requests in progress continue, and callers' retries can still join
+  // them.
+  void BeginDrain(TimePoint refuse_from, TimePoint end) override;
+  void GiveUp() override;
 
   // Returns the number of requests in progress, including those whose callers have disconnected.
-  size_t GetInFlight() const { return m_runs.size(); }
+  size_t GetInFlight() const override { return m_runs.size(); }
 
  private:
   // A request in progress, with the timestamps needed for latency metrics.
@@ -138,7 +141,8 @@
   std::unordered_map<const SharedAnswer*, ActiveRun> m_runs;
   // Finished runs, destroyed by the next CheckDue because they may still be on the call stack.
   std::vector<std::unique_ptr<RequestExecution>> m_finished;
-  bool m_is_draining = false;
+  // Unset unless the process stops.
+  std::optional<TimePoint> m_refuse_from;
 };
 
 }  // namespace plantain
--- a/src/entry_worker.cpp
+++ b/src/entry_worker.cpp
@@ -35,7 +35,7 @@
 }  // namespace
 
 EntryWorker::EntryWorker(ProcessParts& parts, Loop& loop, SloCounter& slo)
-    : m_loop(loop), m_random(parts.random.GetBits()) {
+    : m_loop(loop), m_clock(parts.clock), m_random(parts.random.GetBits()) {
   m_channels = std::make_unique<AttemptChannels>(
       loop, parts.channels, parts.settings.GetPort("attempt.port"),
       [this](const VmId& from, std::string_view message) { m_traffic->HandleMessage(from, message); },
@@ -58,6 +58,7 @@
 
 void EntryWorker::Stop() {
   m_timer.reset();
+  m_drain.reset();
   m_server.reset();
   m_traffic.reset();
   m_channels.reset();
@@ -65,6 +66,7 @@
 
 void EntryWorker::Tick() {
   m_traffic->CheckDue();
+  if (m_drain != nullptr) m_drain->Tick();
   m_in_flight = std::max(m_traffic->GetInFlight(), m_server->GetInFlight());
 }
 
@@ -76,15 +78,11 @@
   });
 }
 
-void EntryWorker::CloseAfterAnswers() {
-  m_loop.Post([this] { m_server->CloseAfterAnswers(); });
-}
-
-void EntryWorker::RefuseNewRequests() {
-  m_loop.Post([this] {
-    m_traffic->RefuseNewRequests();
-    Tick();
-    m_is_refusing = true;
+void EntryWorker::BeginDrain(DrainTimes times, std::function<void()> done) {
+  m_loop.Post([this, times, done = std::move(done)] {
+    if (m_server == nullptr) return;
+    m_drain = std::make_unique<HttpDrain>(m_clock, *m_server, *m_traffic, times);
+    m_drain->Begin(done);
   });
 }
 
--- a/src/entry_worker.h
+++ b/src/entry_worker.h
@@ -9,6 +9,7 @@
 #include "absl/status/status.h"
 #include "attempt_channels.h"
 #include "entry_traffic.h"
+#include "http_drain.h"
 #include "http_server.h"
 #include "process.h"
 #include "slo_counter.h"
@@ -26,29 +27,26 @@
   absl::Status Start();
   void Stop();
 
-  // SetTable, CloseAfterAnswers and RefuseNewRequests post to the loop and are safe from any thread.
+  // SetTable and BeginDrain post to the loop and are safe from any thread.
   void SetTable(std::shared_ptr<const RouteTable> table);
-  // Closes each HTTP connection after its next answer.
-  void CloseAfterAnswers();
-  // Refuses new requests from now on.
-  void RefuseNewRequests();
+  // Begins the stop. `done` is called on the loop when no connection is left or the time is over.
+  void BeginDrain(DrainTimes times, std::function<void()> done);
 
   // Returns the number of requests whose answers are not complete, as of the last tick. Safe from any thread.
   size_t GetInFlight() const { return m_in_flight; }
-  // Returns whether RefuseNewRequests has taken effect on the loop. Safe from any thread.
-  bool IsRefusing() const { return m_is_refusing; }
 
  private:
   void Tick();
 
   Loop& m_loop;
+  const Clock& m_clock;
   SeededRandom m_random;
   std::unique_ptr<AttemptChannels> m_channels;
   std::unique_ptr<EntryTraffic> m_traffic;
   std::unique_ptr<HttpServer> m_server;
+  std::unique_ptr<HttpDrain> m_drain;
   std::unique_ptr<Timer> m_timer;
   std::atomic<size_t> m_in_flight = 0;
-  std::atomic<bool> m_is_refusing = false;
 };
 
 }  // namespace plantain
--- a/src/request_execution.cpp
+++ b/src/request_execution.cpp
@@ -210,6 +210,12 @@
   Fail(EntryFailure::kCancelled, Duration{}, "the caller disconnected");
 }
 
+void RequestExecution::GiveUp() {
+  if (m_is_finished) return;
+  const bool may_have_run = !m_is_not_run || m_attempt != AttemptId();
+  Fail(may_have_run ? EntryFailure::kEndpointFailed : EntryFailure::kDraining, Duration{}, "the process stops");
+}
+
 void RequestExecution::Finish() {
   m_is_finished = true;
   m_deps.observer.OnFinished(*this, nullptr);
--- a/src/request_execution.h
+++ b/src/request_execution.h
@@ -61,6 +61,9 @@
   // Sends the next attempt once its backoff has elapsed, and fails the request at its deadline. Call periodically.
   void CheckDue(TimePoint now);
 
+  // Fails the request because the process stops.
+  void GiveUp();
+
   // Cancels the request because no caller is waiting for it any more.
   void Cancel();
 
--- a/tests/entry_traffic_test.cpp
+++ b/tests/entry_traffic_test.cpp
@@ -292,7 +292,8 @@
     SECTION("while draining, new requests are refused and the one in progress finishes") {
       const auto caller = fixture.Send(TrafficFixture::MakeCompletion("r1", "hello", false));
       const auto [vm, start] = fixture.transport.GetStarts()[0];
-      fixture.traffic.RefuseNewRequests();
+      const TimePoint now = fixture.clock.GetNow();
+      fixture.traffic.BeginDrain(now, now + std::chrono::seconds(60));
       const auto late = fixture.Send(TrafficFixture::MakeCompletion("r2", "hello"));
       CHECK(late->m_status == 503);
       CHECK(Contains(late->m_body, R"("type":"draining","not_run":true)"));
@@ -302,6 +303,15 @@
       CHECK(fixture.traffic.GetInFlight() == 0);
     }
 
+    SECTION("at the end of a stop, a request that was sent is answered without a promise") {
+      const auto caller = fixture.Send(TrafficFixture::MakeCompletion("r1", "hello", false));
+      REQUIRE(fixture.transport.GetStarts().size() == 1);
+      fixture.traffic.GiveUp();
+      CHECK(caller->m_status == 502);
+      CHECK(Contains(caller->m_body, R"("not_run":false)"));
+      CHECK(fixture.traffic.GetInFlight() == 0);
+    }
+
     SECTION("a stream whose caller reads too slowly is aborted and its attempt cancelled") {
       const auto caller = fixture.Send(TrafficFixture::MakeCompletion("r1", "hello"));
       const auto [vm, start] = fixture.transport.GetStarts()[0];
