Refuse directory records that nest deeply or hold values out of range

Cause: two records of an endpoint were compared as parsed JSON, which recurses: a record may nest 130,000 levels deep. Numbers were cast unchecked: slots were taken as 0, 2^64-1 as, 1e300 ms as the largest duration, which overflows when it is added to a time. Addresses such as 999.9.9.9 and ::: were accepted. A record whose key is cut would have failed each read at its offset.

Change: JSON of the platform is parsed in one place, which refuses over 32 levels; records are compared as what they are decoded to; fields have ranges, and addresses are checked by inet_pton. An unusable record names no endpoint and is logged with the reason (endpoint_record_unusable, record_unusable); the others hold.

--- a/bench/_hosted_store.py
+++ b/bench/_hosted_store.py
@@ -35,9 +35,12 @@
 
     async def put(self, topic, key, value):
         """Appends a record, once the store is there. Returns the time of its acknowledgement."""
+        return await self.put_raw(topic, key, encode(value))
+
+    async def put_raw(self, topic, key, value):
         async with self.changed:
             await self.changed.wait_for(lambda: self.is_up)
-            self.records[topic].append(Record(key, encode(value), time.monotonic()))
+            self.records[topic].append(Record(key, value, time.monotonic()))
             self.changed.notify_all()
         return time.monotonic()
 
--- a/src/fleet_mirror.cpp
+++ b/src/fleet_mirror.cpp
@@ -313,8 +313,12 @@
       return;
     }
     raw_values[id] = value;
-    std::optional<DirectoryEntry> entry = m_decoder.DecodeEndpoint(key, value);
-    if (!entry.has_value()) return;
+    absl::StatusOr<DirectoryEntry> entry = m_decoder.DecodeEndpoint(key, value);
+    if (!entry.ok()) {
+      LogEvent(LogLevel::kWarn, "endpoint_record_unusable",
+               {{"endpoint", id}, {"bytes", value.size()}, MakeFailureField(entry.status())});
+      return;
+    }
     entry->info.cold_until = now + entry->cold_left;
     const auto before = m_endpoints.find(id);
     if (before == m_endpoints.end() || before->second.info.is_leaving != entry->info.is_leaving) {
--- a/src/fleet_mirror.h
+++ b/src/fleet_mirror.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "absl/status/statusor.h"
 #include "clock.h"
 #include "fleet_type.h"
 #include "kernel.h"
@@ -33,6 +34,8 @@
   EndpointInfo info;
   // Remaining cold time when the record was written.
   Duration cold_left{};
+
+  bool operator==(const DirectoryEntry&) const = default;
 };
 
 // Decoded operator records.
@@ -51,8 +54,8 @@
   // found, so that the active configuration is never rolled back to an older version.
   virtual OperatorState DecodeOperator(const RecordMirror& records, const OperatorState& before) const = 0;
 
-  // Decodes the record of an endpoint. Returns nothing if the record describes no usable endpoint.
-  virtual std::optional<DirectoryEntry> DecodeEndpoint(const std::string& key, const std::string& value) const = 0;
+  // Decodes the record of an endpoint. Returns why, if the record describes no usable endpoint.
+  virtual absl::StatusOr<DirectoryEntry> DecodeEndpoint(const std::string& key, const std::string& value) const = 0;
 
   // Whether two records of an endpoint are equal except for irrelevant fields.
   virtual bool IsSameEndpoint(const std::string& a, const std::string& b) const = 0;
--- a/src/fleet_type.h
+++ b/src/fleet_type.h
@@ -147,6 +147,8 @@
   TimePoint cold_until;
   // Weight versions that it has loaded completely.
   std::map<ModelName, WeightVersion> loaded;
+
+  bool operator==(const EndpointInfo&) const = default;
 };
 
 // A weight version that operators want on all endpoints.
