Take an answer without an id for one to this request on new connections only

Cause: an answer with neither an id nor a receipt was believed, because an endpoint may refuse a request before it has read the id. On a kept connection it may be an answer to an earlier request. Requests that must run once use new connections, so that only repeatable ones were affected here: their callers got 503 with the promise, and the retry was not counted as one that may have run. Answers with another id were noticed only at their end, and their connection was kept although the answer to the request may follow on it.

Change: the call knows whether its connection carried other requests, and an answer to another request ends the attempt at its head and closes the connection.

Not run with real processes.

--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -141,17 +141,21 @@
 
 void ActiveRequest::OnHead(int status, const HttpHeaders& headers) {
   m_last_received_at = m_deps.clock.GetNow();
-  m_response_head = m_deps.protocol.ParseResponseHead(m_request.id, status, headers);
-  const bool is_of_endpoint = m_response_head->has_matching_id && !m_response_head->is_misdirected;
-  if (is_of_endpoint) m_deps.host.OnResponseHead(m_endpoint, *m_response_head);
+  m_response_head = m_deps.protocol.ParseResponseHead(m_request.id, status, headers, m_call->IsOnKeptConnection());
+  if (!m_response_head->has_matching_id) {
+    // The answer to this request may follow, so that the connection cannot be used for another one.
+    m_call->Cancel();
+    FailAttempt(AttemptEnd::kBroken, "response to another request");
+    return;
+  }
+  if (!m_response_head->is_misdirected) m_deps.host.OnResponseHead(m_endpoint, *m_response_head);
 }
 
 void ActiveRequest::OnData(std::string_view data) {
   // Bytes that complete no event are no activity of a stream: they may come without end.
   if (!IsStream()) m_last_received_at = m_deps.clock.GetNow();
   m_has_body = true;
-  const bool is_valid_success =
-      m_response_head->has_matching_id && m_response_head->has_receipt && IsSuccess(m_response_head->status);
+  const bool is_valid_success = m_response_head->has_receipt && IsSuccess(m_response_head->status);
   if (IsStream() && is_valid_success && m_response_head->is_stream) {
     const uint64_t progress = m_events.GetProgress();
     std::string events = m_events.Take(data);
@@ -217,9 +221,7 @@
     return;
   }
   const ResponseHead& head = *m_response_head;
-  if (!head.has_matching_id) {
-    FailAttempt(AttemptEnd::kBroken, "response carries another request ID");
-  } else if (head.is_not_run || head.is_misdirected) {
+  if (head.is_not_run || head.is_misdirected) {
     EndAttempt(head.is_misdirected ? AttemptEnd::kMisdirected : AttemptEnd::kFull);
     RetryOrFail(AttemptOutcome::kNotRun, head.is_misdirected ? "wrong endpoint or weight version"
                                                              : "refused by the endpoint without running it");
--- a/src/forward_type.h
+++ b/src/forward_type.h
@@ -56,7 +56,7 @@
 // Status and header of an endpoint's response.
 struct ResponseHead {
   int status = 0;
-  // False if the response carries the ID of another request.
+  // False if the response is, or may be, to another request.
   bool has_matching_id = false;
   // Whether the response carries the endpoint's receipt. A success without it is not valid.
   bool has_receipt = false;
@@ -85,7 +85,10 @@
   // Builds the HTTP request of one attempt.
   virtual HttpRequest MakeAttemptRequest(const ForwardRequest& request, const AttemptHeader& header) const = 0;
 
-  virtual ResponseHead ParseResponseHead(const RequestId& id, int status, const HttpHeaders& headers) const = 0;
+  // `is_kept` tells whether the connection carried other requests before: an answer without an id may then be to one of
+  // them.
+  virtual ResponseHead ParseResponseHead(const RequestId& id, int status, const HttpHeaders& headers,
+                                         bool is_kept) const = 0;
 };
 
 // Returns whether a header field is hop-by-hop and must not be forwarded.
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -137,7 +137,8 @@
   void Begin() {
     m_began_at = GetMonotonicTime();
     m_connection = m_client->TakeIdle(m_target, m_options.max_idle);
-    if (m_connection != nullptr) {
+    m_is_on_kept_connection = m_connection != nullptr;
+    if (m_is_on_kept_connection) {
       ArmTimer(m_options.timeout);
       Write();
       return;
@@ -149,6 +150,8 @@
 
   bool IsSent() const override { return m_is_sent; }
 
+  bool IsOnKeptConnection() const override { return m_is_on_kept_connection; }
+
   void Cancel() override {
     m_is_done = true;
     m_timer.cancel();
@@ -377,6 +380,7 @@
   int m_informational_heads = 0;
   uint64_t m_body_bytes = 0;
   bool m_is_sent = false;
+  bool m_is_on_kept_connection = false;
   bool m_is_done = false;
 };
 
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -31,6 +31,9 @@
 
   // Whether bytes of the request may have reached the server.
   virtual bool IsSent() const = 0;
+
+  // Whether the connection carried other requests before, whose answers may still be on their way.
+  virtual bool IsOnKeptConnection() const = 0;
 };
 
 // Limits of one call.
--- a/tests/caller_protocol_test.cpp
+++ b/tests/caller_protocol_test.cpp
@@ -36,7 +36,7 @@
   HttpHeaders headers;
   headers.Add("Plantainmast-Attempt-Id", "r1");
   if (!value.empty()) headers.Add("Server-Limit", value);
-  return HostedCallerProtocol().ParseResponseHead(RequestId("r1"), 200, headers);
+  return HostedCallerProtocol().ParseResponseHead(RequestId("r1"), 200, headers, false);
 }
 
 // Guards against a malformed rate that is taken for a number, or for the end of a limit.
--- a/tests/forward_fake.h
+++ b/tests/forward_fake.h
@@ -97,9 +97,11 @@
     HttpCallbacks callbacks;
     bool is_cancelled = false;
     bool is_sent = true;
+    bool is_on_kept_connection = false;
 
     void Cancel() override { is_cancelled = true; }
     bool IsSent() const override { return is_sent; }
+    bool IsOnKeptConnection() const override { return is_on_kept_connection; }
     std::string GetField(std::string_view name) const { return std::string(request.headers.Find(name)); }
     std::string GetEndpoint() const { return GetField("Plantainmast-Expect-Instance"); }
 
