Take a resumed stream without any event for complete only if its end is explicit

Cause: a stream that is resumed may have nothing left, so an answer without events was taken for its end. An answer that has neither a length nor chunks ends with its connection, and one that ends before its first event may have been cut: the caller's stream then ended as complete.

Not run with real processes.

--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -235,7 +235,10 @@
 }
 
 void ActiveRequest::FinishStream() {
-  if (!m_events.IsAtBoundary() || !m_has_events) {
+  // A resumed stream may have nothing left to send, but only an explicit end says so.
+  const bool is_empty = m_events.GetProgress() == 0;
+  const bool is_end_missing = is_empty && (!m_has_events || m_response_head->ends_with_connection);
+  if (!m_events.IsAtBoundary() || is_end_missing) {
     // A response without a length ends with its connection, so that only this shows that it was lost.
     FailAttempt(AttemptEnd::kConnectionLost, "stream ended within an event or without any");
     return;
--- a/src/forward_type.h
+++ b/src/forward_type.h
@@ -65,6 +65,8 @@
   // The request reached another endpoint than the expected one, or one with another weight version.
   bool is_misdirected = false;
   bool is_stream = false;
+  // The body has neither a length nor chunks, so that the end of the connection is its only end.
+  bool ends_with_connection = false;
   std::optional<WeightVersion> version;
   // Requests/s that the endpoint takes from all entries together; unset if it states none.
   std::optional<double> requests_per_s;
