Accept what can end before a draining entry does, and say when an entry is back

While all entries of a deployment were restarted, streams were refused for five seconds although engines were idle: a draining entry refused a request if the route's full timeout did not fit, also if the caller itself waits for less, and always with a Retry-After of 20 ms, after which the caller met another draining entry and was refused for good.

--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -43,13 +43,13 @@
   return request.model.IsEmpty() ? pool->engine->model : request.model;
 }
 
+}  // namespace
+
 TimePoint ComputeDeadline(const ForwardRequest& request, const RouteRule& rule, TimePoint now) {
   const Duration caller_timeout = request.caller_timeout.value_or(rule.timeout);
   return now + std::min(caller_timeout, rule.timeout);
 }
 
-}  // namespace
-
 ActiveRequest::ActiveRequest(ActiveRequestDeps& deps, ForwardRequest request, const RouteMatch& match,
                              std::shared_ptr<const RouteMatcher> matcher, PoolName pool, WaitTicket ticket,
                              std::shared_ptr<HttpResponder> responder)
--- a/src/active_request.h
+++ b/src/active_request.h
@@ -123,6 +123,9 @@
   uint64_t events = 0;
 };
 
+// Returns until when a request that arrives at `now` is answered: the caller's timeout, at most the route's.
+TimePoint ComputeDeadline(const ForwardRequest& request, const RouteRule& rule, TimePoint now);
+
 // One forwarded request and its attempts. Not thread-safe; used on one traffic loop.
 class ActiveRequest : public std::enable_shared_from_this<ActiveRequest> {
  public:
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -34,7 +34,9 @@
 constexpr Duration kMinRetryAfter = Milliseconds(250);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(3);
 constexpr Duration kNoConfigRetryAfter = std::chrono::seconds(1);
-constexpr Duration kDrainingRetryAfter = Milliseconds(20);
+// From an entry that stops: another one serves, or entries have to start again first.
+constexpr Duration kOtherEntryRetryAfter = Milliseconds(20);
+constexpr Duration kRestartRetryAfter = Milliseconds(1500);
 // About the duration of a weight switch or a restart, during which few endpoints serve.
 constexpr Duration kNoEndpointRetryAfter = Milliseconds(1800);
 
@@ -90,6 +92,7 @@
   for (auto& [pool, state] : m_pools) {
     if (state.budget != nullptr) state.budget->SetReserve(GetRetryReserve());
   }
+  m_has_other_serving = view.has_other_serving;
   m_balancer.SetEntries(view.entries);
   m_balancer.GetRateLimits().SetEntries(std::move(view));
 }
@@ -135,7 +138,7 @@
             {"config", version}});
   Duration retry_after{};
   if (failure == ForwardFailure::kNoConfig) retry_after = kNoConfigRetryAfter;
-  if (failure == ForwardFailure::kDraining) retry_after = kDrainingRetryAfter;
+  if (failure == ForwardFailure::kDraining) retry_after = GetDrainRetryAfter();
   responder->Send(MakeForwardErrorResponse(failure, retry_after));
 }
 
@@ -158,17 +161,21 @@
     Refuse(*request, responder, ForwardFailure::kUnknownKey, "API key matches no workspace");
     return;
   }
-  if (ExceedsDrainDeadline(*match.rule)) {
+  if (ExceedsDrainDeadline(*request, *match.rule)) {
     Refuse(*request, responder, ForwardFailure::kDraining, "process stops before the request's deadline");
     return;
   }
   StartRequest(*std::move(request), match, responder);
 }
 
-bool ForwardTraffic::ExceedsDrainDeadline(const RouteRule& rule) const {
+bool ForwardTraffic::ExceedsDrainDeadline(const ForwardRequest& request, const RouteRule& rule) const {
   if (!m_drain_deadline.has_value()) return false;
   const TimePoint now = m_clock.GetNow();
-  return now >= m_drain_refuse_at && now + rule.timeout > *m_drain_deadline;
+  return now >= m_drain_refuse_at && ComputeDeadline(request, rule, now) > *m_drain_deadline;
+}
+
+Duration ForwardTraffic::GetDrainRetryAfter() const {
+  return m_has_other_serving ? kOtherEntryRetryAfter : kRestartRetryAfter;
 }
 
 void ForwardTraffic::StartRequest(ForwardRequest request, const RouteMatch& match,
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -67,7 +67,7 @@
   // Handles expired timeouts and dispatches queued requests. Must be called every few milliseconds.
   void CheckDue();
 
-  // From `refuse_from` on, requests are refused unless the route's full timeout ends before `end`.
+  // From `refuse_from` on, requests are refused unless their deadline is before `end`.
   void BeginDrain(TimePoint refuse_from, TimePoint end) override;
   // Refuses queued requests as not run. The outcome of requests that were sent is unknown.
   void GiveUp() override;
@@ -92,9 +92,10 @@
 
   void Refuse(const ForwardRequest& request, const std::shared_ptr<HttpResponder>& responder, ForwardFailure failure,
               std::string_view reason);
-  bool ExceedsDrainDeadline(const RouteRule& rule) const;
+  bool ExceedsDrainDeadline(const ForwardRequest& request, const RouteRule& rule) const;
   void StartRequest(ForwardRequest request, const RouteMatch& match, const std::shared_ptr<HttpResponder>& responder);
   void Enqueue(ActiveRequest& active);
+  Duration GetDrainRetryAfter() const;
   bool HasMissedGoal(const ActiveRequest& active) const;
   WaitingRequest MakeLateEntry(WaitingRequest entry, const ActiveRequest& active) const;
   Duration GetMaxWait(const ActiveRequest& active) const;
@@ -146,6 +147,7 @@
   // Ended requests, which are destroyed later because their methods may still be on the call stack.
   std::vector<std::shared_ptr<ActiveRequest>> m_ended_requests;
   WaitTicket m_next_ticket;
+  bool m_has_other_serving = false;
   std::optional<TimePoint> m_drain_deadline;
   TimePoint m_drain_refuse_at;
 };
--- a/tests/forward_traffic_test.cpp
+++ b/tests/forward_traffic_test.cpp
@@ -249,12 +249,20 @@
   fixture.traffic->BeginDrain(now + Milliseconds(2600), now + Milliseconds(7600));
   CHECK(fixture.SendRequest("/draft/1", "6000")->status == 0);
   fixture.AdvanceTime(Milliseconds(2600));
+  // A retry whose caller waits for less than the process has left.
+  CHECK(fixture.SendRequest("/draft/1", "4000")->status == 0);
+  CHECK(fixture.sender.At(fixture.sender.GetCount() - 1).GetField("Plantainmast-Attempt-Id") == "r2");
   const auto caller = fixture.SendRequest("/draft/1", "6000");
   CHECK(caller->status == 503);
-  CHECK_FALSE(caller->headers.Find("Retry-After").empty());
-  // The first request may have been retried; the refused one was never sent.
+  CHECK(caller->headers.Find("Retry-After") == "1.50");
+  EntryView view;
+  view.has_other_serving = true;
+  fixture.traffic->SetEntries(view);
+  CHECK(fixture.SendRequest("/draft/1", "6000")->headers.Find("Retry-After") == "0.02");
+  // The accepted requests may have been retried; the refused ones were never sent.
   for (size_t i = 0; i < fixture.sender.GetCount(); ++i) {
-    CHECK(fixture.sender.At(i).GetField("Plantainmast-Attempt-Id") == "r1");
+    const std::string request = fixture.sender.At(i).GetField("Plantainmast-Attempt-Id");
+    CHECK((request == "r1" || request == "r2"));
   }
 }
 
