--- a/src/beacon_table.cpp
+++ b/src/beacon_table.cpp
@@ -177,7 +177,6 @@
   message.set_vm(beacon.vm.Get());
   message.set_zone(beacon.zone.Get());
   message.set_is_entry(beacon.is_entry);
-  message.set_is_draining(beacon.is_draining);
   message.set_incarnation(beacon.incarnation.Get());
   message.set_sequence(beacon.sequence);
   message.set_operator_revision(beacon.operator_state.revision.GetNewest().offset.Get());
@@ -220,7 +219,6 @@
   beacon.vm = VmId(message.vm());
   beacon.zone = ZoneName(message.zone());
   beacon.is_entry = message.is_entry();
-  beacon.is_draining = message.is_draining();
   beacon.incarnation = Incarnation(message.incarnation());
   beacon.sequence = message.sequence();
   beacon.operator_state = DecodeTopicState(message.operator_state(), message.operator_revision());
--- a/src/beacon_table.h
+++ b/src/beacon_table.h
@@ -35,8 +35,6 @@
   VmId vm;
   ZoneName zone;
   bool is_entry = false;
-  // Whether an entry stops and serves no new callers.
-  bool is_draining = false;
   Incarnation incarnation;
   uint64_t sequence = 0;
   TopicState operator_state;
--- a/src/forward_service.cpp
+++ b/src/forward_service.cpp
@@ -124,7 +124,6 @@
 
 void ForwardService::FillBeacon(BeaconInfo& beacon) {
   const std::lock_guard lock(m_beacon_mutex);
-  beacon.is_draining = m_is_draining;
   beacon.demand = m_demand;
   beacon.content_reports = m_content_reports;
   beacon.rates = m_rate_report;
@@ -160,7 +159,6 @@
     view.named.insert(beacon->entries.begin(), beacon->entries.end());
     if (!beacon->is_entry) continue;
     view.entries.push_back({beacon->vm, beacon->demand});
-    view.has_other_serving = view.has_other_serving || !beacon->is_draining;
     const auto heard = std::find(beacon->entries.begin(), beacon->entries.end(), m_parts.vm);
     view.is_heard_by_all = view.is_heard_by_all && heard != beacon->entries.end();
   }
@@ -210,7 +208,6 @@
 
 void ForwardService::BeginDrain(std::function<void()> done) {
   m_is_draining = true;
-  m_relay.SendNow();
   const Duration grace = m_parts.settings.GetDuration("drain.grace_ms");
   m_loop.Post([this, grace, done = std::move(done)] {
     if (m_traffic == nullptr) return;
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -34,9 +34,7 @@
 constexpr Duration kMinRetryAfter = Milliseconds(250);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(3);
 constexpr Duration kNoConfigRetryAfter = std::chrono::seconds(1);
-// From an entry that stops: another one serves, or entries have to start again first.
-constexpr Duration kOtherEntryRetryAfter = Milliseconds(20);
-constexpr Duration kRestartRetryAfter = Milliseconds(1500);
+constexpr Duration kDrainingRetryAfter = Milliseconds(20);
 // About the duration of a weight switch or a restart, during which few endpoints serve.
 constexpr Duration kNoEndpointRetryAfter = Milliseconds(1800);
 
@@ -92,7 +90,6 @@
   for (auto& [pool, state] : m_pools) {
     if (state.budget != nullptr) state.budget->SetReserve(GetRetryReserve());
   }
-  m_has_other_serving = view.has_other_serving;
   m_balancer.SetEntries(view.entries);
   m_balancer.GetRateLimits().SetEntries(std::move(view));
 }
@@ -138,7 +135,7 @@
             {"config", version}});
   Duration retry_after{};
   if (failure == ForwardFailure::kNoConfig) retry_after = kNoConfigRetryAfter;
-  if (failure == ForwardFailure::kDraining) retry_after = GetDrainRetryAfter();
+  if (failure == ForwardFailure::kDraining) retry_after = kDrainingRetryAfter;
   responder->Send(MakeForwardErrorResponse(failure, retry_after));
 }
 
@@ -174,10 +171,6 @@
   return now >= m_drain_refuse_at && ComputeDeadline(request, rule, now) > *m_drain_deadline;
 }
 
-Duration ForwardTraffic::GetDrainRetryAfter() const {
-  return m_has_other_serving ? kOtherEntryRetryAfter : kRestartRetryAfter;
-}
-
 void ForwardTraffic::StartRequest(ForwardRequest request, const RouteMatch& match,
                                   const std::shared_ptr<HttpResponder>& responder) {
   m_next_ticket = m_next_ticket.Next();
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -95,7 +95,6 @@
   bool ExceedsDrainDeadline(const ForwardRequest& request, const RouteRule& rule) const;
   void StartRequest(ForwardRequest request, const RouteMatch& match, const std::shared_ptr<HttpResponder>& responder);
   void Enqueue(ActiveRequest& active);
-  Duration GetDrainRetryAfter() const;
   bool HasMissedGoal(const ActiveRequest& active) const;
   WaitingRequest MakeLateEntry(WaitingRequest entry, const ActiveRequest& active) const;
   Duration GetMaxWait(const ActiveRequest& active) const;
@@ -147,7 +146,6 @@
   // Ended requests, which are destroyed later because their methods may still be on the call stack.
   std::vector<std::shared_ptr<ActiveRequest>> m_ended_requests;
   WaitTicket m_next_ticket;
-  bool m_has_other_serving = false;
   std::optional<TimePoint> m_drain_deadline;
   TimePoint m_drain_refuse_at;
 };
--- a/src/rate_grant.h
+++ b/src/rate_grant.h
@@ -23,8 +23,6 @@
   std::set<VmId> named;
   // Whether each live entry names this one as live.
   bool is_heard_by_all = true;
-  // Whether another entry serves new callers.
-  bool has_other_serving = false;
 };
 
 // Load pattern: an endpoint in trouble states a rate far below what its callers want, and any number of entries send to
