--- a/tests/caller_protocol_test.cpp
+++ b/tests/caller_protocol_test.cpp
@@ -32,6 +32,24 @@
   }
 }
 
+// Guards against a caller's timeout that overflows a duration, so that its deadline has passed before it was sent.
+TEST_CASE("A timeout that a caller states is bounded") {
+  const auto parse_timeout = [](const std::string& field) {
+    HttpRequest request;
+    request.target = "/a/";
+    request.headers.Add("Plantainmast-Attempt-Id", "r1");
+    request.headers.Add("Plantainmast-Deadline-Ms", field);
+    const auto parsed = HostedCallerProtocol().ParseRequest(std::move(request));
+    REQUIRE(parsed.ok());
+    return parsed->caller_timeout;
+  };
+  CHECK(parse_timeout("250") == Milliseconds(250));
+  CHECK(parse_timeout("86400001") == std::chrono::hours(24));
+  CHECK(parse_timeout("9223372036854776") == std::chrono::hours(24));
+  CHECK(parse_timeout("9223372036854775808") == std::chrono::hours(24));
+  CHECK(parse_timeout("18446744073709551615") == std::chrono::hours(24));
+}
+
 ResponseHead ParseRate(const std::string& value) {
   HttpHeaders headers;
   headers.Add("Plantainmast-Attempt-Id", "r1");
