Send calls to a plain service on new connections only

Cause: an answer of a plain service carries no id. Calls used kept connections, so that an answer which a faulty service wrote once more was taken for the answer of the next call on its connection. For calls that must run once, the wrong outcome was also recorded in the log.

Change: each call uses a connection of its own, which is not kept.

Shown: tests/service_answer_test.cpp, with a service that writes an earlier answer once more; both sections failed before (the second call got the first one's answer) and pass. The cost of the connections was not measured.

--- a/src/attempt_run_call.cpp
+++ b/src/attempt_run_call.cpp
@@ -173,6 +173,9 @@
   HttpCallOptions options;
   options.timeout = attempt->deadline - m_deps.clock.GetNow();
   options.max_body_bytes = kMaxServiceAnswerBytes;
+  // Answers of a plain service carry no id, so that only the first one on a new connection is sure to be this call's.
+  options.max_idle = Duration::zero();
+  options.is_kept = false;
   m_deps.admission.OnDispatched(*attempt->slot);
   attempt->call = m_deps.http.Fetch(
       m_deps.target, request, options,
--- a/src/once_service.cpp
+++ b/src/once_service.cpp
@@ -108,6 +108,9 @@
   HttpCallOptions options;
   options.timeout = kCallTimeout;
   options.max_body_bytes = kMaxResponseBytes;
+  // Answers of a plain service carry no id, so that only the first one on a new connection is sure to be this call's.
+  options.max_idle = Duration::zero();
+  options.is_kept = false;
   m_http.Fetch(m_options.service, request, options,
                [this, claim, started = m_clock.GetNow()](absl::StatusOr<HttpResponse> response) {
                  RunResult result;
