Give requests up before the end even if a stopping server was suspended

Cause: DrainControl went to the end from any phase once the time was over. A process that was suspended, or whose loop was late, past that time thus cut its requests without an answer, while it still listened.

Change: no phase is left out. The server stops listening, gives requests up, which answers them, and ends, one count after the other.

Shown: the new tests in tests/drain_control_test.cpp and tests/http_drain_test.cpp failed before (no 504 for the caller), and pass. Not run with real processes that were suspended.

--- a/src/drain_control.cpp
+++ b/src/drain_control.cpp
@@ -17,9 +17,10 @@
 
 DrainPhase DrainControl::FindPhase(Duration passed, const DrainLoad& load) const {
   const bool is_listening = m_phase < DrainPhase::kNotListening;
-  if (passed >= m_times.end) return DrainPhase::kEnded;
   if (!is_listening && load.connections == 0 && load.requests == 0) return DrainPhase::kEnded;
-  // The socket is closed first in any case, so that nothing arrives after the requests were given up.
+  // No phase is left out even if the process was suspended: the socket is closed first, so that nothing arrives after
+  // the requests were given up, and those are given up before the end, so that each gets an answer.
+  if (m_phase == DrainPhase::kGivingUp && passed >= m_times.end) return DrainPhase::kEnded;
   if (!is_listening && passed >= m_times.give_up) return DrainPhase::kGivingUp;
   if (passed >= m_times.stop_listening) return DrainPhase::kNotListening;
   if (passed >= m_times.notice && load.requests == 0) return DrainPhase::kNotListening;
--- a/src/drain_control.h
+++ b/src/drain_control.h
@@ -19,7 +19,7 @@
   Duration stop_listening{};
   // Requests without an answer are answered with a failure then.
   Duration give_up{};
-  // The process ends then, whatever is left.
+  // The process ends then, whatever is left, once requests were given up.
   Duration end{};
 };
 
--- a/tests/drain_control_test.cpp
+++ b/tests/drain_control_test.cpp
@@ -41,6 +41,19 @@
   }
 }
 
+// Guards against requests that are cut without an answer by a process that was suspended past the end of its time.
+TEST_CASE("A server that counts late stops listening and gives requests up before it ends") {
+  DrainControl control(kTimes);
+  control.Begin(kStart);
+  const TimePoint late = kStart + kTimes.end + seconds(5);
+  CHECK(control.Update(late, {2, 2}) == DrainPhase::kNotListening);
+  SECTION("with requests left") {
+    CHECK(control.Update(late, {2, 2}) == DrainPhase::kGivingUp);
+    CHECK(control.Update(late, {0, 2}) == DrainPhase::kEnded);
+  }
+  SECTION("without any") { CHECK(control.Update(late, {0, 0}) == DrainPhase::kEnded); }
+}
+
 TEST_CASE(
     "Whatever is counted when, no phase is left for an earlier one, and none that listens is followed by the end") {
   rc::check([](const std::vector<std::tuple<uint16_t, uint8_t, uint8_t>>& counts) {
--- a/tests/http_drain_test.cpp
+++ b/tests/http_drain_test.cpp
@@ -141,6 +141,14 @@
     fixture.requests.AnswerAll(200);
     CHECK(IsWhole(fixture.ReadAll(kept)));
   }
+  SECTION("requests that are left after a suspension past the end") {
+    boost::asio::write(kept, boost::asio::buffer(kRequest));
+    fixture.Step();
+    fixture.clock.Advance(seconds(10));
+    for (int i = 0; i < 4; ++i) fixture.Step();
+    CHECK(fixture.ReadAll(kept).starts_with("HTTP/1.1 504"));
+    CHECK(fixture.is_done);
+  }
   SECTION("requests that are left at the end get an answer too") {
     boost::asio::write(kept, boost::asio::buffer(kRequest));
     fixture.StepUntil(kTimes.give_up + Milliseconds(20));
