Leave a new connection of a stopping server time for its first request

Cause: a stopping server closes idle connections at each count, every 5 to 10 ms. A connection that was accepted just before counted as idle, so that a request which followed its connection by less than that was reset. The same closed connections accepted in the last step before the listening socket closes.

Change: a connection that has not carried any request is closed only if it still has none 200 ms after the first count that found it so.

Shown: the new section in tests/http_drain_test.cpp failed before, and passes.

--- a/src/http_drain.cpp
+++ b/src/http_drain.cpp
@@ -24,9 +24,10 @@
   if (before == DrainPhase::kServing || before == DrainPhase::kEnded) return;
   // A request whose caller has gone counts although it has no connection, and an answer until it is written.
   const DrainLoad load{std::max(m_requests.GetInFlight(), m_server.GetInFlight()), m_server.GetConnectionCount()};
-  const DrainPhase phase = m_control.Update(m_clock.GetNow(), load);
+  const TimePoint now = m_clock.GetNow();
+  const DrainPhase phase = m_control.Update(now, load);
   if (phase != before) EnterPhase(phase, load);
-  if (phase >= DrainPhase::kClosingIdle) m_server.CloseIdle();
+  if (phase >= DrainPhase::kClosingIdle) m_server.CloseIdle(now);
 }
 
 void HttpDrain::EnterPhase(DrainPhase phase, const DrainLoad& load) {
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -109,10 +109,10 @@
   if (m_impl->acceptor.is_open() && HasTimeLimits(limits)) m_impl->StartSweep();
 }
 
-void HttpServer::CloseIdle() {
+void HttpServer::CloseIdle(TimePoint now) {
   const std::vector<HttpSession*> all(m_impl->sessions.begin(), m_impl->sessions.end());
   for (HttpSession* session : all) {
-    if (m_impl->sessions.contains(session)) session->CloseIfIdle();
+    if (m_impl->sessions.contains(session)) session->CloseIfIdle(now);
   }
 }
 
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -70,8 +70,10 @@
   // From now on each connection closes after its next answer. Goes on accepting. Call on the loop's thread.
   void CloseAfterAnswers();
 
-  // Closes connections on which no byte of a request has arrived. Call on the loop's thread.
-  void CloseIdle();
+  // Closes connections on which no byte of a request has arrived. Call it repeatedly, on the loop's thread: a
+  // connection without any request so far is closed only if it still has none some time after the first call that found
+  // it.
+  void CloseIdle(TimePoint now);
 
   // Number of requests whose answer is not complete.
   size_t GetInFlight() const;
--- a/src/http_session.cpp
+++ b/src/http_session.cpp
@@ -22,6 +22,9 @@
 // How long a caller may go on sending after the last answer before its connection is closed. Closing with unread bytes
 // would reset the connection and could destroy the answer on its way.
 constexpr Duration kLingerTime = std::chrono::seconds(1);
+// How long a new connection is left open for its first request while the server closes idle ones. The caller has just
+// connected to send one, and it is on its way.
+constexpr Duration kFirstRequestTime = Milliseconds(200);
 constexpr size_t kMaxReadBytes = 64 * 1024;
 constexpr size_t kDiscardBytes = 4096;
 
@@ -63,8 +66,13 @@
   Receive();
 }
 
-void HttpSession::CloseIfIdle() {
-  if (m_state == State::kReading && !HasUnread()) Close();
+void HttpSession::CloseIfIdle(TimePoint now) {
+  if (!IsIdle()) return;
+  if (!m_has_carried_request) {
+    if (!m_found_unused_at.has_value()) m_found_unused_at = now;
+    if (now - *m_found_unused_at < kFirstRequestTime) return;
+  }
+  Close();
 }
 
 bool HttpSession::HasUnread() const {
@@ -81,7 +89,7 @@
   if (m_state != State::kReading) return;
   const HttpLimits& limits = m_server->limits;
   if (!HasBegunRequest()) {
-    if (limits.idle_timeout > Duration::zero() && now - m_read_since >= limits.idle_timeout) CloseIfIdle();
+    if (limits.idle_timeout > Duration::zero() && now - m_read_since >= limits.idle_timeout && IsIdle()) Close();
     return;
   }
   if (!m_has_begun) {
@@ -220,6 +228,7 @@
   request.body = std::move(message.body());
   m_keep_alive = message.keep_alive();
   m_state = State::kAnswering;
+  m_has_carried_request = true;
   m_is_last = false;
   ++m_server->in_flight;
   WaitUntilReadable();
--- a/src/http_session_asio.h
+++ b/src/http_session_asio.h
@@ -70,8 +70,9 @@
   // Reads the first request.
   void Start();
 
-  // Closes the connection unless a request has begun to arrive or is in progress.
-  void CloseIfIdle();
+  // Closes the connection unless a request has begun to arrive or is in progress. A connection that has not carried any
+  // request is first left some time for one, counted from the first call.
+  void CloseIfIdle(TimePoint now);
 
   // Applies the time limits.
   void CheckTime(TimePoint now);
@@ -107,6 +108,7 @@
   template <typename Message>
   void AppendMessage(const Message& message);
 
+  bool IsIdle() const { return m_state == State::kReading && !HasUnread(); }
   void BeginRead();
   void WaitUntilReadable();
   void OnReadable();
@@ -148,6 +150,9 @@
   bool m_is_refused = false;
   // Since when the session waits for the next request, or, once it has begun, for its end.
   TimePoint m_read_since;
+  bool m_has_carried_request = false;
+  // When the server, while it closes idle connections, first found this one without any request.
+  std::optional<TimePoint> m_found_unused_at;
   bool m_has_begun = false;
 };
 
--- a/tests/http_drain_test.cpp
+++ b/tests/http_drain_test.cpp
@@ -141,6 +141,16 @@
     fixture.requests.AnswerAll(200);
     CHECK(IsWhole(fixture.ReadAll(kept)));
   }
+  SECTION("a request that follows its new connection some steps later, while idle connections are closed") {
+    fixture.StepUntil(kTimes.close_idle + Milliseconds(20));
+    tcp::socket late = fixture.Connect();
+    fixture.Step();
+    fixture.Step();
+    boost::asio::write(late, boost::asio::buffer(kRequest));
+    fixture.Step();
+    fixture.requests.AnswerAll(200);
+    CHECK(IsWhole(fixture.ReadAll(late)));
+  }
   SECTION("requests that are left after a suspension past the end") {
     boost::asio::write(kept, boost::asio::buffer(kRequest));
     fixture.Step();
