Keep the promise of an answer's head that its connection stays open

Cause: whether a connection closes after its answer was decided at the answer's end. A stop that began while a streamed answer was written closed a connection whose head had said that it stays open, and dropped the request that the caller had sent on it: read, and never answered.

Change: the head decides. A request that follows such an answer is handled, and its answer closes the connection; without one it is closed with the other idle connections.

Shown: the new test in tests/http_drain_test.cpp failed before (the request was dropped), and passes.

--- a/src/http_server.h
+++ b/src/http_server.h
@@ -64,10 +64,11 @@
   void SetLimits(const HttpLimits& limits);
 
   // Accepts the connections that are waiting, then closes the listening socket. Requests that arrive on open
-  // connections are still handled, and each connection closes after its next answer. Call on the loop's thread.
+  // connections are still handled, and each connection closes after the next answer that begins. Call on the loop's
+  // thread.
   void StopAccepting();
 
-  // From now on each connection closes after its next answer. Goes on accepting. Call on the loop's thread.
+  // From now on each connection closes after the next answer that begins. Goes on accepting. Call on the loop's thread.
   void CloseAfterAnswers();
 
   // Closes connections on which no byte of a request has arrived. Call it repeatedly, on the loop's thread: a
--- a/src/http_session.cpp
+++ b/src/http_session.cpp
@@ -104,7 +104,7 @@
   if (m_state != State::kAnswering) return;
   http::response<http::string_body> message(static_cast<http::status>(response.status), 11, std::move(response.body));
   for (const auto& [name, value] : response.headers.GetFields()) message.insert(name, value);
-  message.keep_alive(ShouldKeepAlive());
+  message.keep_alive(DecideKeepAlive());
   message.prepare_payload();
   AppendMessage(message);
   m_is_last = true;
@@ -115,7 +115,7 @@
   if (m_state != State::kAnswering) return;
   http::response<http::empty_body> message(static_cast<http::status>(status), 11);
   for (const auto& [name, value] : headers.GetFields()) message.insert(name, value);
-  message.keep_alive(ShouldKeepAlive());
+  message.keep_alive(DecideKeepAlive());
   message.chunked(true);
   http::response_serializer<http::empty_body> serializer(message);
   serializer.split(true);
@@ -310,7 +310,7 @@
 
 void HttpSession::OnAnswered() {
   FinishRequest();
-  if (ShouldKeepAlive()) {
+  if (m_is_kept_after) {
     BeginRead();
     Parse();
     return;
--- a/src/http_session_asio.h
+++ b/src/http_session_asio.h
@@ -102,7 +102,9 @@
     kClosed,
   };
 
-  bool ShouldKeepAlive() const { return m_keep_alive && m_server->is_keeping_alive; }
+  // Decides whether the connection stays open after the answer that begins. Its head says so, and a caller may rely on
+  // it with its next request, so that a stop which begins later does not change it.
+  bool DecideKeepAlive() { return m_is_kept_after = m_keep_alive && m_server->is_keeping_alive; }
   bool HasBegunRequest() const { return m_parser.has_value() && (m_parser->got_some() || m_buffer.size() > 0); }
 
   template <typename Message>
@@ -146,6 +148,7 @@
   bool m_is_flush_posted = false;
   // Whether the caller's request allows further requests on the connection.
   bool m_keep_alive = false;
+  bool m_is_kept_after = false;
   // A request on this connection was refused unread; the connection ends after the answer.
   bool m_is_refused = false;
   // Since when the session waits for the next request, or, once it has begun, for its end.
--- a/tests/http_drain_test.cpp
+++ b/tests/http_drain_test.cpp
@@ -29,6 +29,13 @@
     for (const auto& responder : std::exchange(m_held, {})) responder->Send(MakeTextResponse(status, "answer"));
   }
 
+  // Returns the oldest request's responder, which the test uses itself.
+  std::shared_ptr<HttpResponder> Release() {
+    const std::shared_ptr<HttpResponder> responder = m_held.at(0);
+    m_held.erase(m_held.begin());
+    return responder;
+  }
+
   size_t GetInFlight() const override { return m_held.size(); }
   void BeginDrain(TimePoint, TimePoint) override {}
   void GiveUp() override { AnswerAll(504); }
@@ -184,6 +191,28 @@
   CHECK(fixture.requests.GetInFlight() == 0);
 }
 
+// Guards against a request that is read and dropped: the answer before it, whose head is from before the stop, has told
+// the caller that its connection stays open.
+TEST_CASE("A request that follows an answer which promised to keep the connection is answered") {
+  DrainFixture fixture;
+  tcp::socket kept = fixture.Connect();
+  boost::asio::write(kept, boost::asio::buffer(kRequest));
+  fixture.RunReady();
+  const std::shared_ptr<HttpResponder> stream = fixture.requests.Release();
+  stream->StartStream(200, {});
+  fixture.RunReady();
+  fixture.Begin();
+  boost::asio::write(kept, boost::asio::buffer(kRequest));
+  fixture.RunReady();
+  stream->EndStream();
+  fixture.RunReady();
+  REQUIRE(fixture.requests.GetInFlight() == 1);
+  fixture.requests.AnswerAll(200);
+  const std::string answers = fixture.ReadAll(kept);
+  CHECK(IsWhole(answers));
+  CHECK(answers.find("Connection: close") != std::string::npos);
+}
+
 TEST_CASE("Idle connections of a stopping server are closed, and it ends") {
   DrainFixture fixture;
   tcp::socket kept = fixture.Connect();
