--- a/src/http_server.h
+++ b/src/http_server.h
@@ -64,14 +64,17 @@
   void SetLimits(const HttpLimits& limits);
 
   // Accepts the connections that are waiting, then closes the listening socket. Requests that arrive on open
-  // connections are still handled, and each connection closes after its next answer. Call on the loop's thread.
+  // connections are still handled, and each connection closes after the next answer that begins. Call on the loop's
+  // thread.
   void StopAccepting();
 
-  // From now on each connection closes after its next answer. Goes on accepting. Call on the loop's thread.
+  // From now on each connection closes after the next answer that begins. Goes on accepting. Call on the loop's thread.
   void CloseAfterAnswers();
 
-  // Closes connections on which no byte of a request has arrived. Call on the loop's thread.
-  void CloseIdle();
+  // Closes connections on which no byte of a request has arrived. Call it repeatedly, on the loop's thread: a
+  // connection without any request so far is closed only if it still has none some time after the first call that found
+  // it.
+  void CloseIdle(TimePoint now);
 
   // Number of requests whose answer is not complete.
   size_t GetInFlight() const;
--- a/src/http_session_asio.h
+++ b/src/http_session_asio.h
@@ -70,8 +70,9 @@
   // Reads the first request.
   void Start();
 
-  // Closes the connection unless a request has begun to arrive or is in progress.
-  void CloseIfIdle();
+  // Closes the connection unless a request has begun to arrive or is in progress. A connection that has not carried any
+  // request is first left some time for one, counted from the first call.
+  void CloseIfIdle(TimePoint now);
 
   // Applies the time limits.
   void CheckTime(TimePoint now);
@@ -101,12 +102,15 @@
     kClosed,
   };
 
-  bool ShouldKeepAlive() const { return m_keep_alive && m_server->is_keeping_alive; }
+  // Decides whether the connection stays open after the answer that begins. Its head says so, and a caller may rely on
+  // it with its next request, so that a stop which begins later does not change it.
+  bool DecideKeepAlive() { return m_is_kept_after = m_keep_alive && m_server->is_keeping_alive; }
   bool HasBegunRequest() const { return m_parser.has_value() && (m_parser->got_some() || m_buffer.size() > 0); }
 
   template <typename Message>
   void AppendMessage(const Message& message);
 
+  bool IsIdle() const { return m_state == State::kReading && !HasUnread(); }
   void BeginRead();
   void WaitUntilReadable();
   void OnReadable();
@@ -144,10 +148,14 @@
   bool m_is_flush_posted = false;
   // Whether the caller's request allows further requests on the connection.
   bool m_keep_alive = false;
+  bool m_is_kept_after = false;
   // A request on this connection was refused unread; the connection ends after the answer.
   bool m_is_refused = false;
   // Since when the session waits for the next request, or, once it has begun, for its end.
   TimePoint m_read_since;
+  bool m_has_carried_request = false;
+  // When the server, while it closes idle connections, first found this one without any request.
+  std::optional<TimePoint> m_found_unused_at;
   bool m_has_begun = false;
 };
 
--- a/tests/http_drain_test.cpp
+++ b/tests/http_drain_test.cpp
@@ -29,6 +29,13 @@
     for (const auto& responder : std::exchange(m_held, {})) responder->Send(MakeTextResponse(status, "answer"));
   }
 
+  // Returns the oldest request's responder, which the test uses itself.
+  std::shared_ptr<HttpResponder> Release() {
+    const std::shared_ptr<HttpResponder> responder = m_held.at(0);
+    m_held.erase(m_held.begin());
+    return responder;
+  }
+
   size_t GetInFlight() const override { return m_held.size(); }
   void BeginDrain(TimePoint, TimePoint) override {}
   void GiveUp() override { AnswerAll(504); }
@@ -141,6 +148,24 @@
     fixture.requests.AnswerAll(200);
     CHECK(IsWhole(fixture.ReadAll(kept)));
   }
+  SECTION("a request that follows its new connection some steps later, while idle connections are closed") {
+    fixture.StepUntil(kTimes.close_idle + Milliseconds(20));
+    tcp::socket late = fixture.Connect();
+    fixture.Step();
+    fixture.Step();
+    boost::asio::write(late, boost::asio::buffer(kRequest));
+    fixture.Step();
+    fixture.requests.AnswerAll(200);
+    CHECK(IsWhole(fixture.ReadAll(late)));
+  }
+  SECTION("requests that are left after a suspension past the end") {
+    boost::asio::write(kept, boost::asio::buffer(kRequest));
+    fixture.Step();
+    fixture.clock.Advance(seconds(10));
+    for (int i = 0; i < 4; ++i) fixture.Step();
+    CHECK(fixture.ReadAll(kept).starts_with("HTTP/1.1 504"));
+    CHECK(fixture.is_done);
+  }
   SECTION("requests that are left at the end get an answer too") {
     boost::asio::write(kept, boost::asio::buffer(kRequest));
     fixture.StepUntil(kTimes.give_up + Milliseconds(20));
@@ -166,6 +191,28 @@
   CHECK(fixture.requests.GetInFlight() == 0);
 }
 
+// Guards against a request that is read and dropped: the answer before it, whose head is from before the stop, has told
+// the caller that its connection stays open.
+TEST_CASE("A request that follows an answer which promised to keep the connection is answered") {
+  DrainFixture fixture;
+  tcp::socket kept = fixture.Connect();
+  boost::asio::write(kept, boost::asio::buffer(kRequest));
+  fixture.RunReady();
+  const std::shared_ptr<HttpResponder> stream = fixture.requests.Release();
+  stream->StartStream(200, {});
+  fixture.RunReady();
+  fixture.Begin();
+  boost::asio::write(kept, boost::asio::buffer(kRequest));
+  fixture.RunReady();
+  stream->EndStream();
+  fixture.RunReady();
+  REQUIRE(fixture.requests.GetInFlight() == 1);
+  fixture.requests.AnswerAll(200);
+  const std::string answers = fixture.ReadAll(kept);
+  CHECK(IsWhole(answers));
+  CHECK(answers.find("Connection: close") != std::string::npos);
+}
+
 TEST_CASE("Idle connections of a stopping server are closed, and it ends") {
   DrainFixture fixture;
   tcp::socket kept = fixture.Connect();
