--- a/bench/_soak_standins.py
+++ b/bench/_soak_standins.py
@@ -8,6 +8,7 @@
 import dataclasses
 import os
 import random
+import threading
 import time
 
 from _balanced_callers import BalancedCallers
@@ -24,6 +25,28 @@
 # An engine whose loop was held up as long is one that stood still; entries take it for failed after 1.2 s of silence.
 LATE_S = 0.6
 DRAIN_MIN_S, DRAIN_MAX_S = 2.0, 5.0
+# Period of the look at stalls of the machine, and the delay from which it is one.
+STALL_PERIOD_S, STALL_S = 0.02, 0.2
+
+
+class StallWatch(threading.Thread):
+    """Notes when this process did not run."""
+
+    def __init__(self):
+        super().__init__(daemon=True)
+        self.stalls = []
+
+    def run(self):
+        last = time.monotonic()
+        while True:
+            time.sleep(STALL_PERIOD_S)
+            now = time.monotonic()
+            if now - last >= STALL_PERIOD_S + STALL_S:
+                self.stalls.append((last, now))
+            last = now
+
+    def find_longest(self, since, until):
+        return round(max((end - begin for begin, end in self.stalls if begin <= until and since <= end), default=0.0), 2)
 
 
 @dataclasses.dataclass
@@ -177,10 +200,12 @@
         self.random = random.Random(fleet.random.getrandbits(32))
         self.version, self.extra, self.next_route = 3, [], 0
         self.ended_at = 0.0
+        self.watch = StallWatch()
+        self.watch.start()
 
     @property
     def result(self):
-        return self.version, self.ended_at
+        return self.version, self.ended_at, self.watch.stalls
 
     async def run(self):
         while self.begin.value == 0:
