--- a/bench/_hosted_store.py
+++ b/bench/_hosted_store.py
@@ -135,6 +135,6 @@
 def reset(writer):
     """Closes a connection with a reset, as the kernel does for a process that was killed."""
     sock = writer.get_extra_info("socket")
-    if sock is not None:
+    if sock is not None and sock.fileno() >= 0:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
--- a/bench/_soak_standins.py
+++ b/bench/_soak_standins.py
@@ -199,13 +199,14 @@
         self.fleet, self.plan, self.begin = fleet, plan, begin
         self.random = random.Random(fleet.random.getrandbits(32))
         self.version, self.extra, self.next_route = 3, [], 0
-        self.ended_at = 0.0
+        self.ended_at, self.left = 0.0, len(plan)
         self.watch = StallWatch()
         self.watch.start()
 
     @property
     def result(self):
-        return self.version, self.ended_at, self.watch.stalls
+        """Returns the newest version, the end of the last fault, how many faults have not ended, and the stalls."""
+        return self.version, self.ended_at, self.left, self.watch.stalls
 
     async def run(self):
         while self.begin.value == 0:
@@ -215,7 +216,7 @@
     async def play(self, fault):
         await asyncio.sleep(max(0.0, self.begin.value + fault.at_s - time.monotonic()))
         await getattr(self, fault.kind)(fault)
-        self.ended_at = max(self.ended_at, time.monotonic())
+        self.ended_at, self.left = max(self.ended_at, time.monotonic()), self.left - 1
 
     def pick(self, fault):
         return self.fleet.engines[fault.target % len(self.fleet.engines)]
