Name the table of stated request rates for all that endpoints state

EndpointRateLimits, RateStatement and RateReport get the names EndpointStatements, EndpointStatement and StatementReport, since endpoints are about to state more than a rate.

--- a/src/beacon_table.cpp
+++ b/src/beacon_table.cpp
@@ -23,7 +23,7 @@
 constexpr uint64_t kMaxPromptAgeMs = 24 * 3'600'000;
 constexpr int kMaxContentReports = 16;
 constexpr int kMaxContentListSize = 16;
-constexpr int kMaxRates = 32;
+constexpr int kMaxStatements = 32;
 
 void EncodeLoad(const EndpointLoad& load, proto::LoadReport& out) {
   out.set_endpoint(load.endpoint.Get());
@@ -99,15 +99,15 @@
          content.companions_size() <= kMaxContentListSize;
 }
 
-void EncodeRates(const RateReport& rates, proto::Beacon& out) {
-  for (const RateStatement& statement : rates.statements) {
-    proto::RateStatement* added = out.add_rate_statements();
+void EncodeStatements(const StatementReport& report, proto::Beacon& out) {
+  for (const EndpointStatement& statement : report.statements) {
+    proto::EndpointStatement* added = out.add_statements();
     added->set_endpoint(statement.endpoint.Get());
     added->set_is_stated(statement.per_s.has_value());
     added->set_per_s(statement.per_s.value_or(0));
     added->set_age_ms(EncodeAge(statement.age));
   }
-  for (const RateGrantReport& grants : rates.grants) {
+  for (const RateGrantReport& grants : report.grants) {
     proto::RateGrants* added = out.add_rate_grants();
     added->set_endpoint(grants.endpoint.Get());
     added->set_epoch(grants.epoch);
@@ -119,26 +119,26 @@
   }
 }
 
-RateReport DecodeRates(const proto::Beacon& in) {
-  RateReport rates;
-  for (const proto::RateStatement& statement : in.rate_statements()) {
+StatementReport DecodeStatements(const proto::Beacon& in) {
+  StatementReport report;
+  for (const proto::EndpointStatement& statement : in.statements()) {
     const bool is_valid = std::isfinite(statement.per_s()) && statement.per_s() >= 0;
     if (!is_valid) continue;
     const std::optional<double> per_s = statement.is_stated() ? std::optional(statement.per_s()) : std::nullopt;
-    rates.statements.push_back({EndpointId(statement.endpoint()), per_s, DecodeAge(statement.age_ms())});
+    report.statements.push_back({EndpointId(statement.endpoint()), per_s, DecodeAge(statement.age_ms())});
   }
   for (const proto::RateGrants& grants : in.rate_grants()) {
-    RateGrantReport report{EndpointId(grants.endpoint()), grants.epoch(), {}};
+    RateGrantReport granted{EndpointId(grants.endpoint()), grants.epoch(), {}};
     for (const proto::RateGrant& grant : grants.grants()) {
-      report.grants.push_back({VmId(grant.entry()), grant.total()});
+      granted.grants.push_back({VmId(grant.entry()), grant.total()});
     }
-    rates.grants.push_back(std::move(report));
+    report.grants.push_back(std::move(granted));
   }
-  return rates;
+  return report;
 }
 
-bool HasBoundedRates(const proto::Beacon& message) {
-  return message.rate_statements_size() <= kMaxRates && message.rate_grants_size() <= kMaxRates &&
+bool HasBoundedStatements(const proto::Beacon& message) {
+  return message.statements_size() <= kMaxStatements && message.rate_grants_size() <= kMaxStatements &&
          std::all_of(message.rate_grants().begin(), message.rate_grants().end(),
                      [](const proto::RateGrants& grants) { return grants.grants_size() <= kMaxNamedEntries; });
 }
@@ -202,7 +202,7 @@
     out->set_age_ms(static_cast<uint64_t>(std::clamp<int64_t>(ToMilliseconds(wanted.age), 0, kMaxWantedAgeMs)));
   }
   for (const ContentReport& report : beacon.content_reports) EncodeContent(report, *message.add_content_evidence());
-  EncodeRates(beacon.rates, message);
+  EncodeStatements(beacon.statements, message);
   return message.SerializeAsString();
 }
 
@@ -214,7 +214,7 @@
                           message.wanted_size() <= static_cast<int>(kMaxWantedAges) &&
                           message.content_evidence_size() <= kMaxContentReports &&
                           std::all_of(message.content_evidence().begin(), message.content_evidence().end(), IsBounded);
-  if (message.vm().empty() || !is_bounded || !HasBoundedRates(message)) return std::nullopt;
+  if (message.vm().empty() || !is_bounded || !HasBoundedStatements(message)) return std::nullopt;
   BeaconInfo beacon;
   beacon.vm = VmId(message.vm());
   beacon.zone = ZoneName(message.zone());
@@ -241,7 +241,7 @@
   }
   for (const proto::ContentEvidence& content : message.content_evidence())
     beacon.content_reports.push_back(DecodeContent(content));
-  beacon.rates = DecodeRates(message);
+  beacon.statements = DecodeStatements(message);
   return beacon;
 }
 
--- a/src/beacon_table.h
+++ b/src/beacon_table.h
@@ -12,10 +12,10 @@
 #include "core_type.h"
 #include "crash_report_type.h"
 #include "endpoint_balancer.h"
+#include "endpoint_statement_type.h"
 #include "era_table.h"
 #include "log_position.h"
 #include "member_type.h"
-#include "rate_grant_type.h"
 
 namespace plantain::proto {
 class TopicState;
@@ -50,8 +50,8 @@
   std::vector<WantedAge> wanted;
   // Contents at which endpoints may crash, as an entry knows them.
   std::vector<ContentReport> content_reports;
-  // Request rates that endpoints state, and what the sender grants to entries.
-  RateReport rates;
+  // What endpoints state in their answers, and what the sender grants to entries.
+  StatementReport statements;
 };
 
 // Encode and decode beacons. Decoding returns nothing if the bytes are not a valid beacon.
--- a/src/endpoint_balancer.cpp
+++ b/src/endpoint_balancer.cpp
@@ -59,7 +59,7 @@
       m_random(random),
       m_options(std::move(options)),
       m_fleet(std::make_shared<FleetView>()),
-      m_rate_limits(clock, m_options.self) {}
+      m_statements(clock, m_options.self) {}
 
 void EndpointBalancer::SetFleet(std::shared_ptr<const FleetView> fleet) {
   m_fleet = std::move(fleet);
@@ -86,7 +86,7 @@
     m_pools[info.pool].push_back(&state);
     pools[info.id] = info.pool;
   }
-  m_rate_limits.SetEndpoints(std::move(pools));
+  m_statements.SetEndpoints(std::move(pools));
   std::erase_if(m_states, [](const auto& entry) { return !entry.second.is_listed && entry.second.own_requests == 0; });
   AssignSlots();
   if (m_fleet->routing == nullptr) return;
@@ -201,7 +201,7 @@
   if (state.is_switching && HasFreshReport(state, now)) return Availability::kBusy;
   if (!HasVersion(state, query)) return Availability::kBusy;
   if (IsFull(state, now)) return Availability::kBusy;
-  if (!m_rate_limits.IsAvailable(state.info.id)) return Availability::kBusy;
+  if (!m_statements.IsAvailable(state.info.id)) return Availability::kBusy;
   if (state.cold_requests_per_s > 0) {
     RefillRateTokens(state, now);
     if (state.rate_tokens < 1) return Availability::kBusy;
@@ -311,7 +311,7 @@
   ++found->second.own_requests;
   found->second.own_prompt_tokens += prompt_tokens;
   if (found->second.cold_requests_per_s > 0) found->second.rate_tokens -= 1;
-  m_rate_limits.OnSent(id);
+  m_statements.OnSent(id);
 }
 
 void EndpointBalancer::RecordOutcome(State& state, bool is_error) {
--- a/src/endpoint_balancer.h
+++ b/src/endpoint_balancer.h
@@ -10,9 +10,9 @@
 #include <vector>
 
 #include "clock.h"
+#include "endpoint_statement.h"
 #include "fleet_type.h"
 #include "random.h"
-#include "rate_grant.h"
 #include "route_match.h"
 #include "slot_share.h"
 
@@ -109,8 +109,8 @@
   void SetEntries(std::vector<EntryDemand> entries);
   void OnLoad(const EndpointLoad& load);
   // Rates that endpoints state for all entries together.
-  EndpointRateLimits& GetRateLimits() { return m_rate_limits; }
-  const EndpointRateLimits& GetRateLimits() const { return m_rate_limits; }
+  EndpointStatements& GetStatements() { return m_statements; }
+  const EndpointStatements& GetStatements() const { return m_statements; }
 
   EndpointChoice Choose(const EndpointQuery& query);
 
@@ -198,7 +198,7 @@
   std::map<EndpointId, State> m_states;
   std::map<PoolName, std::vector<State*>> m_pools;
   std::vector<EntryDemand> m_entries;
-  EndpointRateLimits m_rate_limits;
+  EndpointStatements m_statements;
 };
 
 }  // namespace plantain
--- a/src/rate_grant.cpp
+++ b/src/endpoint_statement.cpp
@@ -1,4 +1,4 @@
-#include "rate_grant.h"
+#include "endpoint_statement.h"
 
 #include <algorithm>
 #include <cmath>
@@ -25,17 +25,17 @@
 
 }  // namespace
 
-EndpointRateLimits::EndpointRateLimits(const Clock& clock, VmId self)
+EndpointStatements::EndpointStatements(const Clock& clock, VmId self)
     : m_clock(clock), m_self(std::move(self)), m_entries_changed_at(clock.GetNow()) {
   m_view.entries.push_back({m_self, {}});
 }
 
-void EndpointRateLimits::SetEndpoints(std::map<EndpointId, PoolName> pools) {
+void EndpointStatements::SetEndpoints(std::map<EndpointId, PoolName> pools) {
   m_pools = std::move(pools);
   std::erase_if(m_limits, [&](const auto& entry) { return !m_pools.contains(entry.first); });
 }
 
-void EndpointRateLimits::SetEntries(EntryView view) {
+void EndpointStatements::SetEntries(EntryView view) {
   const auto get_ids = [](const EntryView& of) {
     std::set<VmId> ids = of.named;
     for (const EntryDemand& entry : of.entries) ids.insert(entry.entry);
@@ -46,7 +46,7 @@
   for (auto& [endpoint, limit] : m_limits) UpdateOwner(endpoint, limit);
 }
 
-VmId EndpointRateLimits::GetOwner(const EndpointId& endpoint) const {
+VmId EndpointStatements::GetOwner(const EndpointId& endpoint) const {
   VmId best = m_self;
   uint64_t best_score = GetRendezvousScore(endpoint.Get(), m_self.Get());
   const auto consider = [&](const VmId& entry) {
@@ -60,7 +60,7 @@
   return best;
 }
 
-void EndpointRateLimits::UpdateOwner(const EndpointId& endpoint, Limit& limit) {
+void EndpointStatements::UpdateOwner(const EndpointId& endpoint, Limit& limit) {
   VmId owner = GetOwner(endpoint);
   if (owner == limit.owner) return;
   limit.owner = std::move(owner);
@@ -68,17 +68,17 @@
   limit.epoch = 0;
 }
 
-bool EndpointRateLimits::IsGranting(const Limit& limit) const {
+bool EndpointStatements::IsGranting(const Limit& limit) const {
   return limit.per_s.has_value() && limit.owner == m_self && m_view.is_heard_by_all &&
          m_clock.GetNow() - limit.owner_since >= kTakeoverDelay;
 }
 
-EndpointRateLimits::Limit* EndpointRateLimits::FindLimit(const EndpointId& endpoint) {
+EndpointStatements::Limit* EndpointStatements::FindLimit(const EndpointId& endpoint) {
   const auto found = m_limits.find(endpoint);
   return found == m_limits.end() ? nullptr : &found->second;
 }
 
-EndpointRateLimits::Limit& EndpointRateLimits::AddLimit(const EndpointId& endpoint) {
+EndpointStatements::Limit& EndpointStatements::AddLimit(const EndpointId& endpoint) {
   const auto [found, is_new] = m_limits.try_emplace(endpoint);
   if (is_new) {
     found->second.owner = GetOwner(endpoint);
@@ -87,7 +87,7 @@
   return found->second;
 }
 
-bool EndpointRateLimits::SetRate(const EndpointId& endpoint, std::optional<double> per_s, TimePoint stated_at,
+bool EndpointStatements::SetRate(const EndpointId& endpoint, std::optional<double> per_s, TimePoint stated_at,
                                  bool is_from_peer) {
   Limit& limit = AddLimit(endpoint);
   if (per_s.has_value() && *per_s > kMaxPerS) per_s.reset();
@@ -98,13 +98,13 @@
   return true;
 }
 
-bool EndpointRateLimits::OnResponse(const EndpointId& endpoint, std::optional<double> per_s) {
+bool EndpointStatements::OnResponse(const EndpointId& endpoint, std::optional<double> per_s) {
   if (!per_s.has_value() && FindLimit(endpoint) == nullptr) return false;
   if (!m_pools.contains(endpoint)) return false;
   return SetRate(endpoint, per_s, m_clock.GetNow(), false);
 }
 
-void EndpointRateLimits::GrantDue() {
+void EndpointStatements::GrantDue() {
   const TimePoint now = m_clock.GetNow();
   for (auto& [endpoint, limit] : m_limits) {
     while (!limit.grants.empty() && limit.grants.front() <= now) limit.grants.pop_front();
@@ -116,7 +116,7 @@
   }
 }
 
-void EndpointRateLimits::BeginGrants(const EndpointId& endpoint, Limit& limit) {
+void EndpointStatements::BeginGrants(const EndpointId& endpoint, Limit& limit) {
   const TimePoint now = m_clock.GetNow();
   limit.epoch = static_cast<uint64_t>(now.time_since_epoch().count());
   limit.due = 0;
@@ -126,7 +126,7 @@
   m_changes.push_back({endpoint, limit.per_s, false, true});
 }
 
-void EndpointRateLimits::Grant(const EndpointId& endpoint, Limit& limit) {
+void EndpointStatements::Grant(const EndpointId& endpoint, Limit& limit) {
   const TimePoint now = m_clock.GetNow();
   if (limit.epoch == 0) BeginGrants(endpoint, limit);
   const Duration passed = std::min<Duration>(now - limit.due_at, kMaxAccrualTime);
@@ -141,7 +141,7 @@
 }
 
 // Weighted round robin: each entry's credit grows with its share of the demand, and the one with the most is next.
-VmId EndpointRateLimits::PickReceiver(const EndpointId& endpoint, Limit& limit) const {
+VmId EndpointStatements::PickReceiver(const EndpointId& endpoint, Limit& limit) const {
   const auto pool = m_pools.find(endpoint);
   const auto get_demand = [&](const EntryDemand& entry) {
     if (pool == m_pools.end()) return 0.0;
@@ -162,7 +162,7 @@
 
 // Adds the grants since the last message of the same epoch. Those of an epoch that began before its first message
 // arrived are left unused.
-void EndpointRateLimits::Receive(Limit& limit, const Received& received) {
+void EndpointStatements::Receive(Limit& limit, const Received& received) {
   Received& last = limit.received[received.from];
   const bool continues = last.epoch == received.epoch;
   const bool is_own = received.from == m_self;
@@ -181,20 +181,20 @@
   while (limit.grants.size() > most) limit.grants.pop_front();
 }
 
-bool EndpointRateLimits::IsAvailable(const EndpointId& endpoint) const {
+bool EndpointStatements::IsAvailable(const EndpointId& endpoint) const {
   const auto found = m_limits.find(endpoint);
   if (found == m_limits.end() || !found->second.per_s.has_value()) return true;
   const std::deque<TimePoint>& grants = found->second.grants;
   return !grants.empty() && grants.back() > m_clock.GetNow();
 }
 
-void EndpointRateLimits::OnSent(const EndpointId& endpoint) {
+void EndpointStatements::OnSent(const EndpointId& endpoint) {
   Limit* limit = FindLimit(endpoint);
   if (limit != nullptr && !limit->grants.empty()) limit->grants.pop_front();
 }
 
-RateReport EndpointRateLimits::GetReport() const {
-  RateReport report;
+StatementReport EndpointStatements::GetReport() const {
+  StatementReport report;
   const TimePoint now = m_clock.GetNow();
   for (const auto& [endpoint, limit] : m_limits) {
     const Duration age = now - limit.stated_at;
@@ -214,9 +214,9 @@
   return report;
 }
 
-void EndpointRateLimits::ApplyReport(const VmId& from, const RateReport& report) {
+void EndpointStatements::ApplyReport(const VmId& from, const StatementReport& report) {
   const TimePoint now = m_clock.GetNow();
-  for (const RateStatement& statement : report.statements) {
+  for (const EndpointStatement& statement : report.statements) {
     const Limit* known = FindLimit(statement.endpoint);
     if (known == nullptr && (!statement.per_s.has_value() || !m_pools.contains(statement.endpoint))) continue;
     const TimePoint stated_at = now - statement.age;
@@ -233,14 +233,14 @@
   }
 }
 
-std::vector<EndpointRateLimits::Change> EndpointRateLimits::TakeChanges() { return std::exchange(m_changes, {}); }
+std::vector<EndpointStatements::Change> EndpointStatements::TakeChanges() { return std::exchange(m_changes, {}); }
 
-std::optional<double> EndpointRateLimits::GetLimit(const EndpointId& endpoint) const {
+std::optional<double> EndpointStatements::GetLimit(const EndpointId& endpoint) const {
   const auto found = m_limits.find(endpoint);
   return found == m_limits.end() ? std::nullopt : found->second.per_s;
 }
 
-size_t EndpointRateLimits::GetLimitCount() const {
+size_t EndpointStatements::GetLimitCount() const {
   return static_cast<size_t>(std::count_if(m_limits.begin(), m_limits.end(),
                                            [](const auto& entry) { return entry.second.per_s.has_value(); }));
 }
--- a/src/rate_grant.h
+++ b/src/endpoint_statement.h
@@ -1,7 +1,7 @@
 // Keeps all entries together within the request rate that an endpoint states. No I/O.
 
-#ifndef PLANTAIN_RATE_GRANT_H_
-#define PLANTAIN_RATE_GRANT_H_
+#ifndef PLANTAIN_ENDPOINT_STATEMENT_H_
+#define PLANTAIN_ENDPOINT_STATEMENT_H_
 
 #include <deque>
 #include <map>
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "clock.h"
-#include "rate_grant_type.h"
+#include "endpoint_statement_type.h"
 #include "slot_share.h"
 
 namespace plantain {
@@ -31,9 +31,9 @@
 // other's shares. Grants expire soon, so that entries cannot save them up. The granting entry is the first one of a
 // rendezvous ranking. It begins only after it has been first for longer than another entry may take to notice that it
 // is not, and stops at once when an entry of a higher rank appears. Used on one traffic loop.
-class EndpointRateLimits {
+class EndpointStatements {
  public:
-  EndpointRateLimits(const Clock& clock, VmId self);
+  EndpointStatements(const Clock& clock, VmId self);
 
   // Takes the pools of the listed endpoints and forgets the limits of others.
   void SetEndpoints(std::map<EndpointId, PoolName> pools);
@@ -50,8 +50,8 @@
   // Uses up a grant if the endpoint has a limit.
   void OnSent(const EndpointId& endpoint);
 
-  RateReport GetReport() const;
-  void ApplyReport(const VmId& from, const RateReport& report);
+  StatementReport GetReport() const;
+  void ApplyReport(const VmId& from, const StatementReport& report);
 
   // Changes since the last call, for the log.
   struct Change {
@@ -115,4 +115,4 @@
 
 }  // namespace plantain
 
-#endif  // PLANTAIN_RATE_GRANT_H_
+#endif  // PLANTAIN_ENDPOINT_STATEMENT_H_
--- a/src/rate_grant_type.h
+++ b/src/endpoint_statement_type.h
@@ -1,7 +1,7 @@
-// Messages about the request rates that endpoints accept from all entries together.
+// What endpoints state in their answers, and messages about it between entries.
 
-#ifndef PLANTAIN_RATE_GRANT_TYPE_H_
-#define PLANTAIN_RATE_GRANT_TYPE_H_
+#ifndef PLANTAIN_ENDPOINT_STATEMENT_TYPE_H_
+#define PLANTAIN_ENDPOINT_STATEMENT_TYPE_H_
 
 #include <cstdint>
 #include <optional>
@@ -13,7 +13,7 @@
 namespace plantain {
 
 // What an endpoint last stated in a response.
-struct RateStatement {
+struct EndpointStatement {
   EndpointId endpoint;
   // Requests/s; unset if the response stated no limit.
   std::optional<double> per_s;
@@ -36,11 +36,11 @@
 };
 
 // What one entry sends to the others.
-struct RateReport {
-  std::vector<RateStatement> statements;
+struct StatementReport {
+  std::vector<EndpointStatement> statements;
   std::vector<RateGrantReport> grants;
 };
 
 }  // namespace plantain
 
-#endif  // PLANTAIN_RATE_GRANT_TYPE_H_
+#endif  // PLANTAIN_ENDPOINT_STATEMENT_TYPE_H_
--- a/src/forward_service.cpp
+++ b/src/forward_service.cpp
@@ -118,15 +118,17 @@
       if (m_traffic != nullptr) m_traffic->ApplyContentReports(reports);
     });
   }
-  const RateReport& rates = beacon.rates;
-  if (!rates.statements.empty() || !rates.grants.empty()) m_received_rate_reports.emplace_back(beacon.vm, rates);
+  const StatementReport& report = beacon.statements;
+  if (!report.statements.empty() || !report.grants.empty()) {
+    m_received_statement_reports.emplace_back(beacon.vm, report);
+  }
 }
 
 void ForwardService::FillBeacon(BeaconInfo& beacon) {
   const std::lock_guard lock(m_beacon_mutex);
   beacon.demand = m_demand;
   beacon.content_reports = m_content_reports;
-  beacon.rates = m_rate_report;
+  beacon.statements = m_statement_report;
 }
 
 std::vector<VmId> ForwardService::GetBeaconTargets() const {
@@ -139,15 +141,15 @@
 
 void ForwardService::TransferBeacons() {
   const bool is_due = ++m_transfer_number % kQuietTransferDivisor == 0;
-  const bool has_news = !m_loads.empty() || !m_received_rate_reports.empty();
+  const bool has_news = !m_loads.empty() || !m_received_statement_reports.empty();
   if (!has_news && !is_due) return;
   m_loop.Post([this, view = MakeEntryView(), loads = std::exchange(m_loads, {}),
-               rate_reports = std::exchange(m_received_rate_reports, {})]() mutable {
+               statement_reports = std::exchange(m_received_statement_reports, {})]() mutable {
     if (m_traffic == nullptr) return;
     view.entries.push_back({m_parts.vm, m_traffic->GetDemand()});
     ShareState(view.entries.back().requests_per_s);
     m_traffic->SetEntries(std::move(view));
-    for (const auto& [from, report] : rate_reports) m_traffic->ApplyRateReport(from, report);
+    for (const auto& [from, report] : statement_reports) m_traffic->ApplyStatementReport(from, report);
     m_traffic->OnLoad(loads);
   });
 }
@@ -180,11 +182,11 @@
 // Makes the traffic loop's state available for beacons.
 void ForwardService::ShareState(std::map<PoolName, double> demand) {
   std::vector<ContentReport> content_reports = m_traffic->GetContentReports();
-  RateReport rate_report = m_traffic->GetRateReport();
+  StatementReport statement_report = m_traffic->GetStatementReport();
   const std::lock_guard lock(m_beacon_mutex);
   m_demand = std::move(demand);
   m_content_reports = std::move(content_reports);
-  m_rate_report = std::move(rate_report);
+  m_statement_report = std::move(statement_report);
 }
 
 void ForwardService::Tick() {
--- a/src/forward_service.h
+++ b/src/forward_service.h
@@ -71,11 +71,11 @@
   std::mutex m_beacon_mutex;
   std::map<PoolName, double> m_demand;
   std::vector<ContentReport> m_content_reports;
-  RateReport m_rate_report;
+  StatementReport m_statement_report;
   // Loads received since the last transfer to the traffic loop. Accessed only on the control thread.
   std::vector<EndpointLoad> m_loads;
-  // The same for reports about the request rates of endpoints, by sender.
-  std::vector<std::pair<VmId, RateReport>> m_received_rate_reports;
+  // The same for reports about what endpoints state, by sender.
+  std::vector<std::pair<VmId, StatementReport>> m_received_statement_reports;
   // When news were last sent. Accessed only on the traffic loop.
   TimePoint m_news_sent_at;
   uint64_t m_transfer_number = 0;
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -91,12 +91,12 @@
     if (state.budget != nullptr) state.budget->SetReserve(GetRetryReserve());
   }
   m_balancer.SetEntries(view.entries);
-  m_balancer.GetRateLimits().SetEntries(std::move(view));
+  m_balancer.GetStatements().SetEntries(std::move(view));
 }
 
 bool ForwardTraffic::TakeHasNews() {
   const bool has_content_news = m_quarantine.TakeHasNews();
-  return std::exchange(m_has_rate_news, false) || has_content_news;
+  return std::exchange(m_has_statement_news, false) || has_content_news;
 }
 
 std::map<PoolName, double> ForwardTraffic::GetDemand() const {
@@ -371,8 +371,8 @@
   const TimePoint now = m_clock.GetNow();
   m_ended_requests.clear();
   ApplyContentChanges();
-  m_balancer.GetRateLimits().GrantDue();
-  LogRateChanges();
+  m_balancer.GetStatements().GrantDue();
+  LogStatementChanges();
   for (auto& [pool, state] : m_pools) {
     for (const WaitTicket ticket : state.wait_queue.RemoveExpired(now)) {
       const auto found = m_active_requests.find(ticket);
@@ -406,18 +406,18 @@
     LogEvent(LogLevel::kWarn, "endpoint_rate_malformed", {{"endpoint", endpoint}, {"value", head.malformed_rate}});
     return;
   }
-  if (m_balancer.GetRateLimits().OnResponse(endpoint, head.requests_per_s)) m_has_rate_news = true;
+  if (m_balancer.GetStatements().OnResponse(endpoint, head.requests_per_s)) m_has_statement_news = true;
 }
 
-void ForwardTraffic::LogRateChanges() {
-  for (const EndpointRateLimits::Change& change : m_balancer.GetRateLimits().TakeChanges()) {
+void ForwardTraffic::LogStatementChanges() {
+  for (const EndpointStatements::Change& change : m_balancer.GetStatements().TakeChanges()) {
     LogEvent(LogLevel::kInfo, "endpoint_rate",
              {{"endpoint", change.endpoint},
               {"per_s", change.per_s.has_value() ? std::to_string(*change.per_s) : "none"},
               {"source", change.is_from_peer ? "peer" : "own"},
               {"is_granting", change.is_granting}});
   }
-  m_metrics.SetLimitedEndpoints(m_balancer.GetRateLimits().GetLimitCount());
+  m_metrics.SetLimitedEndpoints(m_balancer.GetStatements().GetLimitCount());
 }
 
 void ForwardTraffic::OnAnswerBegun(ActiveRequest& active) {
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -48,9 +48,9 @@
   // Sets what is known of all entries, including this one.
   void SetEntries(EntryView view);
   // Exchange the request rates that endpoints state, and grants.
-  RateReport GetRateReport() const { return m_balancer.GetRateLimits().GetReport(); }
-  void ApplyRateReport(const VmId& from, const RateReport& report) {
-    m_balancer.GetRateLimits().ApplyReport(from, report);
+  StatementReport GetStatementReport() const { return m_balancer.GetStatements().GetReport(); }
+  void ApplyStatementReport(const VmId& from, const StatementReport& report) {
+    m_balancer.GetStatements().ApplyReport(from, report);
   }
   // Exchange what entries know about contents at which endpoints crash.
   std::vector<ContentReport> GetContentReports() const { return m_quarantine.GetReports(); }
@@ -105,7 +105,7 @@
   bool EndangersEndpoints(const ActiveRequest& active) const;
   void RefuseBlocked(ActiveRequest& active);
   void ApplyContentChanges();
-  void LogRateChanges();
+  void LogStatementChanges();
   void DispatchQueued(const PoolName& pool);
   PoolState& GetPool(const PoolName& pool);
   double GetRetryReserve() const;
@@ -136,7 +136,7 @@
   EndpointBalancer m_balancer;
   CrashQuarantine m_quarantine;
   std::function<void()> m_on_crash;
-  bool m_has_rate_news = false;
+  bool m_has_statement_news = false;
   // Number of entries that share the retry budget.
   size_t m_entry_count = 1;
   std::shared_ptr<const FleetView> m_fleet;
--- a/tests/rate_grant_test.cpp
+++ b/tests/endpoint_statement_test.cpp
@@ -1,4 +1,4 @@
-#include "rate_grant.h"
+#include "endpoint_statement.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -30,7 +30,7 @@
   }
   void Restart(size_t index) {
     Entry& entry = m_entries.at(index);
-    entry.limits = std::make_unique<EndpointRateLimits>(m_clock, entry.id);
+    entry.limits = std::make_unique<EndpointStatements>(m_clock, entry.id);
     entry.limits->SetEndpoints({{kLimited, kPool}});
     entry.heard.clear();
     entry.is_down = false;
@@ -80,7 +80,7 @@
     const auto count = std::count_if(m_arrivals.begin(), m_arrivals.end(), [&](TimePoint at) { return at >= since; });
     return static_cast<double>(count) / ToSeconds(m_clock.GetNow() - since);
   }
-  const EndpointRateLimits& Get(size_t index) const { return *m_entries.at(index).limits; }
+  const EndpointStatements& Get(size_t index) const { return *m_entries.at(index).limits; }
 
   VirtualClock m_clock;
 
@@ -97,7 +97,7 @@
   };
   struct Entry {
     VmId id;
-    std::unique_ptr<EndpointRateLimits> limits;
+    std::unique_ptr<EndpointStatements> limits;
     double demand;
     std::map<size_t, Heard> heard;
     bool is_down = false;
@@ -107,7 +107,7 @@
     size_t from;
     size_t to;
     std::shared_ptr<const std::set<VmId>> named;
-    std::shared_ptr<const RateReport> report;
+    std::shared_ptr<const StatementReport> report;
   };
 
   std::set<VmId> GetHeard(size_t index) const {
@@ -139,7 +139,7 @@
   void SendBeacons() {
     for (size_t from = 0; from < m_entries.size(); ++from) {
       if (m_entries[from].is_down || m_entries[from].is_frozen) continue;
-      const auto report = std::make_shared<const RateReport>(m_entries[from].limits->GetReport());
+      const auto report = std::make_shared<const StatementReport>(m_entries[from].limits->GetReport());
       const auto named = std::make_shared<const std::set<VmId>>(GetHeard(from));
       for (size_t to = 0; to < m_entries.size(); ++to) {
         const bool is_lost = m_random.GetUnit() < 0.05 || m_cuts.contains({from, to});
@@ -289,7 +289,7 @@
 // ended.
 TEST_CASE("A limit of an endpoint that is gone is forgotten, and a limit of zero still lets a request pass at times") {
   VirtualClock clock;
-  EndpointRateLimits limits(clock, VmId("vm1"));
+  EndpointStatements limits(clock, VmId("vm1"));
   limits.SetEndpoints({{kLimited, kPool}});
   CHECK(limits.IsAvailable(kLimited));
   CHECK(limits.OnResponse(kLimited, 0.0));
