Send nothing to an endpoint that states in an answer that it leaves

Cause: an endpoint that leaves says so in all its answers (Server-Leaving), at times without any word in the directory. No entry read that, and went on sending to it for as long as the directory listed it.

Change: an answer's statement joins the statements of EndpointStatements. It holds for one run of the endpoint (incarnation), however the directory shows it, and for ten minutes after the directory has ceased to list it, so that a record that vanishes and comes back changes nothing. The balancer passes over such an endpoint also for queued requests; what runs there goes on. Beacons carry the statement in new fields; processes that do not know them see a rate statement of an age that overrides nothing. A report tells at most 16 statements; of more, successive reports now tell them in turn, where endpoints beyond the first 16 were never told before. A malformed value is logged and ignored.

Tests: EndpointStatements::SetEndpoints takes the incarnation too, so that the existing calls in endpoint_statement_test name one; no check has changed.

--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -148,7 +148,7 @@
     FailAttempt(AttemptEnd::kBroken, "response to another request");
     return;
   }
-  if (!m_response_head->is_misdirected) m_deps.host.OnResponseHead(m_endpoint, *m_response_head);
+  if (!m_response_head->is_misdirected) m_deps.host.OnResponseHead(*this, *m_response_head);
 }
 
 void ActiveRequest::OnData(std::string_view data) {
--- a/src/active_request.h
+++ b/src/active_request.h
@@ -58,8 +58,8 @@
   // Called once for each attempt when the endpoint has processed the prompt: at its first event, or at the attempt's
   // end if no event came.
   virtual void OnPrefillDone(ActiveRequest& active, const EndpointId& endpoint) = 0;
-  // Called for the header of each response of the endpoint to this request.
-  virtual void OnResponseHead(const EndpointId& endpoint, const ResponseHead& head) = 0;
+  // Called for the header of each response of the current attempt's endpoint.
+  virtual void OnResponseHead(const ActiveRequest& active, const ResponseHead& head) = 0;
   // Called when an attempt's answer has begun: at the first event of a stream, or at the end of another answer.
   virtual void OnAnswerBegun(ActiveRequest& active) = 0;
   virtual void OnAttemptEnded(ActiveRequest& active, const EndedAttempt& attempt) = 0;
--- a/src/beacon_table.cpp
+++ b/src/beacon_table.cpp
@@ -105,7 +105,10 @@
     added->set_endpoint(statement.endpoint.Get());
     added->set_is_stated(statement.per_s.has_value());
     added->set_per_s(statement.per_s.value_or(0));
-    added->set_age_ms(EncodeAge(statement.age));
+    added->set_age_ms(statement.rate_age.has_value() ? EncodeAge(*statement.rate_age) : kMaxPromptAgeMs);
+    added->set_lacks_rate(!statement.rate_age.has_value());
+    added->set_incarnation(statement.incarnation.Get());
+    added->set_is_leaving(statement.is_leaving);
   }
   for (const RateGrantReport& grants : report.grants) {
     proto::RateGrants* added = out.add_rate_grants();
@@ -125,7 +128,11 @@
     const bool is_valid = std::isfinite(statement.per_s()) && statement.per_s() >= 0;
     if (!is_valid) continue;
     const std::optional<double> per_s = statement.is_stated() ? std::optional(statement.per_s()) : std::nullopt;
-    report.statements.push_back({EndpointId(statement.endpoint()), per_s, DecodeAge(statement.age_ms())});
+    EndpointStatement decoded{EndpointId(statement.endpoint()), per_s, {}, {}, false};
+    if (!statement.lacks_rate()) decoded.rate_age = DecodeAge(statement.age_ms());
+    decoded.incarnation = Incarnation(statement.incarnation());
+    decoded.is_leaving = statement.is_leaving();
+    report.statements.push_back(std::move(decoded));
   }
   for (const proto::RateGrants& grants : in.rate_grants()) {
     RateGrantReport granted{EndpointId(grants.endpoint()), grants.epoch(), {}};
--- a/src/endpoint_balancer.cpp
+++ b/src/endpoint_balancer.cpp
@@ -64,7 +64,7 @@
 void EndpointBalancer::SetFleet(std::shared_ptr<const FleetView> fleet) {
   m_fleet = std::move(fleet);
   m_pools.clear();
-  std::map<EndpointId, PoolName> pools;
+  std::map<EndpointId, ListedEndpoint> listed;
   for (auto& [id, state] : m_states) state.is_listed = false;
   for (const EndpointInfo& info : m_fleet->endpoints) {
     const auto [found, is_new] = m_states.try_emplace(info.id);
@@ -84,9 +84,9 @@
     state.info = info;
     state.is_listed = true;
     m_pools[info.pool].push_back(&state);
-    pools[info.id] = info.pool;
+    listed[info.id] = {info.pool, info.incarnation};
   }
-  m_statements.SetEndpoints(std::move(pools));
+  m_statements.SetEndpoints(std::move(listed));
   std::erase_if(m_states, [](const auto& entry) { return !entry.second.is_listed && entry.second.own_requests == 0; });
   AssignSlots();
   if (m_fleet->routing == nullptr) return;
@@ -175,8 +175,12 @@
   state.rate_tokens_at = now;
 }
 
+bool EndpointBalancer::IsLeaving(const EndpointInfo& endpoint) const {
+  return endpoint.is_leaving || m_statements.IsLeaving(endpoint.id, endpoint.incarnation);
+}
+
 bool EndpointBalancer::IsEligible(const State& state, const EndpointQuery& query) const {
-  if (state.info.is_leaving || m_fleet->zones_out.contains(state.info.zone)) return false;
+  if (IsLeaving(state.info) || m_fleet->zones_out.contains(state.info.zone)) return false;
   if (!IsRegionAllowed(*query.rule, query.workspace, state.info.region)) return false;
   return std::find(query.excluded.begin(), query.excluded.end(), state.info.id) == query.excluded.end();
 }
@@ -366,7 +370,7 @@
   const auto states = m_pools.find(pool);
   if (states == m_pools.end()) return occupancy;
   for (const State* state : states->second) {
-    if (state->info.is_leaving || m_fleet->zones_out.contains(state->info.zone)) continue;
+    if (IsLeaving(state->info) || m_fleet->zones_out.contains(state->info.zone)) continue;
     occupancy.load += GetLoad(*state, now);
     occupancy.total_slots += GetSlots(*state);
   }
--- a/src/endpoint_balancer.h
+++ b/src/endpoint_balancer.h
@@ -108,10 +108,13 @@
   // Sets the entries that share the endpoints, including this one.
   void SetEntries(std::vector<EntryDemand> entries);
   void OnLoad(const EndpointLoad& load);
-  // Rates that endpoints state for all entries together.
+  // What endpoints state in their responses.
   EndpointStatements& GetStatements() { return m_statements; }
   const EndpointStatements& GetStatements() const { return m_statements; }
 
+  // Whether the endpoint leaves, as the directory or one of its responses says.
+  bool IsLeaving(const EndpointInfo& endpoint) const;
+
   EndpointChoice Choose(const EndpointQuery& query);
 
   // Returns the version of a model that an endpoint last reported, or nothing.
--- a/src/endpoint_statement.cpp
+++ b/src/endpoint_statement.cpp
@@ -20,6 +20,12 @@
 constexpr double kMaxPerS = 10'000;
 // Limits on what is sent to peers.
 constexpr size_t kMaxReported = 16;
+// Small enough that a receiver of every third report still gets all statements.
+constexpr size_t kReportStep = 5;
+// Time for which a run that leaves is remembered after the directory has ceased to list the endpoint, and the number of
+// such runs of one endpoint.
+constexpr Duration kLeavingRetention = std::chrono::minutes(10);
+constexpr size_t kMaxLeavingRuns = 8;
 // Time for which the end of a limit is reported.
 constexpr Duration kEndReportTime = std::chrono::seconds(10);
 
@@ -30,9 +36,22 @@
   m_view.entries.push_back({m_self, {}});
 }
 
-void EndpointStatements::SetEndpoints(std::map<EndpointId, PoolName> pools) {
-  m_pools = std::move(pools);
-  std::erase_if(m_limits, [&](const auto& entry) { return !m_pools.contains(entry.first); });
+void EndpointStatements::SetEndpoints(std::map<EndpointId, ListedEndpoint> listed) {
+  m_listed = std::move(listed);
+  const TimePoint now = m_clock.GetNow();
+  for (auto& [endpoint, stated] : m_stated) {
+    if (m_listed.contains(endpoint)) {
+      stated.unlisted_since.reset();
+      continue;
+    }
+    stated.limit.reset();
+    if (!stated.unlisted_since.has_value()) stated.unlisted_since = now;
+  }
+  std::erase_if(m_stated, [&](const auto& entry) {
+    const Stated& stated = entry.second;
+    if (!stated.unlisted_since.has_value()) return false;
+    return stated.leaving.empty() || now - *stated.unlisted_since >= kLeavingRetention;
+  });
 }
 
 void EndpointStatements::SetEntries(EntryView view) {
@@ -43,7 +62,9 @@
   };
   if (get_ids(view) != get_ids(m_view)) m_entries_changed_at = m_clock.GetNow();
   m_view = std::move(view);
-  for (auto& [endpoint, limit] : m_limits) UpdateOwner(endpoint, limit);
+  for (auto& [endpoint, stated] : m_stated) {
+    if (stated.limit.has_value()) UpdateOwner(endpoint, *stated.limit);
+  }
 }
 
 VmId EndpointStatements::GetOwner(const EndpointId& endpoint) const {
@@ -74,17 +95,23 @@
 }
 
 EndpointStatements::Limit* EndpointStatements::FindLimit(const EndpointId& endpoint) {
-  const auto found = m_limits.find(endpoint);
-  return found == m_limits.end() ? nullptr : &found->second;
+  const auto found = m_stated.find(endpoint);
+  return found == m_stated.end() || !found->second.limit.has_value() ? nullptr : &*found->second.limit;
+}
+
+const EndpointStatements::Limit* EndpointStatements::FindLimit(const EndpointId& endpoint) const {
+  const auto found = m_stated.find(endpoint);
+  return found == m_stated.end() || !found->second.limit.has_value() ? nullptr : &*found->second.limit;
 }
 
 EndpointStatements::Limit& EndpointStatements::AddLimit(const EndpointId& endpoint) {
-  const auto [found, is_new] = m_limits.try_emplace(endpoint);
-  if (is_new) {
-    found->second.owner = GetOwner(endpoint);
-    found->second.owner_since = m_entries_changed_at;
+  std::optional<Limit>& limit = m_stated[endpoint].limit;
+  if (!limit.has_value()) {
+    limit = Limit();
+    limit->owner = GetOwner(endpoint);
+    limit->owner_since = m_entries_changed_at;
   }
-  return found->second;
+  return *limit;
 }
 
 bool EndpointStatements::SetRate(const EndpointId& endpoint, std::optional<double> per_s, TimePoint stated_at,
@@ -100,13 +127,32 @@
 
 bool EndpointStatements::OnResponse(const EndpointId& endpoint, std::optional<double> per_s) {
   if (!per_s.has_value() && FindLimit(endpoint) == nullptr) return false;
-  if (!m_pools.contains(endpoint)) return false;
+  if (!m_listed.contains(endpoint)) return false;
   return SetRate(endpoint, per_s, m_clock.GetNow(), false);
 }
 
+bool EndpointStatements::OnLeaving(const EndpointId& endpoint, Incarnation incarnation) {
+  return SetLeaving(endpoint, incarnation, false);
+}
+
+bool EndpointStatements::SetLeaving(const EndpointId& endpoint, Incarnation incarnation, bool is_from_peer) {
+  std::set<Incarnation>& leaving = m_stated[endpoint].leaving;
+  if (!leaving.insert(incarnation).second) return false;
+  if (leaving.size() > kMaxLeavingRuns) leaving.erase(leaving.begin());
+  m_changes.push_back({endpoint, {}, is_from_peer, false, StatementKind::kLeaving});
+  return true;
+}
+
+bool EndpointStatements::IsLeaving(const EndpointId& endpoint, Incarnation incarnation) const {
+  const auto found = m_stated.find(endpoint);
+  return found != m_stated.end() && found->second.leaving.contains(incarnation);
+}
+
 void EndpointStatements::GrantDue() {
   const TimePoint now = m_clock.GetNow();
-  for (auto& [endpoint, limit] : m_limits) {
+  for (auto& [endpoint, stated] : m_stated) {
+    if (!stated.limit.has_value()) continue;
+    Limit& limit = *stated.limit;
     while (!limit.grants.empty() && limit.grants.front() <= now) limit.grants.pop_front();
     if (IsGranting(limit)) {
       Grant(endpoint, limit);
@@ -142,10 +188,10 @@
 
 // Weighted round robin: each entry's credit grows with its share of the demand, and the one with the most is next.
 VmId EndpointStatements::PickReceiver(const EndpointId& endpoint, Limit& limit) const {
-  const auto pool = m_pools.find(endpoint);
+  const auto listed = m_listed.find(endpoint);
   const auto get_demand = [&](const EntryDemand& entry) {
-    if (pool == m_pools.end()) return 0.0;
-    const auto found = entry.requests_per_s.find(pool->second);
+    if (listed == m_listed.end()) return 0.0;
+    const auto found = entry.requests_per_s.find(listed->second.pool);
     return found == entry.requests_per_s.end() ? 0.0 : std::max(0.0, found->second);
   };
   double sum = 0;
@@ -182,10 +228,9 @@
 }
 
 bool EndpointStatements::IsAvailable(const EndpointId& endpoint) const {
-  const auto found = m_limits.find(endpoint);
-  if (found == m_limits.end() || !found->second.per_s.has_value()) return true;
-  const std::deque<TimePoint>& grants = found->second.grants;
-  return !grants.empty() && grants.back() > m_clock.GetNow();
+  const Limit* limit = FindLimit(endpoint);
+  if (limit == nullptr || !limit->per_s.has_value()) return true;
+  return !limit->grants.empty() && limit->grants.back() > m_clock.GetNow();
 }
 
 void EndpointStatements::OnSent(const EndpointId& endpoint) {
@@ -193,14 +238,41 @@
   if (limit != nullptr && !limit->grants.empty()) limit->grants.pop_front();
 }
 
-StatementReport EndpointStatements::GetReport() const {
-  StatementReport report;
+std::vector<EndpointStatement> EndpointStatements::MakeStatements() const {
+  std::vector<EndpointStatement> statements;
   const TimePoint now = m_clock.GetNow();
-  for (const auto& [endpoint, limit] : m_limits) {
-    const Duration age = now - limit.stated_at;
-    const bool is_news = limit.per_s.has_value() || age < kEndReportTime;
-    if (is_news && report.statements.size() < kMaxReported) report.statements.push_back({endpoint, limit.per_s, age});
-    if (!IsGranting(limit) || limit.epoch == 0 || report.grants.size() >= kMaxReported) continue;
+  for (const auto& [endpoint, stated] : m_stated) {
+    const auto listed = m_listed.find(endpoint);
+    if (listed == m_listed.end()) continue;
+    EndpointStatement statement;
+    statement.endpoint = endpoint;
+    statement.incarnation = listed->second.incarnation;
+    statement.is_leaving = stated.leaving.contains(statement.incarnation);
+    if (stated.limit.has_value()) {
+      statement.per_s = stated.limit->per_s;
+      statement.rate_age = now - stated.limit->stated_at;
+    }
+    const bool has_rate_news = statement.rate_age.has_value() && *statement.rate_age < kEndReportTime;
+    if (statement.per_s.has_value() || has_rate_news || statement.is_leaving) {
+      statements.push_back(std::move(statement));
+    }
+  }
+  return statements;
+}
+
+StatementReport EndpointStatements::GetReport() {
+  StatementReport report;
+  report.statements = MakeStatements();
+  if (report.statements.size() > kMaxReported) {
+    m_report_begin = (m_report_begin + kReportStep) % report.statements.size();
+    std::rotate(report.statements.begin(), report.statements.begin() + static_cast<ptrdiff_t>(m_report_begin),
+                report.statements.end());
+    report.statements.resize(kMaxReported);
+  }
+  for (const auto& [endpoint, stated] : m_stated) {
+    if (!stated.limit.has_value() || report.grants.size() >= kMaxReported) continue;
+    const Limit& limit = *stated.limit;
+    if (!IsGranting(limit) || limit.epoch == 0) continue;
     RateGrantReport grants{endpoint, limit.epoch, {}};
     // Totals of all entries are sent, so that each one notices the beginning of an epoch.
     for (const EntryDemand& entry : m_view.entries) {
@@ -214,16 +286,17 @@
   return report;
 }
 
+void EndpointStatements::ApplyStatement(const EndpointStatement& statement) {
+  if (!m_listed.contains(statement.endpoint)) return;
+  if (statement.is_leaving) SetLeaving(statement.endpoint, statement.incarnation, true);
+  const Limit* known = FindLimit(statement.endpoint);
+  if (!statement.rate_age.has_value() || (known == nullptr && !statement.per_s.has_value())) return;
+  const TimePoint stated_at = m_clock.GetNow() - *statement.rate_age;
+  if (known == nullptr || stated_at > known->stated_at) SetRate(statement.endpoint, statement.per_s, stated_at, true);
+}
+
 void EndpointStatements::ApplyReport(const VmId& from, const StatementReport& report) {
-  const TimePoint now = m_clock.GetNow();
-  for (const EndpointStatement& statement : report.statements) {
-    const Limit* known = FindLimit(statement.endpoint);
-    if (known == nullptr && (!statement.per_s.has_value() || !m_pools.contains(statement.endpoint))) continue;
-    const TimePoint stated_at = now - statement.age;
-    if (known == nullptr || stated_at > known->stated_at) {
-      SetRate(statement.endpoint, statement.per_s, stated_at, true);
-    }
-  }
+  for (const EndpointStatement& statement : report.statements) ApplyStatement(statement);
   for (const RateGrantReport& grants : report.grants) {
     Limit* limit = FindLimit(grants.endpoint);
     if (limit == nullptr) continue;
@@ -236,13 +309,14 @@
 std::vector<EndpointStatements::Change> EndpointStatements::TakeChanges() { return std::exchange(m_changes, {}); }
 
 std::optional<double> EndpointStatements::GetLimit(const EndpointId& endpoint) const {
-  const auto found = m_limits.find(endpoint);
-  return found == m_limits.end() ? std::nullopt : found->second.per_s;
+  const Limit* limit = FindLimit(endpoint);
+  return limit == nullptr ? std::nullopt : limit->per_s;
 }
 
 size_t EndpointStatements::GetLimitCount() const {
-  return static_cast<size_t>(std::count_if(m_limits.begin(), m_limits.end(),
-                                           [](const auto& entry) { return entry.second.per_s.has_value(); }));
+  return static_cast<size_t>(std::count_if(m_stated.begin(), m_stated.end(), [](const auto& entry) {
+    return entry.second.limit.has_value() && entry.second.limit->per_s.has_value();
+  }));
 }
 
 }  // namespace plantain
--- a/src/endpoint_statement.h
+++ b/src/endpoint_statement.h
@@ -1,4 +1,5 @@
-// Keeps all entries together within the request rate that an endpoint states. No I/O.
+// What endpoints state in their responses: the request rate that they take from all entries together, and that they
+// leave. No I/O.
 
 #ifndef PLANTAIN_ENDPOINT_STATEMENT_H_
 #define PLANTAIN_ENDPOINT_STATEMENT_H_
@@ -25,23 +26,40 @@
   bool is_heard_by_all = true;
 };
 
+// An endpoint of the directory.
+struct ListedEndpoint {
+  PoolName pool;
+  Incarnation incarnation;
+};
+
+// What an endpoint can state.
+enum class StatementKind { kRate, kLeaving };
+
 // Load pattern: an endpoint in trouble states a rate far below what its callers want, and any number of entries send to
 // it. One entry for each endpoint grants single requests to all entries, in proportion to their demand, at the stated
 // rate; an entry sends nothing without a grant. Thus the sum does not depend on what the entries believe of each
 // other's shares. Grants expire soon, so that entries cannot save them up. The granting entry is the first one of a
 // rendezvous ranking. It begins only after it has been first for longer than another entry may take to notice that it
-// is not, and stops at once when an entry of a higher rank appears. Used on one traffic loop.
+// is not, and stops at once when an entry of a higher rank appears.
+//
+// That an endpoint leaves holds for one run of it, from the first response that says so, and longer than the directory
+// lists it: a record that vanishes for a while and comes back changes nothing. Used on one traffic loop.
 class EndpointStatements {
  public:
   EndpointStatements(const Clock& clock, VmId self);
 
-  // Takes the pools of the listed endpoints and forgets the limits of others.
-  void SetEndpoints(std::map<EndpointId, PoolName> pools);
+  // Takes the listed endpoints, and forgets the limits of others at once and that they leave after some time.
+  void SetEndpoints(std::map<EndpointId, ListedEndpoint> listed);
   void SetEntries(EntryView view);
 
-  // Takes what a response of an endpoint states. Returns whether the limit has changed.
+  // Takes what a response of an endpoint states of its rate. Returns whether the limit has changed.
   bool OnResponse(const EndpointId& endpoint, std::optional<double> per_s);
 
+  // Takes that a response of a run of an endpoint states that it leaves. Returns whether this is new.
+  bool OnLeaving(const EndpointId& endpoint, Incarnation incarnation);
+  // Whether this run of the endpoint has stated, here or to another entry, that it leaves.
+  bool IsLeaving(const EndpointId& endpoint, Incarnation incarnation) const;
+
   // Grants what has become due. Must be called regularly.
   void GrantDue();
 
@@ -50,7 +68,8 @@
   // Uses up a grant if the endpoint has a limit.
   void OnSent(const EndpointId& endpoint);
 
-  StatementReport GetReport() const;
+  // Returns what other entries should know. If that is more than one report holds, successive ones tell it in turn.
+  StatementReport GetReport();
   void ApplyReport(const VmId& from, const StatementReport& report);
 
   // Changes since the last call, for the log.
@@ -61,6 +80,7 @@
     bool is_from_peer = false;
     // Whether this entry grants requests to all entries.
     bool is_granting = false;
+    StatementKind kind = StatementKind::kRate;
   };
   std::vector<Change> TakeChanges();
 
@@ -92,9 +112,23 @@
     std::deque<TimePoint> grants;
   };
 
+  // What is known of one endpoint.
+  struct Stated {
+    // Set once it has stated a rate.
+    std::optional<Limit> limit;
+    // Its runs that leave.
+    std::set<Incarnation> leaving;
+    // Since when the directory does not list it.
+    std::optional<TimePoint> unlisted_since;
+  };
+
   Limit* FindLimit(const EndpointId& endpoint);
+  const Limit* FindLimit(const EndpointId& endpoint) const;
   Limit& AddLimit(const EndpointId& endpoint);
   bool SetRate(const EndpointId& endpoint, std::optional<double> per_s, TimePoint stated_at, bool is_from_peer);
+  bool SetLeaving(const EndpointId& endpoint, Incarnation incarnation, bool is_from_peer);
+  std::vector<EndpointStatement> MakeStatements() const;
+  void ApplyStatement(const EndpointStatement& statement);
   void BeginGrants(const EndpointId& endpoint, Limit& limit);
   VmId GetOwner(const EndpointId& endpoint) const;
   void UpdateOwner(const EndpointId& endpoint, Limit& limit);
@@ -105,11 +139,13 @@
 
   const Clock& m_clock;
   const VmId m_self;
-  std::map<EndpointId, PoolName> m_pools;
+  std::map<EndpointId, ListedEndpoint> m_listed;
   EntryView m_view;
   // When the set of entries changed last.
   TimePoint m_entries_changed_at;
-  std::map<EndpointId, Limit> m_limits;
+  std::map<EndpointId, Stated> m_stated;
+  // Statement with which the next report begins.
+  size_t m_report_begin = 0;
   std::vector<Change> m_changes;
 };
 
--- a/src/endpoint_statement_type.h
+++ b/src/endpoint_statement_type.h
@@ -12,13 +12,16 @@
 
 namespace plantain {
 
-// What an endpoint last stated in a response.
+// What an endpoint last stated in its responses.
 struct EndpointStatement {
   EndpointId endpoint;
   // Requests/s; unset if the response stated no limit.
   std::optional<double> per_s;
-  // Time since the response.
-  Duration age{};
+  // Time since the response that stated a limit or its end; unset if no response ever stated a limit.
+  std::optional<Duration> rate_age;
+  // Run of the endpoint to which the rest applies: another run under the same id has stated nothing yet.
+  Incarnation incarnation;
+  bool is_leaving = false;
 };
 
 // Number of requests that one entry may send, in total since the granting entry began to grant.
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -250,7 +250,7 @@
   if (runs_already) return true;
   const auto usable =
       std::count_if(m_fleet->endpoints.begin(), m_fleet->endpoints.end(), [&](const EndpointInfo& endpoint) {
-        const bool is_in_service = !endpoint.is_leaving && !m_fleet->zones_out.contains(endpoint.zone);
+        const bool is_in_service = !m_balancer.IsLeaving(endpoint) && !m_fleet->zones_out.contains(endpoint.zone);
         return endpoint.pool == active.GetPool() && is_in_service &&
                !m_quarantine.HasEnded(GetRun(endpoint.id, endpoint.incarnation));
       });
@@ -401,21 +401,36 @@
   m_balancer.OnPrefillDone(endpoint, active.GetRequest().prompt_tokens);
 }
 
-void ForwardTraffic::OnResponseHead(const EndpointId& endpoint, const ResponseHead& head) {
+void ForwardTraffic::OnResponseHead(const ActiveRequest& active, const ResponseHead& head) {
+  const EndpointId& endpoint = active.GetEndpoint();
+  EndpointStatements& statements = m_balancer.GetStatements();
   if (!head.malformed_rate.empty()) {
     LogEvent(LogLevel::kWarn, "endpoint_rate_malformed", {{"endpoint", endpoint}, {"value", head.malformed_rate}});
-    return;
+  } else if (statements.OnResponse(endpoint, head.requests_per_s)) {
+    m_has_statement_news = true;
+  }
+  if (!head.malformed_leaving.empty()) {
+    LogEvent(LogLevel::kWarn, "endpoint_leaving_malformed",
+             {{"endpoint", endpoint}, {"value", head.malformed_leaving}});
   }
-  if (m_balancer.GetStatements().OnResponse(endpoint, head.requests_per_s)) m_has_statement_news = true;
+  if (head.is_leaving && statements.OnLeaving(endpoint, active.GetEndpointIncarnation())) m_has_statement_news = true;
 }
 
 void ForwardTraffic::LogStatementChanges() {
   for (const EndpointStatements::Change& change : m_balancer.GetStatements().TakeChanges()) {
-    LogEvent(LogLevel::kInfo, "endpoint_rate",
-             {{"endpoint", change.endpoint},
-              {"per_s", change.per_s.has_value() ? std::to_string(*change.per_s) : "none"},
-              {"source", change.is_from_peer ? "peer" : "own"},
-              {"is_granting", change.is_granting}});
+    const std::string_view source = change.is_from_peer ? "peer" : "own";
+    switch (change.kind) {
+      case StatementKind::kRate:
+        LogEvent(LogLevel::kInfo, "endpoint_rate",
+                 {{"endpoint", change.endpoint},
+                  {"per_s", change.per_s.has_value() ? std::to_string(*change.per_s) : "none"},
+                  {"source", source},
+                  {"is_granting", change.is_granting}});
+        break;
+      case StatementKind::kLeaving:
+        LogEvent(LogLevel::kInfo, "endpoint_leaving", {{"endpoint", change.endpoint}, {"source", source}});
+        break;
+    }
   }
   m_metrics.SetLimitedEndpoints(m_balancer.GetStatements().GetLimitCount());
 }
@@ -431,7 +446,7 @@
 void ForwardTraffic::RecordCrash(const ActiveRequest& active, const EndedAttempt& attempt) {
   const auto& endpoints = m_fleet->endpoints;
   const bool is_leaving = std::any_of(endpoints.begin(), endpoints.end(), [&](const EndpointInfo& endpoint) {
-    return endpoint.id == attempt.endpoint && endpoint.is_leaving;
+    return endpoint.id == attempt.endpoint && m_balancer.IsLeaving(endpoint);
   });
   if (is_leaving) return;
   std::vector<ContentKey> keys = active.GetRequest().shared_parts;
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -47,8 +47,8 @@
   void SetFleet(const std::shared_ptr<const FleetView>& fleet);
   // Sets what is known of all entries, including this one.
   void SetEntries(EntryView view);
-  // Exchange the request rates that endpoints state, and grants.
-  StatementReport GetStatementReport() const { return m_balancer.GetStatements().GetReport(); }
+  // Exchange what endpoints state, and grants.
+  StatementReport GetStatementReport() { return m_balancer.GetStatements().GetReport(); }
   void ApplyStatementReport(const VmId& from, const StatementReport& report) {
     m_balancer.GetStatements().ApplyReport(from, report);
   }
@@ -113,7 +113,7 @@
   Duration GetRetryAfter(const ActiveRequest& active);
 
   void OnPrefillDone(ActiveRequest& active, const EndpointId& endpoint) override;
-  void OnResponseHead(const EndpointId& endpoint, const ResponseHead& head) override;
+  void OnResponseHead(const ActiveRequest& active, const ResponseHead& head) override;
   void OnAnswerBegun(ActiveRequest& active) override;
   bool IsRepeatWorthwhile(const ActiveRequest& active) const override {
     return m_quarantine.IsEmpty() || !m_quarantine.IsSuspect(GetContentKeys(active));
--- a/src/forward_type.h
+++ b/src/forward_type.h
@@ -72,6 +72,10 @@
   std::optional<double> requests_per_s;
   // Text of a statement of that rate that is not a number of at least 0; empty if there is none.
   std::string malformed_rate;
+  // The endpoint states that it leaves and wants no further requests.
+  bool is_leaving = false;
+  // Text of a statement of that which is neither 0 nor 1; empty if there is none.
+  std::string malformed_leaving;
   // End-to-end header fields that are passed to the caller.
   HttpHeaders headers;
 };
--- a/tests/caller_protocol_test.cpp
+++ b/tests/caller_protocol_test.cpp
@@ -54,5 +54,27 @@
   CHECK(ParseRate(std::string(5000, 'x')).malformed_rate.size() == 32);
 }
 
+ResponseHead ParseLeaving(const std::string& value) {
+  HttpHeaders headers;
+  headers.Add("Plantainmast-Attempt-Id", "r1");
+  headers.Add("Server-Leaving", value);
+  return HostedCallerProtocol().ParseResponseHead(RequestId("r1"), 200, headers, false);
+}
+
+// Guards against an endpoint that is given up for good because of a malformed field.
+TEST_CASE("An endpoint leaves only if its response says exactly that") {
+  CHECK(ParseLeaving("1").is_leaving);
+  CHECK(ParseLeaving("1").malformed_leaving.empty());
+  CHECK_FALSE(ParseLeaving("0").is_leaving);
+  CHECK(ParseLeaving("0").malformed_leaving.empty());
+  CHECK_FALSE(ParseRate("2.3").is_leaving);
+  for (const std::string text : {"-1", "nan", "1e300", "yes", "11", "1 1"}) {
+    INFO(text);
+    CHECK_FALSE(ParseLeaving(text).is_leaving);
+    CHECK(ParseLeaving(text).malformed_leaving == text);
+  }
+  CHECK(ParseLeaving(std::string(5000, '1')).malformed_leaving.size() == 32);
+}
+
 }  // namespace
 }  // namespace plantain::hosted
--- a/tests/endpoint_statement_test.cpp
+++ b/tests/endpoint_statement_test.cpp
@@ -1,12 +1,14 @@
 #include "endpoint_statement.h"
 
 #include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
 #include <functional>
 #include <map>
 #include <memory>
 #include <set>
 
+#include "beacon_table.h"
 #include "random.h"
 
 namespace plantain {
@@ -31,7 +33,7 @@
   void Restart(size_t index) {
     Entry& entry = m_entries.at(index);
     entry.limits = std::make_unique<EndpointStatements>(m_clock, entry.id);
-    entry.limits->SetEndpoints({{kLimited, kPool}});
+    entry.limits->SetEndpoints({{kLimited, {kPool, Incarnation(1)}}});
     entry.heard.clear();
     entry.is_down = false;
   }
@@ -290,7 +292,7 @@
 TEST_CASE("A limit of an endpoint that is gone is forgotten, and a limit of zero still lets a request pass at times") {
   VirtualClock clock;
   EndpointStatements limits(clock, VmId("vm1"));
-  limits.SetEndpoints({{kLimited, kPool}});
+  limits.SetEndpoints({{kLimited, {kPool, Incarnation(1)}}});
   CHECK(limits.IsAvailable(kLimited));
   CHECK(limits.OnResponse(kLimited, 0.0));
   CHECK_FALSE(limits.OnResponse(kLimited, 0.0));
@@ -315,5 +317,164 @@
   CHECK_FALSE(limits.OnResponse(kLimited, 5.0));
 }
 
+const EndpointId kLeaving("e2");
+
+// Passes a report on as it arrives in a beacon.
+StatementReport Transmit(StatementReport report) {
+  BeaconInfo beacon;
+  beacon.vm = VmId("vm1");
+  beacon.statements = std::move(report);
+  const std::optional<BeaconInfo> received = DecodeBeacon(EncodeBeacon(beacon));
+  REQUIRE(received.has_value());
+  return received->statements;
+}
+
+// Guards against requests to an endpoint that has said that it leaves, and against a new start under its id that gets
+// none.
+TEST_CASE("An endpoint leaves for one run, however the directory shows it") {
+  VirtualClock clock;
+  EndpointStatements statements(clock, VmId("vm1"));
+  const Incarnation run(7);
+  const Incarnation next_run(8);
+  statements.SetEndpoints({{kLeaving, {kPool, run}}});
+  CHECK_FALSE(statements.IsLeaving(kLeaving, run));
+  CHECK(statements.OnLeaving(kLeaving, run));
+  CHECK_FALSE(statements.OnLeaving(kLeaving, run));
+  CHECK(statements.IsLeaving(kLeaving, run));
+
+  SECTION("it is remembered as long as the endpoint is listed") {
+    clock.Advance(std::chrono::hours(48));
+    statements.SetEndpoints({{kLeaving, {kPool, run}}});
+    CHECK(statements.IsLeaving(kLeaving, run));
+  }
+  SECTION("a record that vanishes and comes back changes nothing") {
+    statements.SetEndpoints({});
+    clock.Advance(std::chrono::minutes(5));
+    statements.SetEndpoints({{kLeaving, {kPool, run}}});
+    CHECK(statements.IsLeaving(kLeaving, run));
+  }
+  SECTION("it is forgotten some time after the endpoint is gone") {
+    statements.SetEndpoints({});
+    clock.Advance(std::chrono::minutes(11));
+    statements.SetEndpoints({});
+    CHECK_FALSE(statements.IsLeaving(kLeaving, run));
+  }
+  SECTION("a new start does not leave, and an older record that comes back still does") {
+    statements.SetEndpoints({{kLeaving, {kPool, next_run}}});
+    CHECK_FALSE(statements.IsLeaving(kLeaving, next_run));
+    statements.SetEndpoints({{kLeaving, {kPool, run}}});
+    CHECK(statements.IsLeaving(kLeaving, run));
+  }
+  SECTION("a late answer of the run before does not concern the new one") {
+    statements.SetEndpoints({{kLeaving, {kPool, next_run}}});
+    statements.OnLeaving(kLeaving, run);
+    CHECK_FALSE(statements.IsLeaving(kLeaving, next_run));
+  }
+  SECTION("the log tells it once") {
+    const auto changes = statements.TakeChanges();
+    REQUIRE(changes.size() == 1);
+    CHECK(changes[0].kind == StatementKind::kLeaving);
+    CHECK_FALSE(changes[0].is_from_peer);
+  }
+  SECTION("it is no statement about a rate") {
+    CHECK(statements.IsAvailable(kLeaving));
+    EndpointStatements peer(clock, VmId("vm2"));
+    peer.SetEndpoints({{kLeaving, {kPool, run}}});
+    peer.OnResponse(kLeaving, 2.0);
+    clock.Advance(std::chrono::hours(1));
+    peer.ApplyReport(VmId("vm1"), Transmit(statements.GetReport()));
+    CHECK(peer.GetLimit(kLeaving) == 2.0);
+    CHECK(peer.IsLeaving(kLeaving, run));
+  }
+}
+
+// Entries that learn from answers and from each other which of many endpoints leave. Reports are lost and late.
+class LeavingSimulation {
+ public:
+  static constexpr size_t kEntries = 6;
+  static constexpr size_t kEndpoints = 50;
+
+  explicit LeavingSimulation(uint64_t seed) : m_random(seed) {
+    for (size_t i = 0; i < kEndpoints; ++i) m_listed[EndpointId("e" + std::to_string(i))] = {kPool, Incarnation(1)};
+    for (size_t i = 0; i < kEntries; ++i) Restart(i);
+  }
+
+  void Restart(size_t index) {
+    m_entries[index] = std::make_unique<EndpointStatements>(m_clock, VmId("vm" + std::to_string(index)));
+    m_entries[index]->SetEndpoints(m_listed);
+    m_told[index].clear();
+  }
+  // Lets an entry see a directory without any endpoints for a moment.
+  void Flap(size_t index) {
+    m_entries[index]->SetEndpoints({});
+    m_entries[index]->SetEndpoints(m_listed);
+  }
+  EndpointStatements& Get(size_t index) { return *m_entries[index]; }
+
+  // Sends one request of an entry to an endpoint if it may. All endpoints leave.
+  void Offer(size_t index, const EndpointId& endpoint) {
+    if (m_entries[index]->IsLeaving(endpoint, m_listed.at(endpoint).incarnation)) return;
+    if (!m_told[index].insert(endpoint).second) ++m_repeats;
+    m_entries[index]->OnLeaving(endpoint, m_listed.at(endpoint).incarnation);
+  }
+  void OfferAtRandom(size_t index) { Offer(index, EndpointId("e" + std::to_string(m_random.GetBits() % kEndpoints))); }
+  void Exchange() {
+    for (size_t from = 0; from < kEntries; ++from) {
+      const StatementReport report = Transmit(m_entries[from]->GetReport());
+      for (size_t to = 0; to < kEntries; ++to) {
+        if (to != from && m_random.GetUnit() < 0.7) m_late.push_back({from, to, report});
+      }
+    }
+    while (m_late.size() > 3 * kEntries) {
+      const auto picked = m_late.begin() + static_cast<ptrdiff_t>(m_random.GetBits() % m_late.size());
+      m_entries[picked->to]->ApplyReport(VmId("vm" + std::to_string(picked->from)), picked->report);
+      m_late.erase(picked);
+    }
+    m_clock.Advance(Milliseconds(100));
+  }
+  size_t CountKnown(size_t index) const {
+    return static_cast<size_t>(std::count_if(m_listed.begin(), m_listed.end(), [&](const auto& listed) {
+      return m_entries[index]->IsLeaving(listed.first, listed.second.incarnation);
+    }));
+  }
+  // Requests that an entry sent to an endpoint that had told it that it leaves.
+  size_t GetRepeats() const { return m_repeats; }
+  SeededRandom m_random;
+
+ private:
+  struct Late {
+    size_t from;
+    size_t to;
+    StatementReport report;
+  };
+
+  VirtualClock m_clock;
+  std::map<EndpointId, ListedEndpoint> m_listed;
+  std::array<std::unique_ptr<EndpointStatements>, kEntries> m_entries;
+  std::array<std::set<EndpointId>, kEntries> m_told;
+  std::vector<Late> m_late;
+  size_t m_repeats = 0;
+};
+
+// Guards against an entry that forgets what it was told, and against a report in which some endpoints are never told.
+TEST_CASE("No entry sends to an endpoint after it knows that it leaves, and all entries learn it") {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    INFO("seed " << seed);
+    LeavingSimulation fleet(seed);
+    for (size_t i = 0; i < LeavingSimulation::kEndpoints; ++i) fleet.Offer(0, EndpointId("e" + std::to_string(i)));
+    for (int step = 0; step < 60; ++step) {
+      const size_t index = fleet.m_random.GetBits() % LeavingSimulation::kEntries;
+      fleet.OfferAtRandom(index);
+      if (step % 7 == 3) fleet.Flap(index);
+      if (step == 20) fleet.Restart(LeavingSimulation::kEntries - 1);
+      fleet.Exchange();
+    }
+    CHECK(fleet.GetRepeats() == 0);
+    for (size_t i = 0; i < LeavingSimulation::kEntries; ++i) {
+      CHECK(fleet.CountKnown(i) == LeavingSimulation::kEndpoints);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace plantain
