Send nothing to an endpoint for the time that its refusal names

Cause: a refusal (503) may state for how long the endpoint wants nothing (Retry-After). Entries paused it for 60 ms whatever it stated.

Change: the pause joins what EndpointStatements knows of a run of an endpoint, bounded by ten minutes, the later end counts. Beacons carry the time left of pauses that the sender was told itself; pauses heard from peers are not passed on, because the delays of reports would add up and a pause would never end. A paused endpoint counts as full. While all endpoints of a pool pause, a request that cannot wait so long is refused at once, with a Retry-After of at least the shortest pause, at most 30 s. A malformed value is logged and ignored.

--- a/src/beacon_table.cpp
+++ b/src/beacon_table.cpp
@@ -109,6 +109,7 @@
     added->set_lacks_rate(!statement.rate_age.has_value());
     added->set_incarnation(statement.incarnation.Get());
     added->set_is_leaving(statement.is_leaving);
+    added->set_pause_left_ms(EncodeAge(statement.pause_left));
   }
   for (const RateGrantReport& grants : report.grants) {
     proto::RateGrants* added = out.add_rate_grants();
@@ -128,10 +129,11 @@
     const bool is_valid = std::isfinite(statement.per_s()) && statement.per_s() >= 0;
     if (!is_valid) continue;
     const std::optional<double> per_s = statement.is_stated() ? std::optional(statement.per_s()) : std::nullopt;
-    EndpointStatement decoded{EndpointId(statement.endpoint()), per_s, {}, {}, false};
+    EndpointStatement decoded{EndpointId(statement.endpoint()), per_s, {}, {}, false, {}};
     if (!statement.lacks_rate()) decoded.rate_age = DecodeAge(statement.age_ms());
     decoded.incarnation = Incarnation(statement.incarnation());
     decoded.is_leaving = statement.is_leaving();
+    decoded.pause_left = std::min<Duration>(DecodeAge(statement.pause_left_ms()), kMaxStatedPause);
     report.statements.push_back(std::move(decoded));
   }
   for (const proto::RateGrants& grants : in.rate_grants()) {
--- a/src/endpoint_balancer.cpp
+++ b/src/endpoint_balancer.cpp
@@ -179,8 +179,12 @@
   return endpoint.is_leaving || m_statements.IsLeaving(endpoint.id, endpoint.incarnation);
 }
 
+bool EndpointBalancer::IsInService(const EndpointInfo& endpoint) const {
+  return !IsLeaving(endpoint) && !m_fleet->zones_out.contains(endpoint.zone);
+}
+
 bool EndpointBalancer::IsEligible(const State& state, const EndpointQuery& query) const {
-  if (IsLeaving(state.info) || m_fleet->zones_out.contains(state.info.zone)) return false;
+  if (!IsInService(state.info)) return false;
   if (!IsRegionAllowed(*query.rule, query.workspace, state.info.region)) return false;
   return std::find(query.excluded.begin(), query.excluded.end(), state.info.id) == query.excluded.end();
 }
@@ -202,6 +206,7 @@
   if (!IsEligible(state, query)) return Availability::kIneligible;
   if (state.backoff_until > now) return Availability::kBackedOff;
   if (state.pause_until > now) return Availability::kBusy;
+  if (m_statements.GetPauseLeft(state.info.id, state.info.incarnation) > Duration::zero()) return Availability::kBusy;
   if (state.is_switching && HasFreshReport(state, now)) return Availability::kBusy;
   if (!HasVersion(state, query)) return Availability::kBusy;
   if (IsFull(state, now)) return Availability::kBusy;
@@ -364,13 +369,25 @@
   }
 }
 
+Duration EndpointBalancer::GetStatedPause(const PoolName& pool) const {
+  const auto states = m_pools.find(pool);
+  if (states == m_pools.end()) return Duration::zero();
+  std::optional<Duration> shortest;
+  for (const State* state : states->second) {
+    if (!IsInService(state->info)) continue;
+    const Duration left = m_statements.GetPauseLeft(state->info.id, state->info.incarnation);
+    shortest = std::min(shortest.value_or(left), left);
+  }
+  return shortest.value_or(Duration::zero());
+}
+
 EndpointBalancer::Occupancy EndpointBalancer::GetOccupancy(const PoolName& pool) const {
   Occupancy occupancy;
   const TimePoint now = m_clock.GetNow();
   const auto states = m_pools.find(pool);
   if (states == m_pools.end()) return occupancy;
   for (const State* state : states->second) {
-    if (IsLeaving(state->info) || m_fleet->zones_out.contains(state->info.zone)) continue;
+    if (!IsInService(state->info)) continue;
     occupancy.load += GetLoad(*state, now);
     occupancy.total_slots += GetSlots(*state);
   }
--- a/src/endpoint_balancer.h
+++ b/src/endpoint_balancer.h
@@ -82,7 +82,7 @@
   kNoneEligible,
   // All eligible endpoints are in backoff after failures.
   kBackedOff,
-  // Every eligible endpoint that is not in backoff is full, rate-limited or loading weights.
+  // Every eligible endpoint that is not in backoff is full, rate-limited, loading weights or wants no requests for now.
   kBusy,
 };
 
@@ -126,6 +126,10 @@
   void OnPrefillDone(const EndpointId& id, uint32_t prompt_tokens);
   void OnEnded(const EndpointId& id, AttemptEnd end);
 
+  // Returns the time until an endpoint of the pool takes requests again, if all in service have stated that they want
+  // none for some time; 0 otherwise.
+  Duration GetStatedPause(const PoolName& pool) const;
+
   // Estimated number of requests at a pool, and the total slots, both over its endpoints in service.
   struct Occupancy {
     uint32_t load = 0;
@@ -175,6 +179,7 @@
 
   Availability GetAvailability(State& state, const EndpointQuery& query, TimePoint now);
   bool IsEligible(const State& state, const EndpointQuery& query) const;
+  bool IsInService(const EndpointInfo& endpoint) const;
   // Whether the only version that the request may use must not start requests any more.
   static bool IsSuperseded(const EndpointQuery& query);
   bool HasVersion(const State& state, const EndpointQuery& query) const;
--- a/src/endpoint_statement.cpp
+++ b/src/endpoint_statement.cpp
@@ -26,6 +26,8 @@
 // such runs of one endpoint.
 constexpr Duration kLeavingRetention = std::chrono::minutes(10);
 constexpr size_t kMaxLeavingRuns = 8;
+// A pause that ends later by less than this is no news.
+constexpr Duration kMinPauseNews = Milliseconds(100);
 // Time for which the end of a limit is reported.
 constexpr Duration kEndReportTime = std::chrono::seconds(10);
 
@@ -49,7 +51,7 @@
   }
   std::erase_if(m_stated, [&](const auto& entry) {
     const Stated& stated = entry.second;
-    if (!stated.unlisted_since.has_value()) return false;
+    if (!stated.unlisted_since.has_value() || stated.pause.GetEnd() > now) return false;
     return stated.leaving.empty() || now - *stated.unlisted_since >= kLeavingRetention;
   });
 }
@@ -148,6 +150,32 @@
   return found != m_stated.end() && found->second.leaving.contains(incarnation);
 }
 
+bool EndpointStatements::OnPause(const EndpointId& endpoint, Incarnation incarnation, Duration pause) {
+  return SetPause(endpoint, incarnation, pause, false);
+}
+
+bool EndpointStatements::SetPause(const EndpointId& endpoint, Incarnation incarnation, Duration pause,
+                                  bool is_from_peer) {
+  if (pause <= Duration::zero()) return false;
+  pause = std::min(pause, kMaxStatedPause);
+  const TimePoint now = m_clock.GetNow();
+  Pause& known = m_stated[endpoint].pause;
+  if (incarnation < known.incarnation && known.GetEnd() > now) return false;
+  if (incarnation != known.incarnation) known = {incarnation, {}, {}};
+  const TimePoint end = std::max(known.GetEnd(), now);
+  TimePoint& until = is_from_peer ? known.peer_until : known.own_until;
+  until = std::max(until, now + pause);
+  if (until - end < kMinPauseNews) return false;
+  m_changes.push_back({endpoint, {}, is_from_peer, false, StatementKind::kPause, pause});
+  return true;
+}
+
+Duration EndpointStatements::GetPauseLeft(const EndpointId& endpoint, Incarnation incarnation) const {
+  const auto found = m_stated.find(endpoint);
+  if (found == m_stated.end() || found->second.pause.incarnation != incarnation) return Duration::zero();
+  return std::max<Duration>(Duration::zero(), found->second.pause.GetEnd() - m_clock.GetNow());
+}
+
 void EndpointStatements::GrantDue() {
   const TimePoint now = m_clock.GetNow();
   for (auto& [endpoint, stated] : m_stated) {
@@ -253,7 +281,11 @@
       statement.rate_age = now - stated.limit->stated_at;
     }
     const bool has_rate_news = statement.rate_age.has_value() && *statement.rate_age < kEndReportTime;
-    if (statement.per_s.has_value() || has_rate_news || statement.is_leaving) {
+    if (stated.pause.incarnation == statement.incarnation) {
+      statement.pause_left = std::max<Duration>(Duration::zero(), stated.pause.own_until - now);
+    }
+    const bool has_pause = statement.pause_left > Duration::zero();
+    if (statement.per_s.has_value() || has_rate_news || statement.is_leaving || has_pause) {
       statements.push_back(std::move(statement));
     }
   }
@@ -289,6 +321,7 @@
 void EndpointStatements::ApplyStatement(const EndpointStatement& statement) {
   if (!m_listed.contains(statement.endpoint)) return;
   if (statement.is_leaving) SetLeaving(statement.endpoint, statement.incarnation, true);
+  SetPause(statement.endpoint, statement.incarnation, statement.pause_left, true);
   const Limit* known = FindLimit(statement.endpoint);
   if (!statement.rate_age.has_value() || (known == nullptr && !statement.per_s.has_value())) return;
   const TimePoint stated_at = m_clock.GetNow() - *statement.rate_age;
--- a/src/endpoint_statement.h
+++ b/src/endpoint_statement.h
@@ -1,9 +1,10 @@
-// What endpoints state in their responses: the request rate that they take from all entries together, and that they
-// leave. No I/O.
+// What endpoints state in their responses: the request rate that they take from all entries together, that they leave,
+// and that they want no requests for some time. No I/O.
 
 #ifndef PLANTAIN_ENDPOINT_STATEMENT_H_
 #define PLANTAIN_ENDPOINT_STATEMENT_H_
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <optional>
@@ -33,7 +34,7 @@
 };
 
 // What an endpoint can state.
-enum class StatementKind { kRate, kLeaving };
+enum class StatementKind { kRate, kLeaving, kPause };
 
 // Load pattern: an endpoint in trouble states a rate far below what its callers want, and any number of entries send to
 // it. One entry for each endpoint grants single requests to all entries, in proportion to their demand, at the stated
@@ -43,7 +44,11 @@
 // is not, and stops at once when an entry of a higher rank appears.
 //
 // That an endpoint leaves holds for one run of it, from the first response that says so, and longer than the directory
-// lists it: a record that vanishes for a while and comes back changes nothing. Used on one traffic loop.
+// lists it: a record that vanishes for a while and comes back changes nothing.
+//
+// A pause ends by time. An entry reports only the pauses that it was told itself: if entries passed on what peers
+// report, the time that a report takes would be added again and again, and a pause would never end. Used on one traffic
+// loop.
 class EndpointStatements {
  public:
   EndpointStatements(const Clock& clock, VmId self);
@@ -60,6 +65,12 @@
   // Whether this run of the endpoint has stated, here or to another entry, that it leaves.
   bool IsLeaving(const EndpointId& endpoint, Incarnation incarnation) const;
 
+  // Takes that a response of a run of an endpoint states that it wants no requests for some time. Returns whether that
+  // is news.
+  bool OnPause(const EndpointId& endpoint, Incarnation incarnation, Duration pause);
+  // Returns for how long this run of the endpoint wants no requests; 0 if it takes some.
+  Duration GetPauseLeft(const EndpointId& endpoint, Incarnation incarnation) const;
+
   // Grants what has become due. Must be called regularly.
   void GrantDue();
 
@@ -81,6 +92,8 @@
     // Whether this entry grants requests to all entries.
     bool is_granting = false;
     StatementKind kind = StatementKind::kRate;
+    // Time until the stated pause ends.
+    Duration pause_left{};
   };
   std::vector<Change> TakeChanges();
 
@@ -112,12 +125,20 @@
     std::deque<TimePoint> grants;
   };
 
+  struct Pause {
+    Incarnation incarnation;
+    // End as told to this entry, and to others.
+    TimePoint own_until;
+    TimePoint peer_until;
+    TimePoint GetEnd() const { return std::max(own_until, peer_until); }
+  };
   // What is known of one endpoint.
   struct Stated {
     // Set once it has stated a rate.
     std::optional<Limit> limit;
     // Its runs that leave.
     std::set<Incarnation> leaving;
+    Pause pause;
     // Since when the directory does not list it.
     std::optional<TimePoint> unlisted_since;
   };
@@ -127,6 +148,7 @@
   Limit& AddLimit(const EndpointId& endpoint);
   bool SetRate(const EndpointId& endpoint, std::optional<double> per_s, TimePoint stated_at, bool is_from_peer);
   bool SetLeaving(const EndpointId& endpoint, Incarnation incarnation, bool is_from_peer);
+  bool SetPause(const EndpointId& endpoint, Incarnation incarnation, Duration pause, bool is_from_peer);
   std::vector<EndpointStatement> MakeStatements() const;
   void ApplyStatement(const EndpointStatement& statement);
   void BeginGrants(const EndpointId& endpoint, Limit& limit);
--- a/src/endpoint_statement_type.h
+++ b/src/endpoint_statement_type.h
@@ -12,6 +12,9 @@
 
 namespace plantain {
 
+// Longer pauses that an endpoint states are taken for this one.
+inline constexpr Duration kMaxStatedPause = std::chrono::minutes(10);
+
 // What an endpoint last stated in its responses.
 struct EndpointStatement {
   EndpointId endpoint;
@@ -22,6 +25,8 @@
   // Run of the endpoint to which the rest applies: another run under the same id has stated nothing yet.
   Incarnation incarnation;
   bool is_leaving = false;
+  // Time for which it wants no requests, as it told the sender of the report itself; 0 if it did not.
+  Duration pause_left{};
 };
 
 // Number of requests that one entry may send, in total since the granting entry began to grant.
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -35,6 +35,7 @@
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(3);
 constexpr Duration kNoConfigRetryAfter = std::chrono::seconds(1);
 constexpr Duration kDrainingRetryAfter = Milliseconds(20);
+constexpr Duration kMaxPausedRetryAfter = std::chrono::seconds(30);
 // About the duration of a weight switch or a restart, during which few endpoints serve.
 constexpr Duration kNoEndpointRetryAfter = Milliseconds(1800);
 
@@ -291,9 +292,9 @@
     RefuseQueued(active, ForwardFailure::kNoEndpoint);
     return;
   }
-  if (wait_queue.CanServeInTime(entry, now)) {
+  if (CanServeInTime(entry, active.GetPool())) {
     wait_queue.Add(entry);
-  } else if (const WaitingRequest late = MakeLateEntry(entry, active); wait_queue.CanServeInTime(late, now)) {
+  } else if (const WaitingRequest late = MakeLateEntry(entry, active); CanServeInTime(late, active.GetPool())) {
     // The request will miss its latency goal, but a late response costs the caller less than another round trip.
     wait_queue.Add(late);
   } else {
@@ -303,6 +304,12 @@
   if (wait_queue.GetSize() > 1) DispatchQueued(active.GetPool());
 }
 
+bool ForwardTraffic::CanServeInTime(const WaitingRequest& entry, const PoolName& pool) {
+  const TimePoint now = m_clock.GetNow();
+  return now + m_balancer.GetStatedPause(pool) < entry.wait_until &&
+         GetPool(pool).wait_queue.CanServeInTime(entry, now);
+}
+
 WaitingRequest ForwardTraffic::MakeLateEntry(WaitingRequest entry, const ActiveRequest& active) const {
   const TimePoint now = m_clock.GetNow();
   entry.is_late = true;
@@ -394,7 +401,12 @@
   // Jitter keeps callers that were refused together from retrying together.
   const double jitter = 0.75 + 0.5 * m_random.GetUnit();
   const Duration base = std::max<Duration>(turn, kNoEndpointRetryAfter);
-  return std::clamp<Duration>(std::chrono::duration_cast<Duration>(base * jitter), kMinRetryAfter, kMaxRetryAfter);
+  const auto usual =
+      std::clamp<Duration>(std::chrono::duration_cast<Duration>(base * jitter), kMinRetryAfter, kMaxRetryAfter);
+  const Duration pause = m_balancer.GetStatedPause(active.GetPool());
+  if (pause <= Duration::zero()) return usual;
+  const auto after_pause = pause + std::chrono::duration_cast<Duration>(kMinRetryAfter * jitter);
+  return std::min<Duration>(std::max<Duration>(usual, after_pause), kMaxPausedRetryAfter);
 }
 
 void ForwardTraffic::OnPrefillDone(ActiveRequest& active, const EndpointId& endpoint) {
@@ -413,6 +425,10 @@
     LogEvent(LogLevel::kWarn, "endpoint_leaving_malformed",
              {{"endpoint", endpoint}, {"value", head.malformed_leaving}});
   }
+  if (!head.malformed_pause.empty()) {
+    LogEvent(LogLevel::kWarn, "endpoint_pause_malformed", {{"endpoint", endpoint}, {"value", head.malformed_pause}});
+  }
+  if (statements.OnPause(endpoint, active.GetEndpointIncarnation(), head.pause)) m_has_statement_news = true;
   if (head.is_leaving && statements.OnLeaving(endpoint, active.GetEndpointIncarnation())) m_has_statement_news = true;
 }
 
@@ -430,6 +446,10 @@
       case StatementKind::kLeaving:
         LogEvent(LogLevel::kInfo, "endpoint_leaving", {{"endpoint", change.endpoint}, {"source", source}});
         break;
+      case StatementKind::kPause:
+        LogEvent(LogLevel::kInfo, "endpoint_pause",
+                 {{"endpoint", change.endpoint}, {"left_ms", ToMilliseconds(change.pause_left)}, {"source", source}});
+        break;
     }
   }
   m_metrics.SetLimitedEndpoints(m_balancer.GetStatements().GetLimitCount());
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -98,6 +98,7 @@
   bool HasMissedGoal(const ActiveRequest& active) const;
   WaitingRequest MakeLateEntry(WaitingRequest entry, const ActiveRequest& active) const;
   Duration GetMaxWait(const ActiveRequest& active) const;
+  bool CanServeInTime(const WaitingRequest& entry, const PoolName& pool);
   EndpointQuery MakeQuery(const ActiveRequest& active) const;
   bool TryDispatch(ActiveRequest& active, NoEndpointReason& why);
   void RefuseQueued(ActiveRequest& active, ForwardFailure failure);
--- a/src/forward_type.h
+++ b/src/forward_type.h
@@ -76,6 +76,10 @@
   bool is_leaving = false;
   // Text of a statement of that which is neither 0 nor 1; empty if there is none.
   std::string malformed_leaving;
+  // Time for which the endpoint states in a refusal that it wants no requests; 0 if it states none.
+  Duration pause{};
+  // Text of a statement of that time that is not a number of at least 0; empty if there is none.
+  std::string malformed_pause;
   // End-to-end header fields that are passed to the caller.
   HttpHeaders headers;
 };
--- a/tests/caller_protocol_test.cpp
+++ b/tests/caller_protocol_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "endpoint_statement_type.h"
+
 namespace plantain::hosted {
 namespace {
 
@@ -76,5 +78,30 @@
   CHECK(ParseLeaving(std::string(5000, '1')).malformed_leaving.size() == 32);
 }
 
+ResponseHead ParsePause(int status, const std::string& value) {
+  HttpHeaders headers;
+  headers.Add("Plantainmast-Attempt-Id", "r1");
+  headers.Add("Retry-After", value);
+  return HostedCallerProtocol().ParseResponseHead(RequestId("r1"), status, headers, false);
+}
+
+// Guards against a pause that never ends, that lies in the past or that a malformed field causes.
+TEST_CASE("The pause that a refusal states is a bounded number of seconds, or malformed") {
+  CHECK(ParsePause(503, "2.5").pause == Milliseconds(2500));
+  CHECK(ParsePause(503, "3").pause == Milliseconds(3000));
+  CHECK(ParsePause(503, "0").pause == Duration::zero());
+  CHECK(ParsePause(503, "1e9").pause == kMaxStatedPause);
+  CHECK(ParsePause(503, "1e300").pause == kMaxStatedPause);
+  CHECK(ParsePause(200, "2.5").pause == Duration::zero());
+  CHECK(ParsePause(429, "2.5").pause == Duration::zero());
+  CHECK(ParsePause(503, "").malformed_pause.empty());
+  for (const std::string text : {"-1", "nan", "inf", "1e999", "soon", "2.5s", "Sat, 05 Dec 2026"}) {
+    INFO(text);
+    CHECK(ParsePause(503, text).pause == Duration::zero());
+    CHECK(ParsePause(503, text).malformed_pause == text);
+  }
+  CHECK(ParsePause(503, std::string(5000, 'x')).malformed_pause.size() == 32);
+}
+
 }  // namespace
 }  // namespace plantain::hosted
--- a/tests/endpoint_statement_test.cpp
+++ b/tests/endpoint_statement_test.cpp
@@ -476,5 +476,128 @@
   }
 }
 
+// Guards against a pause that is cut short, never ends, or outlives the run of the endpoint that stated it.
+TEST_CASE("A stated pause ends by time and belongs to one run") {
+  VirtualClock clock;
+  EndpointStatements statements(clock, VmId("vm1"));
+  const Incarnation run(7);
+  statements.SetEndpoints({{kLeaving, {kPool, run}}});
+  CHECK(statements.OnPause(kLeaving, run, std::chrono::seconds(5)));
+  CHECK(statements.GetPauseLeft(kLeaving, run) == std::chrono::seconds(5));
+
+  SECTION("it ends") {
+    clock.Advance(Milliseconds(4999));
+    CHECK(statements.GetPauseLeft(kLeaving, run) == Milliseconds(1));
+    clock.Advance(Milliseconds(1));
+    CHECK(statements.GetPauseLeft(kLeaving, run) == Duration::zero());
+    CHECK(statements.GetReport().statements.empty());
+  }
+  SECTION("the later end counts") {
+    CHECK_FALSE(statements.OnPause(kLeaving, run, std::chrono::seconds(1)));
+    CHECK(statements.GetPauseLeft(kLeaving, run) == std::chrono::seconds(5));
+    CHECK(statements.OnPause(kLeaving, run, std::chrono::seconds(6)));
+    CHECK(statements.GetPauseLeft(kLeaving, run) == std::chrono::seconds(6));
+  }
+  SECTION("a long one is bounded, and one that is none changes nothing") {
+    CHECK(statements.OnPause(kLeaving, run, Duration::max()));
+    CHECK(statements.GetPauseLeft(kLeaving, run) == kMaxStatedPause);
+    CHECK_FALSE(statements.OnPause(kLeaving, run, Duration::zero()));
+    CHECK_FALSE(statements.OnPause(kLeaving, run, Duration::min()));
+    CHECK(statements.GetPauseLeft(kLeaving, run) == kMaxStatedPause);
+  }
+  SECTION("a new start takes requests, whatever the run before says late") {
+    const Incarnation next_run(8);
+    statements.SetEndpoints({{kLeaving, {kPool, next_run}}});
+    CHECK(statements.GetPauseLeft(kLeaving, next_run) == Duration::zero());
+    statements.OnPause(kLeaving, next_run, std::chrono::seconds(2));
+    CHECK_FALSE(statements.OnPause(kLeaving, run, std::chrono::seconds(9)));
+    CHECK(statements.GetPauseLeft(kLeaving, next_run) == std::chrono::seconds(2));
+  }
+  SECTION("a record that vanishes and comes back changes nothing") {
+    statements.SetEndpoints({});
+    statements.SetEndpoints({{kLeaving, {kPool, run}}});
+    CHECK(statements.GetPauseLeft(kLeaving, run) == std::chrono::seconds(5));
+  }
+  SECTION("a peer takes it, and does not pass it on") {
+    EndpointStatements peer(clock, VmId("vm2"));
+    peer.SetEndpoints({{kLeaving, {kPool, run}}});
+    peer.ApplyReport(VmId("vm1"), Transmit(statements.GetReport()));
+    CHECK(peer.GetPauseLeft(kLeaving, run) == std::chrono::seconds(5));
+    CHECK(peer.GetReport().statements.empty());
+  }
+  SECTION("a peer's pause without bound is bounded") {
+    StatementReport report;
+    report.statements.push_back({kLeaving, {}, {}, run, false, Duration::max()});
+    statements.ApplyReport(VmId("vm2"), Transmit(report));
+    CHECK(statements.GetPauseLeft(kLeaving, run) <= kMaxStatedPause);
+    statements.ApplyReport(VmId("vm2"), report);
+    CHECK(statements.GetPauseLeft(kLeaving, run) <= kMaxStatedPause);
+  }
+}
+
+// Guards against a pause that entries keep alive by telling each other of it, and against requests within it.
+TEST_CASE("Entries that exchange a pause late and with losses end it together, and none sends within it") {
+  constexpr size_t kEntries = 8;
+  constexpr Duration kPause = std::chrono::seconds(5);
+  constexpr Duration kMaxDelay = Milliseconds(400);
+  struct Late {
+    TimePoint at;
+    size_t to;
+    StatementReport report;
+  };
+  const Incarnation run(1);
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    INFO("seed " << seed);
+    VirtualClock clock;
+    SeededRandom random(seed);
+    std::vector<std::unique_ptr<EndpointStatements>> entries;
+    for (size_t i = 0; i < kEntries; ++i) {
+      entries.push_back(std::make_unique<EndpointStatements>(clock, VmId("vm" + std::to_string(i))));
+      entries.back()->SetEndpoints({{kLeaving, {kPool, run}}});
+    }
+    std::vector<Late> late;
+    std::map<size_t, TimePoint> refused_at;
+    TimePoint last_refusal;
+    size_t too_early = 0;
+    size_t served = 0;
+    // The endpoint refuses for two seconds.
+    const TimePoint begin = clock.GetNow();
+    while (clock.GetNow() < begin + std::chrono::seconds(20)) {
+      clock.Advance(Milliseconds(10));
+      const TimePoint now = clock.GetNow();
+      const size_t sender = random.GetBits() % kEntries;
+      if (entries[sender]->GetPauseLeft(kLeaving, run) == Duration::zero()) {
+        if (refused_at.contains(sender) && now < refused_at[sender] + kPause) ++too_early;
+        if (now < begin + std::chrono::seconds(2)) {
+          entries[sender]->OnPause(kLeaving, run, kPause);
+          refused_at[sender] = last_refusal = now;
+        } else {
+          ++served;
+        }
+      }
+      for (auto message = late.begin(); message != late.end();) {
+        if (message->at > now) {
+          ++message;
+          continue;
+        }
+        entries[message->to]->ApplyReport(VmId("peer"), message->report);
+        message = late.erase(message);
+      }
+      for (size_t from = 0; from < kEntries && ToMilliseconds(now - begin) % 100 == 0; ++from) {
+        const StatementReport report = Transmit(entries[from]->GetReport());
+        for (size_t to = 0; to < kEntries; ++to) {
+          const auto delay = Milliseconds(static_cast<int64_t>(random.GetBits() % ToMilliseconds(kMaxDelay)));
+          if (to != from && random.GetUnit() < 0.7) late.push_back({now + delay, to, report});
+        }
+      }
+      if (now >= last_refusal + kPause + kMaxDelay) {
+        for (const auto& entry : entries) CHECK(entry->GetPauseLeft(kLeaving, run) == Duration::zero());
+      }
+    }
+    CHECK(too_early == 0);
+    CHECK(served > 500);
+  }
+}
+
 }  // namespace
 }  // namespace plantain
--- a/tests/forward_limit_test.cpp
+++ b/tests/forward_limit_test.cpp
@@ -85,7 +85,7 @@
   }
   SECTION("a peer's statement counts too") {
     StatementReport report;
-    report.statements.push_back({EndpointId("e1"), {}, {}, Incarnation(1), true});
+    report.statements.push_back({EndpointId("e1"), {}, {}, Incarnation(1), true, {}});
     fixture.traffic->ApplyStatementReport(VmId("vm2"), report);
     sent.SendHead(200, MakeStreamFields("Server-Leaving", "0"));
     sent.SendData("id: 0\ndata: x\n\n");
@@ -95,5 +95,62 @@
   }
 }
 
+void RefuseWithPause(FakeAttemptSender::Sent& sent, const std::string& retry_after) {
+  sent.SendHead(503, {{"Plantainmast-Not-Executed", "1"}, {"Retry-After", retry_after}});
+  sent.FinishResponse();
+}
+
+// Guards against requests to an endpoint within the time for which it has refused them, and against callers that wait
+// or come back in vain.
+TEST_CASE("An endpoint that refuses with Retry-After gets nothing for so long") {
+  SECTION("the only endpoint") {
+    ForwardFixture fixture({MakeEndpoint("e1", kEnginePool, "praha", 4)});
+    const auto refused = fixture.SendRequest("/draft/1", "6000");
+    REQUIRE(fixture.sender.GetCount() == 1);
+
+    SECTION("requests are refused at once, until its pause ends") {
+      RefuseWithPause(fixture.sender.At(0), "5");
+      const auto early = fixture.SendRequest("/draft/1", "6000");
+      CHECK(early->status == 503);
+      CHECK(std::stod(std::string(early->headers.Find("Retry-After"))) >= 5.0);
+      fixture.AdvanceTime(Milliseconds(4980));
+      CHECK(fixture.sender.GetCount() == 1);
+      fixture.AdvanceTime(Milliseconds(30));
+      fixture.SendRequest("/draft/1", "6000");
+      CHECK(fixture.sender.GetCount() == 2);
+    }
+    SECTION("a request waits for the end of a short pause") {
+      RefuseWithPause(fixture.sender.At(0), "0.1");
+      const auto waiting = fixture.SendRequest("/draft/1", "6000");
+      fixture.AdvanceTime(Milliseconds(90));
+      CHECK(fixture.sender.GetCount() == 1);
+      fixture.AdvanceTime(Milliseconds(30));
+      CHECK(fixture.sender.GetCount() >= 2);
+      CHECK(waiting->status == 0);
+    }
+    SECTION("a long pause gives callers a bounded time") {
+      RefuseWithPause(fixture.sender.At(0), "1e300");
+      const auto early = fixture.SendRequest("/draft/1", "6000");
+      CHECK(std::stod(std::string(early->headers.Find("Retry-After"))) == 30.0);
+    }
+    SECTION("a malformed pause changes nothing") {
+      RefuseWithPause(fixture.sender.At(0), "soon");
+      fixture.AdvanceTime(Milliseconds(100));
+      fixture.SendRequest("/draft/1", "6000");
+      CHECK(fixture.sender.GetCount() >= 2);
+    }
+  }
+  SECTION("one of two endpoints") {
+    ForwardFixture fixture({MakeEndpoint("e1", kEnginePool, "praha", 4), MakeEndpoint("e2", kEnginePool, "praha", 4)});
+    fixture.SendRequest("/draft/1", "6000");
+    const std::string paused = fixture.sender.At(0).GetEndpoint();
+    RefuseWithPause(fixture.sender.At(0), "5");
+    CHECK(fixture.traffic->TakeHasNews());
+    for (int i = 0; i < 10; ++i) fixture.SendRequest("/draft/1", "6000");
+    for (size_t i = 1; i < fixture.sender.GetCount(); ++i) CHECK(fixture.sender.At(i).GetEndpoint() != paused);
+    CHECK(fixture.sender.GetCount() >= 4);
+  }
+}
+
 }  // namespace
 }  // namespace plantain
