--- a/bench/_hosted_fleet.py
+++ b/bench/_hosted_fleet.py
@@ -56,6 +56,15 @@
     limit: float = None
     limit_from_s: float = 0
     limited_engines: int = 0
+    # Number of engines, the first ones, that refuse all requests with Retry-After for a time, which begins some time
+    # after their start.
+    pausing_engines: int = 0
+    pause_from_s: float = 0
+    pause_until_s: float = 0
+    retry_after_s: float = 0
+    # Number of engines, the next ones, that say in all answers that they leave, and serve on.
+    leaving_engines: int = 0
+    leaving_from_s: float = 0
 
 
 @dataclasses.dataclass
@@ -69,6 +78,9 @@
     parts: list
     begun_at: float = None
     path: str = ""
+    # Whether its answer says that the engine leaves, and the Retry-After of a refusal, in seconds.
+    is_leaving: bool = False
+    retry_after_s: float = None
 
 
 @dataclasses.dataclass
@@ -95,8 +107,11 @@
 class Engine:
     """One engine address. A crash resets all connections; the engine comes back under another id."""
 
-    def __init__(self, fleet, zone, address, model, has_limit):
-        self.fleet, self.zone, self.address, self.model, self.has_limit = fleet, zone, address, model, has_limit
+    def __init__(self, fleet, zone, address, model, index):
+        self.fleet, self.zone, self.address, self.model = fleet, zone, address, model
+        self.has_limit = index < model.limited_engines
+        self.does_pause = index < model.pausing_engines
+        self.does_leave = 0 <= index - model.pausing_engines < model.leaving_engines
         self.started_at = time.monotonic()
         self.server, self.writers, self.id, self.active = None, set(), "", 0
         # What the directory should hold of the engine, and the time at which it was told that the engine leaves.
@@ -166,6 +181,15 @@
         arrival = Arrival(time.monotonic(), self.id, self.address, request,
                           parse_parts(fields.get("plantainmast-prefix-hash", "")), path=path)
         self.fleet.arrivals.append(arrival)
+        age = time.monotonic() - self.started_at
+        if self.does_leave and age >= self.model.leaving_from_s:
+            arrival.is_leaving = True
+            prefix += "Server-Leaving: 1\r\n"
+        if self.does_pause and self.model.pause_from_s <= age < self.model.pause_until_s:
+            arrival.retry_after_s = self.model.retry_after_s
+            writer.write(f"HTTP/1.1 503 Busy\r\n{prefix}Plantainmast-Not-Executed: 1\r\n"
+                         f"Retry-After: {self.model.retry_after_s:g}\r\nContent-Length: 0\r\n\r\n".encode())
+            return True
         if self.active >= 2 * self.model.slots:
             writer.write(f"HTTP/1.1 503 Full\r\n{prefix}Plantainmast-Not-Executed: 1\r\n"
                          "Content-Length: 0\r\n\r\n".encode())
@@ -254,8 +278,7 @@
     async def add_engine(self):
         index = len(self.engines)
         zone = index % len(ZONES)
-        engine = Engine(self, zone, f"127.{self.octet}.{100 + zone}.{1 + index // len(ZONES)}", self.model,
-                        index < self.model.limited_engines)
+        engine = Engine(self, zone, f"127.{self.octet}.{100 + zone}.{1 + index // len(ZONES)}", self.model, index)
         self.engines.append(engine)
         await engine.start()
 
