--- a/src/endpoint_balancer.cpp
+++ b/src/endpoint_balancer.cpp
@@ -59,12 +59,12 @@
       m_random(random),
       m_options(std::move(options)),
       m_fleet(std::make_shared<FleetView>()),
-      m_rate_limits(clock, m_options.self) {}
+      m_statements(clock, m_options.self) {}
 
 void EndpointBalancer::SetFleet(std::shared_ptr<const FleetView> fleet) {
   m_fleet = std::move(fleet);
   m_pools.clear();
-  std::map<EndpointId, PoolName> pools;
+  std::map<EndpointId, ListedEndpoint> listed;
   for (auto& [id, state] : m_states) state.is_listed = false;
   for (const EndpointInfo& info : m_fleet->endpoints) {
     const auto [found, is_new] = m_states.try_emplace(info.id);
@@ -84,9 +84,9 @@
     state.info = info;
     state.is_listed = true;
     m_pools[info.pool].push_back(&state);
-    pools[info.id] = info.pool;
+    listed[info.id] = {info.pool, info.incarnation};
   }
-  m_rate_limits.SetEndpoints(std::move(pools));
+  m_statements.SetEndpoints(std::move(listed));
   std::erase_if(m_states, [](const auto& entry) { return !entry.second.is_listed && entry.second.own_requests == 0; });
   AssignSlots();
   if (m_fleet->routing == nullptr) return;
@@ -175,8 +175,16 @@
   state.rate_tokens_at = now;
 }
 
+bool EndpointBalancer::IsLeaving(const EndpointInfo& endpoint) const {
+  return endpoint.is_leaving || m_statements.IsLeaving(endpoint.id, endpoint.incarnation);
+}
+
+bool EndpointBalancer::IsInService(const EndpointInfo& endpoint) const {
+  return !IsLeaving(endpoint) && !m_fleet->zones_out.contains(endpoint.zone);
+}
+
 bool EndpointBalancer::IsEligible(const State& state, const EndpointQuery& query) const {
-  if (state.info.is_leaving || m_fleet->zones_out.contains(state.info.zone)) return false;
+  if (!IsInService(state.info)) return false;
   if (!IsRegionAllowed(*query.rule, query.workspace, state.info.region)) return false;
   return std::find(query.excluded.begin(), query.excluded.end(), state.info.id) == query.excluded.end();
 }
@@ -198,10 +206,11 @@
   if (!IsEligible(state, query)) return Availability::kIneligible;
   if (state.backoff_until > now) return Availability::kBackedOff;
   if (state.pause_until > now) return Availability::kBusy;
+  if (m_statements.GetPauseLeft(state.info.id, state.info.incarnation) > Duration::zero()) return Availability::kBusy;
   if (state.is_switching && HasFreshReport(state, now)) return Availability::kBusy;
   if (!HasVersion(state, query)) return Availability::kBusy;
   if (IsFull(state, now)) return Availability::kBusy;
-  if (!m_rate_limits.IsAvailable(state.info.id)) return Availability::kBusy;
+  if (!m_statements.IsAvailable(state.info.id)) return Availability::kBusy;
   if (state.cold_requests_per_s > 0) {
     RefillRateTokens(state, now);
     if (state.rate_tokens < 1) return Availability::kBusy;
@@ -311,7 +320,7 @@
   ++found->second.own_requests;
   found->second.own_prompt_tokens += prompt_tokens;
   if (found->second.cold_requests_per_s > 0) found->second.rate_tokens -= 1;
-  m_rate_limits.OnSent(id);
+  m_statements.OnSent(id);
 }
 
 void EndpointBalancer::RecordOutcome(State& state, bool is_error) {
@@ -360,13 +369,25 @@
   }
 }
 
+Duration EndpointBalancer::GetStatedPause(const PoolName& pool) const {
+  const auto states = m_pools.find(pool);
+  if (states == m_pools.end()) return Duration::zero();
+  std::optional<Duration> shortest;
+  for (const State* state : states->second) {
+    if (!IsInService(state->info)) continue;
+    const Duration left = m_statements.GetPauseLeft(state->info.id, state->info.incarnation);
+    shortest = std::min(shortest.value_or(left), left);
+  }
+  return shortest.value_or(Duration::zero());
+}
+
 EndpointBalancer::Occupancy EndpointBalancer::GetOccupancy(const PoolName& pool) const {
   Occupancy occupancy;
   const TimePoint now = m_clock.GetNow();
   const auto states = m_pools.find(pool);
   if (states == m_pools.end()) return occupancy;
   for (const State* state : states->second) {
-    if (state->info.is_leaving || m_fleet->zones_out.contains(state->info.zone)) continue;
+    if (!IsInService(state->info)) continue;
     occupancy.load += GetLoad(*state, now);
     occupancy.total_slots += GetSlots(*state);
   }
--- a/src/endpoint_balancer.h
+++ b/src/endpoint_balancer.h
@@ -10,9 +10,9 @@
 #include <vector>
 
 #include "clock.h"
+#include "endpoint_statement.h"
 #include "fleet_type.h"
 #include "random.h"
-#include "rate_grant.h"
 #include "route_match.h"
 #include "slot_share.h"
 
@@ -82,7 +82,7 @@
   kNoneEligible,
   // All eligible endpoints are in backoff after failures.
   kBackedOff,
-  // Every eligible endpoint that is not in backoff is full, rate-limited or loading weights.
+  // Every eligible endpoint that is not in backoff is full, rate-limited, loading weights or wants no requests for now.
   kBusy,
 };
 
@@ -108,9 +108,12 @@
   // Sets the entries that share the endpoints, including this one.
   void SetEntries(std::vector<EntryDemand> entries);
   void OnLoad(const EndpointLoad& load);
-  // Rates that endpoints state for all entries together.
-  EndpointRateLimits& GetRateLimits() { return m_rate_limits; }
-  const EndpointRateLimits& GetRateLimits() const { return m_rate_limits; }
+  // What endpoints state in their responses.
+  EndpointStatements& GetStatements() { return m_statements; }
+  const EndpointStatements& GetStatements() const { return m_statements; }
+
+  // Whether the endpoint leaves, as the directory or one of its responses says.
+  bool IsLeaving(const EndpointInfo& endpoint) const;
 
   EndpointChoice Choose(const EndpointQuery& query);
 
@@ -123,6 +126,10 @@
   void OnPrefillDone(const EndpointId& id, uint32_t prompt_tokens);
   void OnEnded(const EndpointId& id, AttemptEnd end);
 
+  // Returns the time until an endpoint of the pool takes requests again, if all in service have stated that they want
+  // none for some time; 0 otherwise.
+  Duration GetStatedPause(const PoolName& pool) const;
+
   // Estimated number of requests at a pool, and the total slots, both over its endpoints in service.
   struct Occupancy {
     uint32_t load = 0;
@@ -172,6 +179,7 @@
 
   Availability GetAvailability(State& state, const EndpointQuery& query, TimePoint now);
   bool IsEligible(const State& state, const EndpointQuery& query) const;
+  bool IsInService(const EndpointInfo& endpoint) const;
   // Whether the only version that the request may use must not start requests any more.
   static bool IsSuperseded(const EndpointQuery& query);
   bool HasVersion(const State& state, const EndpointQuery& query) const;
@@ -198,7 +206,7 @@
   std::map<EndpointId, State> m_states;
   std::map<PoolName, std::vector<State*>> m_pools;
   std::vector<EntryDemand> m_entries;
-  EndpointRateLimits m_rate_limits;
+  EndpointStatements m_statements;
 };
 
 }  // namespace plantain
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -35,6 +35,7 @@
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(3);
 constexpr Duration kNoConfigRetryAfter = std::chrono::seconds(1);
 constexpr Duration kDrainingRetryAfter = Milliseconds(20);
+constexpr Duration kMaxPausedRetryAfter = std::chrono::seconds(30);
 // About the duration of a weight switch or a restart, during which few endpoints serve.
 constexpr Duration kNoEndpointRetryAfter = Milliseconds(1800);
 
@@ -91,12 +92,12 @@
     if (state.budget != nullptr) state.budget->SetReserve(GetRetryReserve());
   }
   m_balancer.SetEntries(view.entries);
-  m_balancer.GetRateLimits().SetEntries(std::move(view));
+  m_balancer.GetStatements().SetEntries(std::move(view));
 }
 
 bool ForwardTraffic::TakeHasNews() {
   const bool has_content_news = m_quarantine.TakeHasNews();
-  return std::exchange(m_has_rate_news, false) || has_content_news;
+  return std::exchange(m_has_statement_news, false) || has_content_news;
 }
 
 std::map<PoolName, double> ForwardTraffic::GetDemand() const {
@@ -250,7 +251,7 @@
   if (runs_already) return true;
   const auto usable =
       std::count_if(m_fleet->endpoints.begin(), m_fleet->endpoints.end(), [&](const EndpointInfo& endpoint) {
-        const bool is_in_service = !endpoint.is_leaving && !m_fleet->zones_out.contains(endpoint.zone);
+        const bool is_in_service = !m_balancer.IsLeaving(endpoint) && !m_fleet->zones_out.contains(endpoint.zone);
         return endpoint.pool == active.GetPool() && is_in_service &&
                !m_quarantine.HasEnded(GetRun(endpoint.id, endpoint.incarnation));
       });
@@ -291,9 +292,9 @@
     RefuseQueued(active, ForwardFailure::kNoEndpoint);
     return;
   }
-  if (wait_queue.CanServeInTime(entry, now)) {
+  if (CanServeInTime(entry, active.GetPool())) {
     wait_queue.Add(entry);
-  } else if (const WaitingRequest late = MakeLateEntry(entry, active); wait_queue.CanServeInTime(late, now)) {
+  } else if (const WaitingRequest late = MakeLateEntry(entry, active); CanServeInTime(late, active.GetPool())) {
     // The request will miss its latency goal, but a late response costs the caller less than another round trip.
     wait_queue.Add(late);
   } else {
@@ -303,6 +304,12 @@
   if (wait_queue.GetSize() > 1) DispatchQueued(active.GetPool());
 }
 
+bool ForwardTraffic::CanServeInTime(const WaitingRequest& entry, const PoolName& pool) {
+  const TimePoint now = m_clock.GetNow();
+  return now + m_balancer.GetStatedPause(pool) < entry.wait_until &&
+         GetPool(pool).wait_queue.CanServeInTime(entry, now);
+}
+
 WaitingRequest ForwardTraffic::MakeLateEntry(WaitingRequest entry, const ActiveRequest& active) const {
   const TimePoint now = m_clock.GetNow();
   entry.is_late = true;
@@ -371,8 +378,8 @@
   const TimePoint now = m_clock.GetNow();
   m_ended_requests.clear();
   ApplyContentChanges();
-  m_balancer.GetRateLimits().GrantDue();
-  LogRateChanges();
+  m_balancer.GetStatements().GrantDue();
+  LogStatementChanges();
   for (auto& [pool, state] : m_pools) {
     for (const WaitTicket ticket : state.wait_queue.RemoveExpired(now)) {
       const auto found = m_active_requests.find(ticket);
@@ -394,30 +401,58 @@
   // Jitter keeps callers that were refused together from retrying together.
   const double jitter = 0.75 + 0.5 * m_random.GetUnit();
   const Duration base = std::max<Duration>(turn, kNoEndpointRetryAfter);
-  return std::clamp<Duration>(std::chrono::duration_cast<Duration>(base * jitter), kMinRetryAfter, kMaxRetryAfter);
+  const auto usual =
+      std::clamp<Duration>(std::chrono::duration_cast<Duration>(base * jitter), kMinRetryAfter, kMaxRetryAfter);
+  const Duration pause = m_balancer.GetStatedPause(active.GetPool());
+  if (pause <= Duration::zero()) return usual;
+  const auto after_pause = pause + std::chrono::duration_cast<Duration>(kMinRetryAfter * jitter);
+  return std::min<Duration>(std::max<Duration>(usual, after_pause), kMaxPausedRetryAfter);
 }
 
 void ForwardTraffic::OnPrefillDone(ActiveRequest& active, const EndpointId& endpoint) {
   m_balancer.OnPrefillDone(endpoint, active.GetRequest().prompt_tokens);
 }
 
-void ForwardTraffic::OnResponseHead(const EndpointId& endpoint, const ResponseHead& head) {
+void ForwardTraffic::OnResponseHead(const ActiveRequest& active, const ResponseHead& head) {
+  const EndpointId& endpoint = active.GetEndpoint();
+  EndpointStatements& statements = m_balancer.GetStatements();
   if (!head.malformed_rate.empty()) {
     LogEvent(LogLevel::kWarn, "endpoint_rate_malformed", {{"endpoint", endpoint}, {"value", head.malformed_rate}});
-    return;
+  } else if (statements.OnResponse(endpoint, head.requests_per_s)) {
+    m_has_statement_news = true;
   }
-  if (m_balancer.GetRateLimits().OnResponse(endpoint, head.requests_per_s)) m_has_rate_news = true;
-}
-
-void ForwardTraffic::LogRateChanges() {
-  for (const EndpointRateLimits::Change& change : m_balancer.GetRateLimits().TakeChanges()) {
-    LogEvent(LogLevel::kInfo, "endpoint_rate",
-             {{"endpoint", change.endpoint},
-              {"per_s", change.per_s.has_value() ? std::to_string(*change.per_s) : "none"},
-              {"source", change.is_from_peer ? "peer" : "own"},
-              {"is_granting", change.is_granting}});
+  if (!head.malformed_leaving.empty()) {
+    LogEvent(LogLevel::kWarn, "endpoint_leaving_malformed",
+             {{"endpoint", endpoint}, {"value", head.malformed_leaving}});
+  }
+  if (!head.malformed_pause.empty()) {
+    LogEvent(LogLevel::kWarn, "endpoint_pause_malformed", {{"endpoint", endpoint}, {"value", head.malformed_pause}});
+  }
+  if (statements.OnPause(endpoint, active.GetEndpointIncarnation(), head.pause)) m_has_statement_news = true;
+  if (head.is_leaving && statements.OnLeaving(endpoint, active.GetEndpointIncarnation())) m_has_statement_news = true;
+}
+
+void ForwardTraffic::LogStatementChanges() {
+  for (const EndpointStatements::Change& change : m_balancer.GetStatements().TakeChanges()) {
+    const std::string_view source = change.is_from_peer ? "peer" : "own";
+    switch (change.kind) {
+      case StatementKind::kRate:
+        LogEvent(LogLevel::kInfo, "endpoint_rate",
+                 {{"endpoint", change.endpoint},
+                  {"per_s", change.per_s.has_value() ? std::to_string(*change.per_s) : "none"},
+                  {"source", source},
+                  {"is_granting", change.is_granting}});
+        break;
+      case StatementKind::kLeaving:
+        LogEvent(LogLevel::kInfo, "endpoint_leaving", {{"endpoint", change.endpoint}, {"source", source}});
+        break;
+      case StatementKind::kPause:
+        LogEvent(LogLevel::kInfo, "endpoint_pause",
+                 {{"endpoint", change.endpoint}, {"left_ms", ToMilliseconds(change.pause_left)}, {"source", source}});
+        break;
+    }
   }
-  m_metrics.SetLimitedEndpoints(m_balancer.GetRateLimits().GetLimitCount());
+  m_metrics.SetLimitedEndpoints(m_balancer.GetStatements().GetLimitCount());
 }
 
 void ForwardTraffic::OnAnswerBegun(ActiveRequest& active) {
@@ -431,7 +466,7 @@
 void ForwardTraffic::RecordCrash(const ActiveRequest& active, const EndedAttempt& attempt) {
   const auto& endpoints = m_fleet->endpoints;
   const bool is_leaving = std::any_of(endpoints.begin(), endpoints.end(), [&](const EndpointInfo& endpoint) {
-    return endpoint.id == attempt.endpoint && endpoint.is_leaving;
+    return endpoint.id == attempt.endpoint && m_balancer.IsLeaving(endpoint);
   });
   if (is_leaving) return;
   std::vector<ContentKey> keys = active.GetRequest().shared_parts;
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -47,10 +47,10 @@
   void SetFleet(const std::shared_ptr<const FleetView>& fleet);
   // Sets what is known of all entries, including this one.
   void SetEntries(EntryView view);
-  // Exchange the request rates that endpoints state, and grants.
-  RateReport GetRateReport() const { return m_balancer.GetRateLimits().GetReport(); }
-  void ApplyRateReport(const VmId& from, const RateReport& report) {
-    m_balancer.GetRateLimits().ApplyReport(from, report);
+  // Exchange what endpoints state, and grants.
+  StatementReport GetStatementReport() { return m_balancer.GetStatements().GetReport(); }
+  void ApplyStatementReport(const VmId& from, const StatementReport& report) {
+    m_balancer.GetStatements().ApplyReport(from, report);
   }
   // Exchange what entries know about contents at which endpoints crash.
   std::vector<ContentReport> GetContentReports() const { return m_quarantine.GetReports(); }
@@ -98,6 +98,7 @@
   bool HasMissedGoal(const ActiveRequest& active) const;
   WaitingRequest MakeLateEntry(WaitingRequest entry, const ActiveRequest& active) const;
   Duration GetMaxWait(const ActiveRequest& active) const;
+  bool CanServeInTime(const WaitingRequest& entry, const PoolName& pool);
   EndpointQuery MakeQuery(const ActiveRequest& active) const;
   bool TryDispatch(ActiveRequest& active, NoEndpointReason& why);
   void RefuseQueued(ActiveRequest& active, ForwardFailure failure);
@@ -105,7 +106,7 @@
   bool EndangersEndpoints(const ActiveRequest& active) const;
   void RefuseBlocked(ActiveRequest& active);
   void ApplyContentChanges();
-  void LogRateChanges();
+  void LogStatementChanges();
   void DispatchQueued(const PoolName& pool);
   PoolState& GetPool(const PoolName& pool);
   double GetRetryReserve() const;
@@ -113,7 +114,7 @@
   Duration GetRetryAfter(const ActiveRequest& active);
 
   void OnPrefillDone(ActiveRequest& active, const EndpointId& endpoint) override;
-  void OnResponseHead(const EndpointId& endpoint, const ResponseHead& head) override;
+  void OnResponseHead(const ActiveRequest& active, const ResponseHead& head) override;
   void OnAnswerBegun(ActiveRequest& active) override;
   bool IsRepeatWorthwhile(const ActiveRequest& active) const override {
     return m_quarantine.IsEmpty() || !m_quarantine.IsSuspect(GetContentKeys(active));
@@ -136,7 +137,7 @@
   EndpointBalancer m_balancer;
   CrashQuarantine m_quarantine;
   std::function<void()> m_on_crash;
-  bool m_has_rate_news = false;
+  bool m_has_statement_news = false;
   // Number of entries that share the retry budget.
   size_t m_entry_count = 1;
   std::shared_ptr<const FleetView> m_fleet;
