Count ends at later requests although many endpoints ended at once

Cause: eight ends are kept for a content. If all places were taken by ends at requests that had been sent before the first end, the ends that prove the content bad, those at requests sent later, found no room for a minute.

Change: when all places are taken, an end at a request sent after the first end displaces one at a request sent before.

Test: the new section of "A sound part is not blocked for the company of a bad one" failed before: the part was not blocked after 16 ends at once and two at later requests.

--- a/src/crash_quarantine.cpp
+++ b/src/crash_quarantine.cpp
@@ -147,7 +147,7 @@
     ++state.trials;
   }
   state.last_crash_at = std::max(state.last_crash_at, crash.at);
-  if (is_known || state.crashes.size() >= kMaxCrashes) return;
+  if (is_known || !MakeRoom(state, crash)) return;
   state.crashes.push_back(crash);
   if (!state.is_blocked && HasProof(key, state)) {
     state.first_crash_at = GetFirstCrash(state).at;
@@ -155,6 +155,19 @@
   }
 }
 
+// Returns whether another end can be kept. One whose request was sent after the first end displaces one whose request
+// was not, since the proof needs such ends.
+bool CrashQuarantine::MakeRoom(State& state, const Crash& crash) {
+  if (state.crashes.size() < kMaxCrashes) return true;
+  const Crash& first = GetFirstCrash(state);
+  if (crash.sent_at < first.at) return false;
+  const auto displaced = std::find_if(state.crashes.begin(), state.crashes.end(),
+                                      [&](const Crash& old) { return &old != &first && old.sent_at < first.at; });
+  if (displaced == state.crashes.end()) return false;
+  state.crashes.erase(displaced);
+  return true;
+}
+
 const CrashQuarantine::Crash& CrashQuarantine::GetFirstCrash(const State& state) {
   return *std::min_element(state.crashes.begin(), state.crashes.end(),
                            [](const Crash& a, const Crash& b) { return a.at < b.at; });
--- a/src/crash_quarantine.h
+++ b/src/crash_quarantine.h
@@ -110,6 +110,7 @@
   void Clear(const ContentKey& key, State& state, TimePoint answered_at, bool is_from_peer);
   void ApplyReport(const ContentReport& report);
   void KeepCommon(State& state, const std::vector<ContentKey>& others);
+  static bool MakeRoom(State& state, const Crash& crash);
   static const Crash& GetFirstCrash(const State& state);
   static int GetWeight(const ContentKey& key, const State& state);
   static bool HasProof(const ContentKey& key, const State& state);
--- a/tests/crash_quarantine_test.cpp
+++ b/tests/crash_quarantine_test.cpp
@@ -128,6 +128,17 @@
     }
     CHECK_FALSE(fixture.IsBlocked({"rare"}));
   }
+  SECTION("but those that end later at requests sent later are, however many ended at that moment") {
+    const TimePoint sent_at = fixture.clock.GetNow();
+    fixture.clock.Advance(Milliseconds(200));
+    for (uint64_t run = 100; run < 116; ++run) {
+      fixture.here.OnCrash(MakeParts({"bad"}), EndpointRun(run), sent_at, true);
+    }
+    CHECK_FALSE(fixture.IsBlocked({"bad"}));
+    fixture.Crash({"bad"});
+    fixture.Crash({"bad"});
+    CHECK(fixture.IsBlocked({"bad"}));
+  }
   SECTION("endpoints that end before the header of an answer count half") {
     for (int i = 0; i < 7; ++i) {
       fixture.clock.Advance(Milliseconds(100));
