Keep blocked contents at agents while all entries restart

Cause: blocks lived in the memory of entries only, so that four or five endpoints ended again when all entries restarted at once. Repeating reports more widely would have made three weaknesses worse: a time grew younger by the delay of each report that repeated it, so that two processes kept a block for each other beyond its hour; evidence over 60 s old counted again when a peer repeated it; and the answer that ended a block was forgotten long before a process that was cut off forgets the block, and brought it back.

Change: agents keep the verdicts that they hear in a CrashQuarantine of their own and send them in the same beacon field. They keep no evidence, because they get no answers that show that an end was none. An entry announces itself to the agents beside engines when it learns of the endpoints, and agents answer an entry that has started at once, as entries did. Ages are brought up to date when a beacon is made, and a reported time counts only if it is 100 ms later than the known one. Expired evidence is refused. The new report field is_cleared marks the answer that ended a block; it is kept for 61 minutes. Reports stay at eight of each kind; what finds no room takes turns in two of the places.

--- a/bench/_hosted_fleet.py
+++ b/bench/_hosted_fleet.py
@@ -1,4 +1,4 @@
-"""Entries of the hosted platform as real processes, with stand-ins for the store, the engines and the callers.
+"""Entries and agents of the hosted platform as real processes, with stand-ins for the store, the engines and the callers.
 
 All addresses are on loopback. Entry I of zone Z is 127.A.Z.I, engine J of zone Z is 127.A.(100+Z).J and the store is
 127.A.200.1. The stand-ins run in two processes of their own, one for store and engines and one for the callers, and
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+import json
 import multiprocessing
 import os
 import random
@@ -88,6 +89,10 @@
     path: str = ""
 
 
+def get_engine_address(octet, index):
+    return f"127.{octet}.{100 + index % len(ZONES)}.{1 + index // len(ZONES)}"
+
+
 def parse_parts(text):
     return [part.split(":")[0] for part in text.split(",") if part]
 
@@ -154,7 +159,15 @@
             self.writers.discard(writer)
             writer.close()
 
+    def write_report(self, writer):
+        report = json.dumps({"models": self.record["models"], "seq": 1, "active": self.active, "pace": 1,
+                             "born": self.record["born"]})
+        writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {len(report)}\r\n\r\n{report}".encode())
+
     async def answer(self, path, fields, writer):
+        if path == "/report" and self.record:
+            self.write_report(writer)
+            return True
         request = fields.get("plantainmast-attempt-id", "")
         prefix = f"Plantainmast-Attempt-Id: {request}\r\n"
         if self.has_limit and time.monotonic() - self.started_at >= self.model.limit_from_s:
@@ -253,8 +266,7 @@
 
     async def add_engine(self):
         index = len(self.engines)
-        zone = index % len(ZONES)
-        engine = Engine(self, zone, f"127.{self.octet}.{100 + zone}.{1 + index // len(ZONES)}", self.model,
+        engine = Engine(self, index % len(ZONES), get_engine_address(self.octet, index), self.model,
                         index < self.model.limited_engines)
         self.engines.append(engine)
         await engine.start()
@@ -414,7 +426,8 @@
         self.build, self.seed, self.count = build, seed, count
         self.octet, self.octet_holder = claim_octet()
         self.directory = tempfile.TemporaryDirectory(prefix="hosted-entries-")
-        self.processes = {}
+        # Entries by index, and agents by the index of their engine.
+        self.processes, self.agents = {}, {}
         self.standins = self.callers = None
         self.load_begin = 0.0
 
@@ -433,22 +446,32 @@
     def start_entry(self, index, relay_port=RELAY_PORT):
         """Starts an entry. One with another relay port can neither send beacons to the others nor receive theirs."""
         address = self.get_address(index)
+        self.processes[index] = self.start_process(
+            "plantain-entry", f"entry-{index}", address, index, relay_port, "",
+            f"http:\n  target: {address}:{CALLER_PORT}\nready:\n  target: {address}:{READY_PORT}\n"
+            "retry:\n  share: 0.2\n  slack: 100\n")
+
+    def start_agent(self, index):
+        """Starts the agent beside an engine."""
+        address = get_engine_address(self.octet, index)
+        self.agents[index] = self.start_process(
+            "plantain-agent", f"agent-{index}", address, index, RELAY_PORT, f"  pool: {POOL}\n",
+            f"engine:\n  target: {address}:{ENGINE_PORT}\n")
+
+    def start_process(self, program, name, address, index, relay_port, vm_settings, own_settings):
         seeds = ", ".join(f"{self.get_address(i)}:8000" for i in range(min(3, self.count)))
         zones = ", ".join(f"{zone}={zone}" for zone in ZONES)
         zone = ZONES[index % len(ZONES)]
-        settings = os.path.join(self.directory.name, f"entry-{index}.yaml")
+        settings = os.path.join(self.directory.name, f"{name}.yaml")
         with open(settings, "w", encoding="utf-8") as out:
-            out.write(f"vm:\n  id: {address}\n  name: entry-{index}\n  zone: {zone}\n  region: {zone}\n"
-                      f"  address: {address}\nadmin:\n  port: {ADMIN_PORT}\nfleet:\n  zones: [{zones}]\n"
+            out.write(f"vm:\n  id: {address}\n  name: {name}\n  zone: {zone}\n  region: {zone}\n"
+                      f"  address: {address}\n{vm_settings}admin:\n  port: {ADMIN_PORT}\nfleet:\n  zones: [{zones}]\n"
                       f"  seeds: [{seeds}]\nrelay:\n  port: {relay_port}\n"
-                      f"store:\n  target: 127.{self.octet}.200.1:{STORE_PORT}\n"
-                      f"http:\n  target: {address}:{CALLER_PORT}\nready:\n  target: {address}:{READY_PORT}\n"
-                      "retry:\n  share: 0.2\n  slack: 100\n")
-        log = open(self.get_log(index), "ab")
-        self.processes[index] = subprocess.Popen(
-            [os.path.join(self.build, "plantain-entry"), "--platform", "hosted", "--settings", settings],
-            stdout=log, stderr=subprocess.STDOUT, preexec_fn=die_with_parent)
-        log.close()
+                      f"store:\n  target: 127.{self.octet}.200.1:{STORE_PORT}\n{own_settings}")
+        with open(os.path.join(self.directory.name, f"{name}.log"), "ab") as log:
+            return subprocess.Popen(
+                [os.path.join(self.build, program), "--platform", "hosted", "--settings", settings],
+                stdout=log, stderr=subprocess.STDOUT, preexec_fn=die_with_parent)
 
     def start_entries(self, indices, relay_ports=None):
         for index in indices:
@@ -471,6 +494,14 @@
         self.processes[index].send_signal(signal.SIGKILL)
         self.processes[index].wait()
 
+    def restart_entries(self):
+        """Kills all entries at once and starts them again."""
+        for process in self.processes.values():
+            process.send_signal(signal.SIGKILL)
+        for index, process in list(self.processes.items()):
+            process.wait()
+            self.start_entry(index)
+
     def start_callers(self, flows, duration_s, run=run_callers):
         self.callers, child = multiprocessing.Pipe()
         addresses = [self.get_address(i) for i in range(self.count)]
@@ -509,7 +540,7 @@
         return total
 
     def stop(self):
-        for process in self.processes.values():
+        for process in [*self.processes.values(), *self.agents.values()]:
             if process.poll() is None:
                 process.kill()
                 process.wait()
--- a/src/beacon_table.cpp
+++ b/src/beacon_table.cpp
@@ -75,6 +75,7 @@
   out.set_trials(report.trials);
   out.set_is_answered(report.answered_age.has_value());
   if (report.answered_age.has_value()) out.set_answered_age_ms(EncodeAge(*report.answered_age));
+  out.set_is_cleared(report.is_cleared);
 }
 
 ContentReport DecodeContent(const proto::ContentEvidence& in) {
@@ -90,6 +91,7 @@
   report.used_age = DecodeAge(in.used_age_ms());
   report.trials = in.trials();
   if (in.is_answered()) report.answered_age = DecodeAge(in.answered_age_ms());
+  report.is_cleared = in.is_cleared() && in.is_answered();
   return report;
 }
 
--- a/src/beacon_table.h
+++ b/src/beacon_table.h
@@ -50,7 +50,7 @@
   std::map<PoolName, double> demand;
   // Ages of the weight versions that it knows to be wanted.
   std::vector<WantedAge> wanted;
-  // Contents at which endpoints may crash, as an entry knows them.
+  // Contents at which endpoints may crash, as the sender knows them.
   std::vector<ContentReport> content_reports;
   // Request rates that endpoints state, and what the sender grants to entries.
   RateReport rates;
--- a/src/crash_quarantine.cpp
+++ b/src/crash_quarantine.cpp
@@ -44,9 +44,19 @@
 constexpr Duration kTrialTimeout = std::chrono::minutes(1);
 // A blocked key that no request at any entry has named for this time is forgotten.
 constexpr Duration kMaxUnusedTime = std::chrono::hours(1);
+// The answer that ended a block is remembered for longer than any process keeps the block without hearing of it.
+constexpr Duration kMaxClearedTime = kMaxUnusedTime + std::chrono::minutes(1);
+// A report that arrives makes its times later by its delay. Of a known time it must exceed this, else processes that
+// repeat each other's reports would keep what they report young.
+constexpr Duration kAgeTolerance = Milliseconds(100);
+// What is about to be forgotten is not taken from a peer any more, so that processes do not return it to each other.
+constexpr Duration kMinTimeLeft = Milliseconds(1000);
 // Limits on the memory used, and on what is sent to peers.
 constexpr size_t kMaxContents = 128;
 constexpr size_t kMaxReportsPerKind = 8;
+// Of these, those that keys without a place of their own share, each for some time.
+constexpr size_t kSharedReportsPerKind = 2;
+constexpr Duration kSharedReportTime = Milliseconds(1000);
 constexpr size_t kMaxAnswered = 512;
 constexpr size_t kMaxCompanions = 8;
 
@@ -54,12 +64,30 @@
   return key.kind == ContentKind::kRequest ? kRequestRules : kPromptPartRules;
 }
 
+// Raises a time to what a peer reports, unless both are the same event.
+void RaiseTo(TimePoint& known, TimePoint reported) {
+  if (reported > known + kAgeTolerance) known = reported;
+}
+
 bool Contains(const std::vector<ContentKey>& keys, const ContentKey& key) {
   return std::find(keys.begin(), keys.end(), key) != keys.end();
 }
 
 }  // namespace
 
+void AddAge(std::vector<ContentReport>& reports, Duration passed) {
+  for (ContentReport& report : reports) {
+    for (ContentCrash& crash : report.crashes) {
+      crash.age += passed;
+      crash.sent_age += passed;
+    }
+    if (report.blocked_age.has_value()) *report.blocked_age += passed;
+    report.last_crash_age += passed;
+    report.used_age += passed;
+    if (report.answered_age.has_value()) *report.answered_age += passed;
+  }
+}
+
 std::optional<TimePoint> CrashQuarantine::GetLastAnswer(const ContentKey& key) const {
   const auto found = m_answered.find(key);
   return found == m_answered.end() ? std::nullopt : std::optional(found->second);
@@ -103,7 +131,7 @@
   if (m_contents.size() >= kMaxContents) {
     const auto weakest = std::min_element(m_contents.begin(), m_contents.end(), [](const auto& a, const auto& b) {
       const auto get_rank = [](const State& state) {
-        return std::tuple(state.is_blocked, state.crashes.size(), state.used_at);
+        return std::tuple(state.is_blocked, state.is_cleared, state.crashes.size(), state.used_at);
       };
       return get_rank(a.second) < get_rank(b.second);
     });
@@ -117,8 +145,10 @@
 }
 
 bool CrashQuarantine::IsUnused(const State& state) const {
-  const Duration limit = state.is_blocked ? Duration(kMaxUnusedTime) : Duration(kMaxCrashAge);
-  return m_clock.GetNow() - state.used_at > limit;
+  const TimePoint now = m_clock.GetNow();
+  if (state.is_blocked) return now - state.used_at > kMaxUnusedTime;
+  if (state.is_cleared && now - *state.answered_at <= kMaxClearedTime) return false;
+  return now - state.used_at > kMaxCrashAge;
 }
 
 void CrashQuarantine::RemoveUnused() {
@@ -136,7 +166,7 @@
 
 void CrashQuarantine::AddCrash(const ContentKey& key, State& state, const Crash& crash) {
   const TimePoint now = m_clock.GetNow();
-  state.used_at = std::max(state.used_at, crash.at);
+  RaiseTo(state.used_at, crash.at);
   if (state.answered_at.has_value() && crash.at <= *state.answered_at + kAnswerProtection) return;
   if (IsDisproved(crash) || IsExplained(key, crash.run)) return;
   std::erase_if(state.crashes, [&](const Crash& old) { return now - old.at > kMaxCrashAge; });
@@ -146,8 +176,8 @@
     state.trial_at.reset();
     ++state.trials;
   }
-  state.last_crash_at = std::max(state.last_crash_at, crash.at);
-  if (is_known || !MakeRoom(state, crash)) return;
+  RaiseTo(state.last_crash_at, crash.at);
+  if (is_known || now - crash.at > kMaxCrashAge || !MakeRoom(state, crash)) return;
   state.crashes.push_back(crash);
   if (!state.is_blocked && HasProof(key, state)) {
     state.first_crash_at = GetFirstCrash(state).at;
@@ -247,8 +277,11 @@
 }
 
 bool CrashQuarantine::KnowsRequests() const {
-  // Keys are ordered by their kind.
-  return !m_contents.empty() && m_contents.rbegin()->first.kind == ContentKind::kRequest;
+  return std::any_of(m_contents.begin(), m_contents.end(), [](const auto& entry) {
+    const auto& [key, state] = entry;
+    const bool is_only_cleared = state.is_cleared && !state.is_blocked && state.crashes.empty();
+    return key.kind == ContentKind::kRequest && !is_only_cleared;
+  });
 }
 
 void CrashQuarantine::Block(const ContentKey& key, State& state, bool is_from_peer) {
@@ -261,7 +294,8 @@
 }
 
 void CrashQuarantine::Clear(const ContentKey& key, State& state, TimePoint answered_at, bool is_from_peer) {
-  if (state.answered_at.has_value() && answered_at <= *state.answered_at) return;
+  const Duration tolerance = is_from_peer ? kAgeTolerance : Duration();
+  if (state.answered_at.has_value() && answered_at <= *state.answered_at + tolerance) return;
   // The key is not the cause where it occurred together with others.
   for (auto& [other, other_state] : m_contents) std::erase(other_state.companions, key);
   const bool had_evidence = state.is_blocked || !state.crashes.empty();
@@ -270,6 +304,7 @@
   state.answered_at = answered_at;
   if (state.is_blocked && state.first_crash_at <= protected_until) {
     state.is_blocked = false;
+    state.is_cleared = true;
     state.trials = 0;
     state.trial_at.reset();
     const Duration age = m_clock.GetNow() - state.first_crash_at;
@@ -323,37 +358,53 @@
   return ContentAdmission::kTrial;
 }
 
-std::vector<ContentReport> CrashQuarantine::GetReports() const {
+bool CrashQuarantine::IsReportable(const State& state) const {
+  if (IsUnused(state)) return false;
+  const bool is_answer_news =
+      state.answered_at.has_value() && m_clock.GetNow() - *state.answered_at < kAnswerReportTime;
+  return state.is_blocked || state.is_cleared || !state.crashes.empty() || is_answer_news;
+}
+
+ContentReport CrashQuarantine::MakeReport(const ContentKey& key, const State& state) const {
   const TimePoint now = m_clock.GetNow();
-  std::vector<std::pair<const ContentKey*, const State*>> chosen;
+  ContentReport report;
+  report.key = key;
+  report.companions = state.companions;
+  report.trials = state.trials;
+  report.used_age = now - state.used_at;
+  if (state.is_blocked) {
+    report.blocked_age = now - state.first_crash_at;
+    report.last_crash_age = now - state.last_crash_at;
+  }
+  for (const Crash& crash : state.crashes) {
+    report.crashes.push_back({crash.run, now - crash.at, now - crash.sent_at, crash.has_header});
+  }
+  if (state.answered_at.has_value()) report.answered_age = now - *state.answered_at;
+  report.is_cleared = state.is_cleared;
+  return report;
+}
+
+std::vector<ContentReport> CrashQuarantine::GetReports() const {
+  std::map<ContentKind, std::vector<std::pair<const ContentKey*, const State*>>> kinds;
   for (const auto& [key, state] : m_contents) {
-    if (IsUnused(state)) continue;
-    const bool is_answer_news = state.answered_at.has_value() && now - *state.answered_at < kAnswerReportTime;
-    if (state.is_blocked || !state.crashes.empty() || is_answer_news) chosen.emplace_back(&key, &state);
+    if (IsReportable(state)) kinds[key.kind].emplace_back(&key, &state);
   }
-  std::stable_sort(chosen.begin(), chosen.end(), [](const auto& a, const auto& b) {
-    const auto get_rank = [](const State& state) {
-      return std::tuple(state.is_blocked, state.crashes.size(), state.last_crash_at);
-    };
-    return get_rank(*a.second) > get_rank(*b.second);
-  });
+  const auto turn = static_cast<size_t>(m_clock.GetNow().time_since_epoch() / kSharedReportTime);
   std::vector<ContentReport> reports;
-  std::map<ContentKind, size_t> counts;
-  for (const auto& [key, state] : chosen) {
-    if (++counts[key->kind] > kMaxReportsPerKind) continue;
-    ContentReport report;
-    report.key = *key;
-    report.companions = state->companions;
-    report.trials = state->trials;
-    report.used_age = now - state->used_at;
-    if (state->is_blocked) {
-      report.blocked_age = now - state->first_crash_at;
-      report.last_crash_age = now - state->last_crash_at;
+  for (auto& [kind, chosen] : kinds) {
+    std::stable_sort(chosen.begin(), chosen.end(), [](const auto& a, const auto& b) {
+      const auto get_rank = [](const State& state) {
+        return std::tuple(state.is_blocked, state.crashes.size(), state.last_crash_at);
+      };
+      return get_rank(*a.second) > get_rank(*b.second);
+    });
+    if (chosen.size() > kMaxReportsPerKind) {
+      const auto shared = chosen.begin() + (kMaxReportsPerKind - kSharedReportsPerKind);
+      const auto shift = turn * kSharedReportsPerKind % static_cast<size_t>(chosen.end() - shared);
+      std::rotate(shared, shared + static_cast<std::ptrdiff_t>(shift), chosen.end());
+      chosen.resize(kMaxReportsPerKind);
     }
-    for (const Crash& crash : state->crashes)
-      report.crashes.push_back({crash.run, now - crash.at, now - crash.sent_at, crash.has_header});
-    if (state->answered_at.has_value()) report.answered_age = now - *state->answered_at;
-    reports.push_back(std::move(report));
+    for (const auto& [key, state] : chosen) reports.push_back(MakeReport(*key, *state));
   }
   return reports;
 }
@@ -362,30 +413,35 @@
   for (const ContentReport& report : reports) ApplyReport(report);
 }
 
+void CrashQuarantine::ApplyVerdicts(std::vector<ContentReport> reports) {
+  for (ContentReport& report : reports) {
+    if (!report.blocked_age.has_value()) report.crashes.clear();
+    ApplyReport(report);
+  }
+}
+
+// Whether a report says something about a key of which nothing is known here.
+bool CrashQuarantine::IsWorthAdding(const ContentReport& report) const {
+  if (report.blocked_age.has_value()) return report.used_age + kMinTimeLeft < kMaxUnusedTime;
+  if (report.is_cleared && *report.answered_age + kMinTimeLeft < kMaxClearedTime) return true;
+  return !report.crashes.empty();
+}
+
 void CrashQuarantine::ApplyReport(const ContentReport& report) {
   const TimePoint now = m_clock.GetNow();
   const bool is_blocked = report.blocked_age.has_value();
-  if (!is_blocked && report.crashes.empty() && !m_contents.contains(report.key)) return;
   const bool is_new = !m_contents.contains(report.key);
+  if (is_new && !IsWorthAdding(report)) return;
   State* state = FindOrAdd(report.key, is_blocked);
   if (state == nullptr) return;
-  const TimePoint used_at = now - report.used_age;
-  state->used_at = is_new ? used_at : std::max(state->used_at, used_at);
+  if (is_new) state->used_at = now - report.used_age;
+  RaiseTo(state->used_at, now - report.used_age);
   if (report.answered_age.has_value()) Clear(report.key, *state, now - *report.answered_age, true);
+  state->is_cleared = state->is_cleared || report.is_cleared;
   if (!is_blocked && report.crashes.empty()) return;
   KeepCommon(*state, report.companions);
   if (is_blocked) {
-    const TimePoint first_crash_at = now - *report.blocked_age;
-    if (state->answered_at.has_value() && first_crash_at <= *state->answered_at + kAnswerProtection) return;
-    state->last_crash_at = std::max(state->last_crash_at, now - report.last_crash_age);
-    state->trials = std::max(state->trials, report.trials);
-    if (state->is_blocked) return;
-    state->first_crash_at = first_crash_at;
-    state->crashes.clear();
-    for (const ContentCrash& crash : report.crashes) {
-      state->crashes.push_back({crash.run, now - crash.age, now - crash.sent_age, crash.has_header});
-    }
-    Block(report.key, *state, true);
+    ApplyBlock(report, *state);
     return;
   }
   for (const ContentCrash& crash : report.crashes) {
@@ -393,6 +449,24 @@
   }
 }
 
+void CrashQuarantine::ApplyBlock(const ContentReport& report, State& state) {
+  const TimePoint now = m_clock.GetNow();
+  const TimePoint first_crash_at = now - *report.blocked_age;
+  if (state.answered_at.has_value() && first_crash_at <= *state.answered_at + kAnswerProtection) return;
+  state.trials = std::max(state.trials, report.trials);
+  if (state.is_blocked) {
+    RaiseTo(state.last_crash_at, now - report.last_crash_age);
+    return;
+  }
+  state.last_crash_at = std::max(state.last_crash_at, now - report.last_crash_age);
+  state.first_crash_at = first_crash_at;
+  state.crashes.clear();
+  for (const ContentCrash& crash : report.crashes) {
+    state.crashes.push_back({crash.run, now - crash.age, now - crash.sent_age, crash.has_header});
+  }
+  Block(report.key, state, true);
+}
+
 std::vector<CrashQuarantine::Change> CrashQuarantine::TakeChanges() { return std::exchange(m_changes, {}); }
 
 bool CrashQuarantine::TakeHasNews() { return std::exchange(m_has_news, false); }
--- a/src/crash_quarantine.h
+++ b/src/crash_quarantine.h
@@ -63,9 +63,12 @@
   // Sets whether this entry is the one that sends trials for all entries that it knows.
   void SetTrialOwner(bool is_owner) { m_is_trial_owner = is_owner; }
 
-  // Returns what other entries need to know, blocked keys first.
+  // Returns what other processes need to know, blocked keys first. What finds no room comes in turn.
   std::vector<ContentReport> GetReports() const;
   void ApplyReports(const std::vector<ContentReport>& reports);
+  // Takes blocks and the answers that end them, but no evidence. For a process without requests of its own: it keeps
+  // them for entries that start later, and no answer tells it that some evidence was wrong.
+  void ApplyVerdicts(std::vector<ContentReport> reports);
 
   // Keys whose state has changed since the last call, for the log. `crashes` counts runs of endpoints.
   struct Change {
@@ -100,6 +103,8 @@
     uint32_t trials = 0;
     std::optional<TimePoint> trial_at;
     std::optional<TimePoint> answered_at;
+    // Whether an answer has ended a block, which processes that did not hear of it may still report.
+    bool is_cleared = false;
     // Last answer with the key that began at any entry, and the last request with it.
     TimePoint used_at;
   };
@@ -109,6 +114,10 @@
   void Block(const ContentKey& key, State& state, bool is_from_peer);
   void Clear(const ContentKey& key, State& state, TimePoint answered_at, bool is_from_peer);
   void ApplyReport(const ContentReport& report);
+  void ApplyBlock(const ContentReport& report, State& state);
+  bool IsWorthAdding(const ContentReport& report) const;
+  bool IsReportable(const State& state) const;
+  ContentReport MakeReport(const ContentKey& key, const State& state) const;
   void KeepCommon(State& state, const std::vector<ContentKey>& others);
   static bool MakeRoom(State& state, const Crash& crash);
   static const Crash& GetFirstCrash(const State& state);
--- a/src/crash_report_type.h
+++ b/src/crash_report_type.h
@@ -1,4 +1,4 @@
-// What entries tell each other about contents at which endpoints crash.
+// What processes tell each other about contents at which endpoints crash.
 
 #ifndef PLANTAIN_CRASH_REPORT_TYPE_H_
 #define PLANTAIN_CRASH_REPORT_TYPE_H_
@@ -26,7 +26,7 @@
   bool has_header = false;
 };
 
-// What one entry knows about a content, as sent to other entries.
+// What one process knows about a content, as sent to others.
 struct ContentReport {
   ContentKey key;
   std::vector<ContentCrash> crashes;
@@ -41,8 +41,13 @@
   uint32_t trials = 0;
   // Time since an answer to a request with this key began; unset if none is known.
   std::optional<Duration> answered_age;
+  // Whether that answer ended a block.
+  bool is_cleared = false;
 };
 
+// Adds the time that has passed since the reports were made to all their ages.
+void AddAge(std::vector<ContentReport>& reports, Duration passed);
+
 }  // namespace plantain
 
 #endif  // PLANTAIN_CRASH_REPORT_TYPE_H_
--- a/src/fleet_relay.cpp
+++ b/src/fleet_relay.cpp
@@ -120,7 +120,7 @@
   const bool is_new_entry = copy.is_entry && !m_beacons.IsKnown(copy.vm, copy.incarnation);
   if (!m_beacons.Update(*std::move(beacon))) return;
   // An entry that has just started knows nothing yet, and would serve in ignorance until the next regular beacon.
-  if (is_new_entry && m_options.is_entry) SendTo(copy.vm, MakeBeacon());
+  if (is_new_entry) SendTo(copy.vm, MakeBeacon());
   // Operator changes must take effect within a time limit, so each hop pulls at once instead of on the next timer tick.
   ApplyEraBounds(FleetTopic::kOperator, copy.operator_state);
   ApplyEraBounds(FleetTopic::kDirectory, copy.directory_state);
@@ -135,6 +135,12 @@
   SendBeacons();
 }
 
+void FleetRelay::SendNowTo(const std::vector<VmId>& targets) {
+  if (m_socket == nullptr) return;
+  const std::string data = MakeBeacon();
+  for (const VmId& target : targets) SendTo(target, data);
+}
+
 void FleetRelay::SendTo(const VmId& target, const std::string& data) {
   if (m_socket != nullptr) m_socket->Send({IpAddress(target.Get()), m_options.port}, data);
 }
--- a/src/fleet_relay.h
+++ b/src/fleet_relay.h
@@ -63,6 +63,9 @@
   // Sends a beacon to all targets now.
   void SendNow();
 
+  // Sends a beacon to processes that may not know this one yet.
+  void SendNowTo(const std::vector<VmId>& targets);
+
   // Sets the source that adds fields to each beacon. Call before Start.
   void SetBeaconSource(BeaconSource& source) { m_beacon_source = &source; }
 
--- a/src/forward_service.cpp
+++ b/src/forward_service.cpp
@@ -1,6 +1,7 @@
 #include "forward_service.h"
 
 #include <algorithm>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -102,7 +103,26 @@
   m_traffic.reset();
 }
 
+// Announces this entry to the agents beside engines. They answer at once with what they keep for entries that start, so
+// that it is known before the first requests are sent.
+void ForwardService::GreetAgents(const FleetView& fleet) {
+  if (fleet.routing == nullptr) return;
+  std::set<PoolName> engine_pools;
+  for (const PoolSpec& pool : fleet.routing->pools) {
+    if (pool.engine.has_value()) engine_pools.insert(pool.name);
+  }
+  std::set<VmId> agents;
+  for (const EndpointInfo& endpoint : fleet.endpoints) {
+    if (engine_pools.contains(endpoint.pool)) agents.emplace(endpoint.target.address.Get());
+  }
+  std::vector<VmId> unknown;
+  std::set_difference(agents.begin(), agents.end(), m_greeted.begin(), m_greeted.end(), std::back_inserter(unknown));
+  m_greeted = std::move(agents);
+  if (!unknown.empty()) m_relay.SendNowTo(unknown);
+}
+
 void ForwardService::OnFleetUpdate(const std::shared_ptr<const FleetView>& fleet) {
+  GreetAgents(*fleet);
   m_loop.Post([this, fleet] {
     if (m_traffic == nullptr) return;
     if (fleet->routing != nullptr) m_server->SetLimits(MakeLimits(fleet->routing->limits));
@@ -127,6 +147,7 @@
   beacon.is_draining = m_is_draining;
   beacon.demand = m_demand;
   beacon.content_reports = m_content_reports;
+  AddAge(beacon.content_reports, m_parts.clock.GetNow() - m_content_reports_at);
   beacon.rates = m_rate_report;
 }
 
@@ -186,6 +207,7 @@
   const std::lock_guard lock(m_beacon_mutex);
   m_demand = std::move(demand);
   m_content_reports = std::move(content_reports);
+  m_content_reports_at = m_parts.clock.GetNow();
   m_rate_report = std::move(rate_report);
 }
 
--- a/src/forward_service.h
+++ b/src/forward_service.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -43,6 +44,7 @@
   class HttpAttemptSender;
 
   void OnFleetUpdate(const std::shared_ptr<const FleetView>& fleet);
+  void GreetAgents(const FleetView& fleet);
   void OnBeacon(const BeaconInfo& beacon);
   void TransferBeacons();
   EntryView MakeEntryView() const;
@@ -67,11 +69,15 @@
   std::unique_ptr<Timer> m_tick_timer;
   // Requests in progress as of the last tick, for /status.
   std::atomic<size_t> m_in_flight = 0;
-  // Guards the next three, which the traffic loop writes and the control thread reads.
+  // Guards the next four, which the traffic loop writes and the control thread reads.
   std::mutex m_beacon_mutex;
   std::map<PoolName, double> m_demand;
   std::vector<ContentReport> m_content_reports;
+  // When the content reports were made.
+  TimePoint m_content_reports_at;
   RateReport m_rate_report;
+  // Addresses of engines to which this entry has announced itself. Accessed only on the control thread.
+  std::set<VmId> m_greeted;
   // Loads received since the last transfer to the traffic loop. Accessed only on the control thread.
   std::vector<EndpointLoad> m_loads;
   // The same for reports about the request rates of endpoints, by sender.
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "crash_log.h"
 #include "event_log.h"
 #include "failure_type.h"
 #include "rendezvous.h"
@@ -331,13 +332,7 @@
   bool has_blocked = false;
   for (const CrashQuarantine::Change& change : m_quarantine.TakeChanges()) {
     has_blocked = has_blocked || change.is_blocked;
-    LogEvent(LogLevel::kWarn, change.is_blocked ? "content_blocked" : "content_cleared",
-             {{"kind", GetContentKindName(change.key.kind)},
-              {"content", change.key.id},
-              {"crashes", change.crashes},
-              {"companions", change.companions},
-              {"age_ms", ToMilliseconds(change.age)},
-              {"source", change.is_from_peer ? "peer" : "own"}});
+    LogContentChange(change);
   }
   m_metrics.SetBlockedContents(m_quarantine.GetBlockedCount());
   if (!has_blocked) return;
--- a/tests/crash_quarantine_test.cpp
+++ b/tests/crash_quarantine_test.cpp
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 
+#include "beacon_table.h"
 #include "random.h"
 
 namespace plantain {
@@ -230,6 +231,139 @@
   }
 }
 
+// Two processes that repeat what they hear, and what they know is some time old when it arrives.
+void RepeatReports(QuarantineFixture& fixture, Duration time, Duration delay) {
+  const TimePoint end = fixture.clock.GetNow() + time;
+  while (fixture.clock.GetNow() < end) {
+    for (const auto& [from, to] : {std::pair(&fixture.here, &fixture.peer), std::pair(&fixture.peer, &fixture.here)}) {
+      const auto reports = from->GetReports();
+      fixture.clock.Advance(delay);
+      to->ApplyReports(reports);
+    }
+  }
+}
+
+// Guards against processes that keep a block young for each other, because a report is older when it arrives.
+TEST_CASE("A block is forgotten in time although processes repeat it with a delay") {
+  QuarantineFixture fixture;
+  for (int i = 0; i < 4; ++i) fixture.Crash({"bad"});
+  RepeatReports(fixture, std::chrono::minutes(62), Milliseconds(20));
+  CHECK(fixture.here.GetReports().empty());
+  CHECK(fixture.peer.GetReports().empty());
+}
+
+// Guards against evidence that comes back from a peer after it has expired, and counts again.
+TEST_CASE("Evidence that has expired does not come back from a process that repeats it") {
+  QuarantineFixture fixture;
+  for (int i = 0; i < 3; ++i) fixture.Crash({"bad"});
+  const auto reports = fixture.here.GetReports();
+  fixture.clock.Advance(std::chrono::seconds(61));
+  fixture.Crash({"bad"});
+  auto repeated = reports;
+  AddAge(repeated, std::chrono::seconds(61) + Milliseconds(200));
+  fixture.here.ApplyReports(repeated);
+  CHECK_FALSE(fixture.IsBlocked({"bad"}));
+  CHECK(fixture.here.GetReports().front().crashes.size() == 1);
+}
+
+// Guards against a block that is lost when all entries restart at once while other processes live on.
+TEST_CASE("A process without requests keeps blocks for entries that start") {
+  QuarantineFixture fixture;
+  CrashQuarantine keeper(fixture.clock);
+  for (int i = 0; i < 3; ++i) fixture.Crash({"bad", "s" + std::to_string(i)});
+  keeper.ApplyVerdicts(fixture.here.GetReports());
+
+  SECTION("but no evidence, of which it cannot learn that it was wrong") { CHECK(keeper.GetReports().empty()); }
+  SECTION("a block, with its ages") {
+    fixture.Crash({"bad", "s3"});
+    const auto known = fixture.here.GetReports();
+    keeper.ApplyVerdicts(known);
+    fixture.clock.Advance(std::chrono::minutes(5));
+    CrashQuarantine started(fixture.clock);
+    started.ApplyReports(keeper.GetReports());
+    CHECK(started.IsBlocked(MakeParts({"bad", "x"})));
+    const ContentReport report = started.GetReports().front();
+    CHECK(*report.blocked_age == *known.front().blocked_age + std::chrono::minutes(5));
+    CHECK(report.last_crash_age == known.front().last_crash_age + std::chrono::minutes(5));
+    CHECK(report.used_age == known.front().used_age + std::chrono::minutes(5));
+    CHECK(report.crashes.size() == known.front().crashes.size());
+    SECTION("and for no longer than entries do") {
+      fixture.clock.Advance(std::chrono::minutes(56));
+      CHECK(keeper.GetReports().empty());
+      CHECK(started.GetReports().empty());
+    }
+  }
+}
+
+// Passes reports through a beacon.
+std::vector<ContentReport> SendInBeacon(const std::vector<ContentReport>& reports) {
+  BeaconInfo beacon;
+  beacon.vm = VmId("127.0.0.1");
+  beacon.content_reports = reports;
+  const std::optional<BeaconInfo> received = DecodeBeacon(EncodeBeacon(beacon));
+  REQUIRE(received.has_value());
+  return received->content_reports;
+}
+
+// Guards against a block that comes back from a process that did not hear that an answer had ended it.
+TEST_CASE("A block that an answer has ended does not come back from a process that was cut off") {
+  QuarantineFixture fixture;
+  CrashQuarantine cut_off(fixture.clock);
+  CrashQuarantine keeper(fixture.clock);
+  for (int i = 0; i < 4; ++i) fixture.Crash({"part"});
+  cut_off.ApplyVerdicts(fixture.here.GetReports());
+  fixture.clock.Advance(Milliseconds(100));
+  fixture.here.OnAnswered(MakeParts({"part"}));
+  keeper.ApplyVerdicts(fixture.here.GetReports());
+  fixture.clock.Advance(std::chrono::minutes(50));
+
+  SECTION("to the entry that saw the answer") {
+    fixture.here.ApplyReports(cut_off.GetReports());
+    CHECK_FALSE(fixture.IsBlocked({"part"}));
+  }
+  SECTION("to an entry that has started since") {
+    for (const bool is_cut_off_first : {false, true}) {
+      CrashQuarantine started(fixture.clock);
+      if (is_cut_off_first) started.ApplyReports(cut_off.GetReports());
+      started.ApplyReports(SendInBeacon(keeper.GetReports()));
+      started.ApplyReports(cut_off.GetReports());
+      CHECK_FALSE(started.IsBlocked(MakeParts({"part"})));
+    }
+  }
+  SECTION("and the process that was cut off learns of the answer") {
+    cut_off.ApplyVerdicts(keeper.GetReports());
+    CHECK_FALSE(cut_off.IsBlocked(MakeParts({"part"})));
+  }
+  SECTION("but ends after the answer block it again, everywhere") {
+    for (int i = 0; i < 4; ++i) fixture.Crash({"part"});
+    for (CrashQuarantine* process : {&cut_off, &keeper}) {
+      process->ApplyVerdicts(fixture.here.GetReports());
+      CHECK(process->IsBlocked(MakeParts({"part"})));
+    }
+  }
+  SECTION("and nobody remembers it for longer than a block lives") {
+    fixture.clock.Advance(std::chrono::minutes(12));
+    CHECK(fixture.here.GetReports().empty());
+    CHECK(keeper.GetReports().empty());
+    CHECK(cut_off.GetReports().empty());
+  }
+}
+
+// Guards against reports that exceed a beacon, and against blocks that never find room in one.
+TEST_CASE("More blocks than a beacon holds come in turn") {
+  QuarantineFixture fixture;
+  for (int part = 0; part < 20; ++part) {
+    for (int i = 0; i < 4; ++i) fixture.Crash({"bad" + std::to_string(part)});
+  }
+  for (int second = 0; second < 20; ++second) {
+    const auto reports = fixture.here.GetReports();
+    CHECK(reports.size() == 8);
+    fixture.peer.ApplyVerdicts(reports);
+    fixture.clock.Advance(std::chrono::seconds(1));
+  }
+  CHECK(fixture.peer.GetBlockedCount() == 20);
+}
+
 // A fleet of entries with this class, and engines that end at bad parts or for other reasons. Time passes in steps.
 class FleetSimulation {
  public:
@@ -263,6 +397,27 @@
     m_started.push_back(m_clock.GetNow());
     ExchangeReports();
   }
+  void AddAgents(size_t count) {
+    for (size_t i = 0; i < count; ++i) m_agents.push_back(std::make_unique<CrashQuarantine>(m_clock));
+  }
+  void RestartAgent(size_t agent) { m_agents.at(agent) = std::make_unique<CrashQuarantine>(m_clock); }
+  // Agents answer entries that start at once.
+  void RestartAllEntries() {
+    for (size_t entry = 0; entry < m_entries.size(); ++entry) {
+      m_entries[entry] = std::make_unique<CrashQuarantine>(m_clock);
+      m_started[entry] = m_clock.GetNow();
+    }
+    m_cut_off.clear();
+    ExchangeReports();
+  }
+  // Cuts an entry off from all processes, or ends that.
+  void SetCutOff(size_t entry, bool is_cut_off) {
+    if (is_cut_off) {
+      m_cut_off.insert(entry);
+    } else {
+      m_cut_off.erase(entry);
+    }
+  }
 
   VirtualClock m_clock;
   size_t m_bad_ends = 0;
@@ -346,12 +501,22 @@
     engine.up_at = m_clock.GetNow() + kDownTime;
   }
 
-  // Each entry hears each other one, but for lost messages.
+  // Each entry hears each other one and all agents, and agents hear entries, but for lost messages.
   void ExchangeReports() {
-    for (const auto& from : m_entries) {
-      const auto reports = from->GetReports();
-      for (const auto& to : m_entries) {
-        if (to != from && m_random.GetUnit() > 0.3) to->ApplyReports(reports);
+    for (size_t from = 0; from < m_entries.size(); ++from) {
+      if (m_cut_off.contains(from)) continue;
+      const auto reports = m_entries[from]->GetReports();
+      for (size_t to = 0; to < m_entries.size(); ++to) {
+        if (to != from && !m_cut_off.contains(to) && m_random.GetUnit() > 0.3) m_entries[to]->ApplyReports(reports);
+      }
+      for (const auto& agent : m_agents) {
+        if (m_random.GetUnit() > 0.3) agent->ApplyVerdicts(reports);
+      }
+    }
+    for (const auto& agent : m_agents) {
+      const auto reports = agent->GetReports();
+      for (size_t to = 0; to < m_entries.size(); ++to) {
+        if (!m_cut_off.contains(to) && m_random.GetUnit() > 0.3) m_entries[to]->ApplyReports(reports);
       }
     }
   }
@@ -359,6 +524,8 @@
   SeededRandom m_random;
   std::vector<std::unique_ptr<CrashQuarantine>> m_entries;
   std::vector<TimePoint> m_started;
+  std::vector<std::unique_ptr<CrashQuarantine>> m_agents;
+  std::set<size_t> m_cut_off;
   std::vector<Engine> m_engines;
   int m_steps = 0;
 };
@@ -382,12 +549,55 @@
   }
 }
 
+// Guards against a bad part that ends as many endpoints again when all entries restart at once, or one by one in any
+// order while others are cut off or join.
+TEST_CASE("Agents bring a block through any restarts of entries") {
+  for (const size_t entries : {4, 16}) {
+    for (uint64_t seed = 1; seed <= 100; ++seed) {
+      INFO("entries " << entries << " seed " << seed);
+      FleetSimulation fleet(entries, 16, seed);
+      fleet.AddAgents(6);
+      SeededRandom random(seed);
+      fleet.Run(std::chrono::seconds(1), 50, 0);
+      fleet.Run(std::chrono::seconds(4), 50, 16);
+      CHECK(fleet.m_bad_ends >= 4);
+      const size_t sent = fleet.m_bad_sent;
+      for (int i = 0; i < 8; ++i) {
+        const size_t chosen = random.GetBelow(entries);
+        switch (random.GetBelow(5)) {
+          case 0:
+            fleet.RestartAgent(random.GetBelow(6));
+            break;
+          case 1:
+            fleet.SetCutOff(chosen, false);
+            fleet.Restart(chosen);
+            break;
+          case 2:
+            fleet.Join();
+            break;
+          case 3:
+            fleet.SetCutOff(chosen, true);
+            break;
+          default:
+            fleet.RestartAllEntries();
+        }
+        fleet.Run(Milliseconds(300), 50, 16);
+      }
+      fleet.RestartAllEntries();
+      fleet.Run(Milliseconds(500), 50, 16);
+      CHECK(fleet.m_bad_sent <= sent + 3);
+      CHECK(fleet.m_sound_blocked == 0);
+    }
+  }
+}
+
 // Guards against blocking sound parts on a day on which endpoints fail for other reasons.
 TEST_CASE("Endpoints that fail for other reasons block no part") {
   const auto play = [](const std::function<void(FleetSimulation&, SeededRandom&)>& disturb) {
-    for (uint64_t seed = 1; seed <= 10; ++seed) {
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
       INFO("seed " << seed);
       FleetSimulation fleet(4, 16, seed);
+      if (seed > 10) fleet.AddAgents(4);
       SeededRandom random(seed);
       fleet.Run(std::chrono::seconds(2), 150, 0);
       disturb(fleet, random);
