--- a/src/beacon_table.h
+++ b/src/beacon_table.h
@@ -48,7 +48,7 @@
   std::map<PoolName, double> demand;
   // Ages of the weight versions that it knows to be wanted.
   std::vector<WantedAge> wanted;
-  // Contents at which endpoints may crash, as an entry knows them.
+  // Contents at which endpoints may crash, as the sender knows them.
   std::vector<ContentReport> content_reports;
   // What endpoints state in their answers, and what the sender grants to entries.
   StatementReport statements;
