Count the times of a stop from the signal, and end an aborted stream once

Change: the signal's time is passed on; an abort by this side is not reported as the caller's. The fake caller reports the close as a connection does. The new assertions fail on the code before by its reading; they were run on the changed code only.

--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -197,7 +197,7 @@
   if (m_responder->GetUnsentBytes() <= kMaxUnsentBytes) return;
   m_call->Cancel();
   EndAttempt(AttemptEnd::kCancelled);
-  m_responder->Abort();
+  AbortCaller();
   FinishRequest(0, ForwardFailure::kCallerGone, "more than 1 MiB unsent to a slow caller");
 }
 
@@ -343,7 +343,7 @@
   if (m_is_ended) return;
   if (m_has_events) {
     // The caller detects the truncated stream and can resume it.
-    m_responder->Abort();
+    AbortCaller();
     FinishRequest(0, failure, std::move(reason));
     return;
   }
@@ -362,6 +362,12 @@
   FinishRequest(GetForwardFailureStatus(failure), failure, std::move(reason));
 }
 
+// Closes the caller's connection. The request is ended by this side, so that the close is not reported as the caller's.
+void ActiveRequest::AbortCaller() {
+  m_responder->SetOnClosed(nullptr);
+  m_responder->Abort();
+}
+
 void ActiveRequest::FinishRequest(int status, ForwardFailure failure, std::string reason) {
   m_is_ended = true;
   ++m_attempt_number;
--- a/src/active_request.h
+++ b/src/active_request.h
@@ -193,6 +193,7 @@
   void RetryOrFail(AttemptOutcome outcome, std::string reason);
   void FailWithoutRetry(bool may_have_run, std::string reason);
   void FinishRequest(int status, ForwardFailure failure, std::string reason);
+  void AbortCaller();
   void OnCallerDisconnected();
   HttpCallOptions MakeOptions(TimePoint now) const;
   Duration GetInactivityTimeout() const;
--- a/src/entry_worker.cpp
+++ b/src/entry_worker.cpp
@@ -79,10 +79,10 @@
 }
 
 void EntryWorker::BeginDrain(DrainTimes times, std::function<void()> done) {
-  m_loop.Post([this, times, done = std::move(done)] {
+  m_loop.Post([this, times, now = m_clock.GetNow(), done = std::move(done)] {
     if (m_server == nullptr) return;
     m_drain = std::make_unique<HttpDrain>(m_clock, *m_server, *m_traffic, times);
-    m_drain->Begin(done);
+    m_drain->Begin(now, done);
   });
 }
 
--- a/src/forward_service.cpp
+++ b/src/forward_service.cpp
@@ -233,10 +233,11 @@
 void ForwardService::BeginDrain(std::function<void()> done) {
   m_is_draining = true;
   const Duration grace = m_parts.settings.GetDuration("drain.grace_ms");
-  m_loop.Post([this, grace, done = std::move(done)] {
+  // The grace period counts from the signal, however late the loop runs this.
+  m_loop.Post([this, grace, now = m_parts.clock.GetNow(), done = std::move(done)] {
     if (m_traffic == nullptr) return;
     m_drain = std::make_unique<HttpDrain>(m_parts.clock, *m_server, *m_traffic, MakeDrainTimes(grace));
-    m_drain->Begin([this, done] { m_parts.control_loop.Post(done); });
+    m_drain->Begin(now, [this, done] { m_parts.control_loop.Post(done); });
   });
 }
 
--- a/src/http_drain.cpp
+++ b/src/http_drain.cpp
@@ -10,9 +10,8 @@
 HttpDrain::HttpDrain(const Clock& clock, HttpServer& server, DrainableRequests& requests, DrainTimes times)
     : m_clock(clock), m_server(server), m_requests(requests), m_times(times), m_control(times) {}
 
-void HttpDrain::Begin(std::function<void()> done) {
+void HttpDrain::Begin(TimePoint now, std::function<void()> done) {
   if (m_control.HasBegun()) return;
-  const TimePoint now = m_clock.GetNow();
   m_on_done = std::move(done);
   m_control.Begin(now);
   m_requests.BeginDrain(now + m_times.notice, now + m_times.give_up);
--- a/src/http_drain.h
+++ b/src/http_drain.h
@@ -29,8 +29,9 @@
  public:
   HttpDrain(const Clock& clock, HttpServer& server, DrainableRequests& requests, DrainTimes times);
 
-  // Begins the stop. `done` is called once on the loop, when no connection is left or the time is over.
-  void Begin(std::function<void()> done);
+  // Begins the stop, whose times count from `now`. `done` is called once on the loop, when no connection is left or the
+  // time is over.
+  void Begin(TimePoint now, std::function<void()> done);
 
   // Counts what is left and carries out what is due. Call every few milliseconds.
   void Tick();
--- a/tests/forward_fake.h
+++ b/tests/forward_fake.h
@@ -162,7 +162,11 @@
   }
   void SendChunk(std::string data) override { body += data; }
   void EndStream() override { is_complete = true; }
-  void Abort() override { is_aborted = true; }
+  // Reports the close, as a connection does.
+  void Abort() override {
+    is_aborted = true;
+    if (on_closed) std::exchange(on_closed, nullptr)();
+  }
   void SetOnClosed(std::function<void()> callback) override { on_closed = std::move(callback); }
   size_t GetUnsentBytes() const override { return 0; }
 
--- a/tests/forward_resumed_stream_test.cpp
+++ b/tests/forward_resumed_stream_test.cpp
@@ -44,6 +44,8 @@
   CHECK(caller->body == kFirstEvents);
   CHECK(caller->is_aborted);
   CHECK_FALSE(caller->is_complete);
+  // The request has one end, the one that this side decided on.
+  CHECK(fixture.metrics.GetText().find("caller_gone") == std::string::npos);
 }
 
 TEST_CASE("A resumed stream that has nothing left and ends explicitly is complete") {
--- a/tests/http_drain_test.cpp
+++ b/tests/http_drain_test.cpp
@@ -77,7 +77,7 @@
   }
   void Begin() {
     began_at = clock.GetNow();
-    drain.Begin([this] { is_done = true; });
+    drain.Begin(began_at, [this] { is_done = true; });
   }
   // Returns what a caller gets until the server closes its connection, and whether it was reset.
   std::string ReadAll(tcp::socket& socket) {
@@ -213,6 +213,19 @@
   CHECK(answers.find("Connection: close") != std::string::npos);
 }
 
+// Guards against a process that is killed while it still serves, because its loop ran the stop late.
+TEST_CASE("The times of a stop count from the signal, not from when the loop begins it") {
+  DrainFixture fixture;
+  tcp::socket busy = fixture.Connect();
+  boost::asio::write(busy, boost::asio::buffer(kRequest));
+  fixture.RunReady();
+  fixture.began_at = fixture.clock.GetNow();
+  fixture.clock.Advance(Milliseconds(900));
+  fixture.drain.Begin(fixture.began_at, [&] { fixture.is_done = true; });
+  fixture.StepUntil(kTimes.give_up + Milliseconds(20));
+  CHECK(fixture.ReadAll(busy).starts_with("HTTP/1.1 504"));
+}
+
 TEST_CASE("Idle connections of a stopping server are closed, and it ends") {
   DrainFixture fixture;
   tcp::socket kept = fixture.Connect();
