--- a/bench/_hosted_fleet.py
+++ b/bench/_hosted_fleet.py
@@ -122,6 +122,16 @@
         # What the directory should hold of the engine, and the time at which it was told that the engine leaves.
         self.record, self.drained_at = None, None
         self.crashes = []
+        # Until then the engine stands still: it neither reads nor writes, and its connections stay open.
+        self.still_until = 0.0
+
+    def stand_still(self, seconds):
+        self.still_until = max(self.still_until, time.monotonic() + seconds)
+
+    async def go_on(self):
+        """Returns when the engine does not stand still."""
+        while (left := self.still_until - time.monotonic()) > 0:
+            await asyncio.sleep(left)
 
     async def start(self):
         self.id = f"i-{self.fleet.random.getrandbits(40):010x}"
@@ -164,6 +174,7 @@
         self.writers.add(writer)
         try:
             while (head := await read_head(reader)) is not None:
+                await self.go_on()
                 line, fields = head
                 await reader.readexactly(int(fields.get("content-length", 0)))
                 if not await self.answer(line.split()[1], fields, writer):
@@ -225,6 +236,7 @@
                 self.crash(True)
             raise ConnectionResetError
         await asyncio.sleep(self.model.service_s * (0.5 + self.fleet.random.random()))
+        await self.go_on()
         if writer.is_closing() or self.id != id_at_start:
             raise ConnectionResetError
         arrival.begun_at = time.monotonic()
@@ -233,6 +245,7 @@
     async def write_stream(self, arrival, prefix, first, writer):
         id_at_start = self.id
         await asyncio.sleep(self.model.prefill_s * (0.5 + self.fleet.random.random()))
+        await self.go_on()
         if writer.is_closing() or self.id != id_at_start:
             raise ConnectionResetError
         writer.write((f"HTTP/1.1 200 OK\r\n{prefix}Plantainmast-Server-Stamp: s\r\nPlantainmast-Weight-Versions: 1\r\n"
@@ -249,6 +262,7 @@
             await writer.drain()
             arrival.begun_at = arrival.begun_at or time.monotonic()
             await asyncio.sleep(self.model.event_gap_s)
+            await self.go_on()
             if writer.is_closing() or self.id != id_at_start:
                 raise ConnectionResetError
         writer.write(b"0\r\n\r\n")
--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -14,11 +14,14 @@
 constexpr Duration kConnectTimeout = Milliseconds(350);
 // Maximum idle time of a keep-alive connection that is reused, since longer idle ones may be dead.
 constexpr Duration kMaxIdleTime = std::chrono::seconds(4);
-// An attempt of a repeatable request times out if the endpoint sends nothing for this multiple of the latency goal.
+// An attempt of a repeatable request counts as silent if the endpoint sends nothing for this multiple of the latency
+// goal.
 constexpr int kInactivityGoalFactor = 3;
 constexpr Duration kMinInactivityTimeout = Milliseconds(250);
-// Inactivity timeout between two events of a stream. Callers disconnect soon after it.
+// The same between two events of a stream. Callers disconnect soon after it.
 constexpr Duration kStreamInactivityTimeout = Milliseconds(1200);
+// Time until a hedge that could not be had is requested again.
+constexpr Duration kHedgeInterval = Milliseconds(200);
 // Attempts with less time until the deadline cannot succeed.
 constexpr Duration kMinAttemptTime = Milliseconds(30);
 // Maximum number of attempts of one request, including those that endpoints refused without running it.
@@ -95,225 +98,275 @@
   const TimePoint now = m_deps.clock.GetNow();
   if (m_outcome.attempts == 0) m_outcome.wait_time = now - m_started_at;
   ++m_outcome.attempts;
-  m_outcome.endpoint = choice.endpoint->id;
-  m_outcome.load = choice.load;
-  m_outcome.load_age = choice.load_age;
-  m_outcome.expected = choice.expected;
-  m_outcome.version = weights.loaded;
-  m_outcome.min_version = weights.min_version;
-  m_outcome.until_limit.reset();
-  if (weights.start_limit.has_value()) m_outcome.until_limit = *weights.start_limit - now;
-  m_endpoint = choice.endpoint->id;
-  m_sent_at = now;
-  m_endpoint_incarnation = choice.endpoint->incarnation;
-  m_tried_endpoints.push_back(m_endpoint);
-  m_response_head.reset();
-  m_response_body.clear();
-  m_events = EventSplitter(m_last_event_id);
-  m_last_received_at = now;
-  m_is_prefill_done = false;
-  m_has_body = false;
+  m_is_hedge_requested = false;
+  m_last_number = m_last_number.Next();
+  auto attempt = std::make_unique<ForwardAttempt>();
+  attempt->number = m_last_number;
+  attempt->choice = {choice.endpoint->id, choice.load,         choice.load_age, choice.expected,
+                     weights.loaded,      weights.min_version, std::nullopt};
+  if (weights.start_limit.has_value()) attempt->choice.until_limit = *weights.start_limit - now;
+  attempt->incarnation = choice.endpoint->incarnation;
+  attempt->sent_at = now;
+  attempt->received_at = now;
+  attempt->received_loop_time = m_deps.loop_time.GetElapsed();
+  attempt->events = EventSplitter(m_last_event_id);
+  m_outcome.choice = attempt->choice;
+  m_tried_endpoints.push_back(attempt->choice.endpoint);
+  ForwardAttempt& started = *attempt;
+  m_running.push_back(std::move(attempt));
+  started.call = m_deps.sender.Send(choice.endpoint->target, MakeRequest(started, weights), MakeOptions(now),
+                                    MakeCallbacks(started.number));
+}
+
+HttpRequest ActiveRequest::MakeRequest(const ForwardAttempt& attempt, const AttemptWeights& weights) const {
   AttemptHeader header;
-  header.time_left = m_deadline - now;
-  header.endpoint = m_endpoint;
+  header.time_left = m_deadline - attempt.sent_at;
+  header.endpoint = attempt.choice.endpoint;
   if (m_match.workspace != nullptr) header.workspace = m_match.workspace->name;
   if (weights.is_exact) header.version = weights.loaded;
   header.last_event_id = m_last_event_id;
-  HttpCallbacks callbacks;
-  // A cancelled call reports nothing, but callbacks that are already queued still run. The attempt number identifies
-  // them.
-  const uint64_t attempt = ++m_attempt_number;
-  const auto is_current = [attempt](const std::shared_ptr<ActiveRequest>& self) {
-    return self != nullptr && self->m_attempt_number == attempt && !self->m_is_ended;
+  return m_deps.protocol.MakeAttemptRequest(m_request, header);
+}
+
+// A cancelled call reports nothing, but callbacks that are already queued still run.
+HttpCallbacks ActiveRequest::MakeCallbacks(AttemptNumber number) {
+  const auto run = [weak = weak_from_this(), number](const auto& handle) {
+    const auto self = weak.lock();
+    if (self == nullptr) return;
+    if (ForwardAttempt* attempt = self->FindAttempt(number); attempt != nullptr) handle(*self, *attempt);
   };
-  callbacks.on_head = [weak = weak_from_this(), is_current](int status, const HttpHeaders& headers) {
-    if (const auto self = weak.lock(); is_current(self)) self->OnHead(status, headers);
+  HttpCallbacks callbacks;
+  callbacks.on_head = [run](int status, const HttpHeaders& headers) {
+    run([&](ActiveRequest& self, ForwardAttempt& attempt) { self.OnHead(attempt, status, headers); });
   };
-  callbacks.on_data = [weak = weak_from_this(), is_current](std::string_view data) {
-    if (const auto self = weak.lock(); is_current(self)) self->OnData(data);
+  callbacks.on_data = [run](std::string_view data) {
+    run([&](ActiveRequest& self, ForwardAttempt& attempt) { self.OnData(attempt, data); });
   };
-  callbacks.on_done = [weak = weak_from_this(), is_current](const absl::Status& status) {
-    if (const auto self = weak.lock(); is_current(self)) self->OnDone(status);
+  callbacks.on_done = [run](const absl::Status& status) {
+    run([&](ActiveRequest& self, ForwardAttempt& attempt) { self.FinishAttempt(attempt, status); });
   };
-  m_call = m_deps.sender.Send(choice.endpoint->target, m_deps.protocol.MakeAttemptRequest(m_request, header),
-                              MakeOptions(now), std::move(callbacks));
+  return callbacks;
+}
+
+ForwardAttempt* ActiveRequest::FindAttempt(AttemptNumber number) {
+  const auto found = std::find_if(m_running.begin(), m_running.end(),
+                                  [number](const auto& attempt) { return attempt->number == number; });
+  return found == m_running.end() ? nullptr : found->get();
 }
 
-void ActiveRequest::OnHead(int status, const HttpHeaders& headers) {
-  m_last_received_at = m_deps.clock.GetNow();
-  m_response_head = m_deps.protocol.ParseResponseHead(m_request.id, status, headers, m_call->IsOnKeptConnection());
-  if (!m_response_head->has_matching_id) {
+std::vector<AttemptNumber> ActiveRequest::GetRunning() const {
+  std::vector<AttemptNumber> numbers;
+  for (const auto& attempt : m_running) numbers.push_back(attempt->number);
+  return numbers;
+}
+
+void ActiveRequest::RecordReceived(ForwardAttempt& attempt) {
+  attempt.received_at = m_deps.clock.GetNow();
+  attempt.received_loop_time = m_deps.loop_time.GetElapsed();
+  attempt.is_silence_reported = false;
+}
+
+void ActiveRequest::OnHead(ForwardAttempt& attempt, int status, const HttpHeaders& headers) {
+  RecordReceived(attempt);
+  attempt.head = m_deps.protocol.ParseResponseHead(m_request.id, status, headers, attempt.call->IsOnKeptConnection());
+  if (!attempt.head->has_matching_id) {
     // The answer to this request may follow, so that the connection cannot be used for another one.
-    m_call->Cancel();
-    FailAttempt(AttemptEnd::kBroken, "response to another request");
+    attempt.call->Cancel();
+    FailAttempt(attempt, AttemptEnd::kBroken, "response to another request");
     return;
   }
-  if (!m_response_head->is_misdirected) m_deps.host.OnResponseHead(*this, *m_response_head);
+  if (!attempt.head->is_misdirected) m_deps.host.OnResponseHead(*this, attempt);
 }
 
-void ActiveRequest::OnData(std::string_view data) {
+void ActiveRequest::OnData(ForwardAttempt& attempt, std::string_view data) {
   // Bytes that complete no event are no activity of a stream: they may come without end.
-  if (!IsStream()) m_last_received_at = m_deps.clock.GetNow();
-  m_has_body = true;
-  const bool is_valid_success = m_response_head->has_receipt && IsSuccess(m_response_head->status);
-  if (IsStream() && is_valid_success && m_response_head->is_stream) {
-    const uint64_t progress = m_events.GetProgress();
-    std::string events = m_events.Take(data);
-    if (m_events.GetProgress() != progress) m_last_received_at = m_deps.clock.GetNow();
-    OnEvents(std::move(events));
+  if (!IsStream()) RecordReceived(attempt);
+  attempt.has_body = true;
+  const bool is_valid_success = attempt.head->has_receipt && IsSuccess(attempt.head->status);
+  if (IsStream() && is_valid_success && attempt.head->is_stream) {
+    const uint64_t progress = attempt.events.GetProgress();
+    std::string events = attempt.events.Take(data);
+    if (attempt.events.GetProgress() != progress) RecordReceived(attempt);
+    OnEvents(attempt, std::move(events));
     return;
   }
-  if (m_response_body.size() + data.size() > kMaxBodyBytes) {
-    m_call->Cancel();
-    FinishAttempt(MakeFailure(FailureCode::kProtocol, "response exceeds 8 MiB"));
+  if (attempt.body.size() + data.size() > kMaxBodyBytes) {
+    attempt.call->Cancel();
+    FinishAttempt(attempt, MakeFailure(FailureCode::kProtocol, "response exceeds 8 MiB"));
     return;
   }
-  m_response_body.append(data);
+  attempt.body.append(data);
 }
 
-void ActiveRequest::OnEvents(std::string events) {
-  if (m_events.HasGap()) {
-    m_call->Cancel();
-    FailAttempt(AttemptEnd::kBroken, "gap in the event IDs of the stream");
+void ActiveRequest::OnEvents(ForwardAttempt& attempt, std::string events) {
+  if (attempt.events.HasGap()) {
+    attempt.call->Cancel();
+    FailAttempt(attempt, AttemptEnd::kBroken, "gap in the event IDs of the stream");
     return;
   }
-  if (m_events.IsTooLong()) {
-    m_call->Cancel();
-    FailAttempt(AttemptEnd::kBroken, "event of the stream exceeds 1 MiB");
+  if (attempt.events.IsTooLong()) {
+    attempt.call->Cancel();
+    FailAttempt(attempt, AttemptEnd::kBroken, "event of the stream exceeds 1 MiB");
     return;
   }
   if (events.empty()) return;
-  if (!m_is_prefill_done) m_deps.host.OnAnswerBegun(*this);
-  ReportPrefillDone();
+  SelectAnswer(attempt);
+  if (!attempt.is_prefill_done) m_deps.host.OnAnswerBegun(*this, attempt);
+  ReportPrefillDone(attempt);
   if (!m_has_events) {
     m_has_events = true;
-    m_weight_version = m_response_head->version;
+    m_weight_version = attempt.head->version;
     m_outcome.first_event = m_deps.clock.GetNow() - m_started_at;
-    m_responder->StartStream(m_response_head->status, m_response_head->headers);
+    m_responder->StartStream(attempt.head->status, attempt.head->headers);
   }
-  m_last_event_id = m_events.GetLastId();
+  m_last_event_id = attempt.events.GetLastId();
   m_outcome.events += 1;
   m_responder->SendChunk(std::move(events));
   if (m_responder->GetUnsentBytes() <= kMaxUnsentBytes) return;
-  m_call->Cancel();
-  EndAttempt(AttemptEnd::kCancelled);
+  CancelAttempt(attempt, AttemptEnd::kCancelled);
   AbortCaller();
   FinishRequest(0, ForwardFailure::kCallerGone, "more than 1 MiB unsent to a slow caller");
 }
 
-void ActiveRequest::OnDone(const absl::Status& status) { FinishAttempt(status); }
+void ActiveRequest::SelectAnswer(ForwardAttempt& attempt) {
+  if (std::exchange(m_is_hedge_requested, false)) m_deps.host.WithdrawHedge(*this);
+  for (const AttemptNumber number : GetRunning()) {
+    if (number == attempt.number) continue;
+    ForwardAttempt& other = *FindAttempt(number);
+    CancelAttempt(other, other.is_silence_reported ? AttemptEnd::kSilent : AttemptEnd::kCancelled);
+  }
+}
 
-void ActiveRequest::FinishAttempt(const absl::Status& status) {
+void ActiveRequest::FinishAttempt(ForwardAttempt& attempt, const absl::Status& status) {
   if (!status.ok()) {
     const FailureCode code = GetFailureCode(status);
     if (code == FailureCode::kConnectFailed) {
-      EndAttempt(AttemptEnd::kUnreachable);
+      EndAttempt(attempt, AttemptEnd::kUnreachable);
       RetryOrFail(AttemptOutcome::kNotSent, "connection failed");
       return;
     }
     if (code == FailureCode::kTimeout) {
-      FailAttempt(AttemptEnd::kSilent, "no whole answer in time");
+      FailAttempt(attempt, ReportOverdue(attempt), "no whole answer in time");
       return;
     }
     const bool is_lost = code == FailureCode::kConnectionLost;
-    FailAttempt(is_lost ? AttemptEnd::kConnectionLost : AttemptEnd::kBroken,
+    FailAttempt(attempt, is_lost ? AttemptEnd::kConnectionLost : AttemptEnd::kBroken,
                 "response not complete: " + GetFailureText(status));
     return;
   }
-  const ResponseHead& head = *m_response_head;
+  const ResponseHead& head = *attempt.head;
   if (head.is_not_run || head.is_misdirected) {
-    EndAttempt(head.is_misdirected ? AttemptEnd::kMisdirected : AttemptEnd::kFull);
-    RetryOrFail(AttemptOutcome::kNotRun, head.is_misdirected ? "wrong endpoint or weight version"
-                                                             : "refused by the endpoint without running it");
+    const bool is_misdirected = head.is_misdirected;
+    EndAttempt(attempt, is_misdirected ? AttemptEnd::kMisdirected : AttemptEnd::kFull);
+    RetryOrFail(AttemptOutcome::kNotRun,
+                is_misdirected ? "wrong endpoint or weight version" : "refused by the endpoint without running it");
   } else if (IsSuccess(head.status) && IsStream() && head.is_stream && head.has_receipt) {
-    FinishStream();
+    FinishStream(attempt);
   } else if (IsSuccess(head.status) && !head.has_receipt) {
-    FailAttempt(AttemptEnd::kBroken, "success response without a receipt");
+    FailAttempt(attempt, AttemptEnd::kBroken, "success response without a receipt");
   } else {
-    DeliverResponse();
+    DeliverResponse(attempt);
   }
 }
 
-void ActiveRequest::FinishStream() {
+void ActiveRequest::FinishStream(ForwardAttempt& attempt) {
   // A resumed stream may have nothing left to send, but only an explicit end says so.
-  const bool is_empty = m_events.GetProgress() == 0;
-  const bool is_end_missing = is_empty && (!m_has_events || m_response_head->ends_with_connection);
-  if (!m_events.IsAtBoundary() || is_end_missing) {
+  const bool is_empty = attempt.events.GetProgress() == 0;
+  const bool is_end_missing = is_empty && (!m_has_events || attempt.head->ends_with_connection);
+  if (!attempt.events.IsAtBoundary() || is_end_missing) {
     // A response without a length ends with its connection, so that only this shows that it was lost.
-    FailAttempt(AttemptEnd::kConnectionLost, "stream ended within an event or without any");
+    FailAttempt(attempt, AttemptEnd::kConnectionLost, "stream ended within an event or without any");
     return;
   }
+  SelectAnswer(attempt);
+  const int status = attempt.head->status;
+  std::string comments = attempt.events.TakeComments();
   m_outcome.executions += 1;
-  EndAttempt(AttemptEnd::kSuccess);
-  std::string comments = m_events.TakeComments();
+  EndAttempt(attempt, AttemptEnd::kSuccess);
   if (!comments.empty()) m_responder->SendChunk(std::move(comments));
   m_responder->EndStream();
-  FinishRequest(m_response_head->status, ForwardFailure::kNone, "complete");
+  FinishRequest(status, ForwardFailure::kNone, "complete");
 }
 
-void ActiveRequest::DeliverResponse() {
-  const ResponseHead& head = *m_response_head;
-  if (GuaranteesNotRun(head.status) && m_match.rule->kind == RequestKind::kOnce) {
-    FailAttempt(AttemptEnd::kError, "endpoint error with a status that would guarantee that the request has not run");
+void ActiveRequest::DeliverResponse(ForwardAttempt& attempt) {
+  const int status = attempt.head->status;
+  if (GuaranteesNotRun(status) && m_match.rule->kind == RequestKind::kOnce) {
+    FailAttempt(attempt, AttemptEnd::kError,
+                "endpoint error with a status that would guarantee that the request has not run");
     return;
   }
-  HttpResponse response{head.status, head.headers, std::move(m_response_body)};
-  const bool is_error = head.status >= kFirstServerError;
-  m_deps.host.OnAnswerBegun(*this);
-  EndAttempt(is_error ? AttemptEnd::kError : AttemptEnd::kSuccess);
-  if (m_has_events) {
-    // The response to a resumed stream is not a stream.
-    m_may_have_run = true;
-    m_outcome.executions += 1;
-    RetryOrFail(AttemptOutcome::kMayHaveRun, "response to a resumed stream is not a stream");
+  HttpResponse response{status, attempt.head->headers, std::move(attempt.body)};
+  const bool is_error = status >= kFirstServerError;
+  // An error of an attempt is not the answer while another one may still succeed.
+  const bool is_answer = !m_has_events && !(is_error && m_match.rule->IsRepeatable());
+  if (is_answer) SelectAnswer(attempt);
+  m_deps.host.OnAnswerBegun(*this, attempt);
+  m_outcome.executions += 1;
+  EndAttempt(attempt, is_error ? AttemptEnd::kError : AttemptEnd::kSuccess);
+  if (is_answer) {
+    m_responder->Send(std::move(response));
+    FinishRequest(status, ForwardFailure::kNone, is_error ? "endpoint returned an error" : "complete");
     return;
   }
-  m_outcome.executions += 1;
-  if (is_error && m_match.rule->IsRepeatable()) {
-    m_may_have_run = true;
-    m_error_response = std::move(response);
-    RetryOrFail(AttemptOutcome::kMayHaveRun, "endpoint returned HTTP status " + std::to_string(head.status));
+  m_may_have_run = true;
+  if (m_has_events) {
+    RetryOrFail(AttemptOutcome::kMayHaveRun, "response to a resumed stream is not a stream");
     return;
   }
-  m_responder->Send(std::move(response));
-  FinishRequest(head.status, ForwardFailure::kNone, is_error ? "endpoint returned an error" : "complete");
+  m_error_response = std::move(response);
+  RetryOrFail(AttemptOutcome::kMayHaveRun, "endpoint returned HTTP status " + std::to_string(status));
 }
 
 // Ends an attempt whose response is unusable although the request may have run.
-void ActiveRequest::FailAttempt(AttemptEnd end, std::string reason) {
+void ActiveRequest::FailAttempt(ForwardAttempt& attempt, AttemptEnd end, std::string reason) {
   m_may_have_run = true;
   m_outcome.executions += 1;
-  EndAttempt(end);
+  EndAttempt(attempt, end);
   RetryOrFail(AttemptOutcome::kMayHaveRun, std::move(reason));
 }
 
-void ActiveRequest::ReportPrefillDone() {
-  if (std::exchange(m_is_prefill_done, true)) return;
-  m_deps.host.OnPrefillDone(*this, m_endpoint);
+void ActiveRequest::CancelAttempt(ForwardAttempt& attempt, AttemptEnd end) {
+  if (attempt.call->IsSent()) {
+    m_may_have_run = true;
+    m_outcome.executions += 1;
+  }
+  attempt.call->Cancel();
+  EndAttempt(attempt, end);
 }
 
-void ActiveRequest::EndAttempt(AttemptEnd end) {
-  ReportPrefillDone();
-  ++m_attempt_number;
-  m_call.reset();
-  m_deps.host.OnAttemptEnded(*this, {m_endpoint, end, GetProgress(), m_sent_at, m_endpoint_incarnation});
+void ActiveRequest::ReportPrefillDone(ForwardAttempt& attempt) {
+  if (std::exchange(attempt.is_prefill_done, true)) return;
+  m_deps.host.OnPrefillDone(*this, attempt.choice.endpoint);
 }
 
-AnswerProgress ActiveRequest::GetProgress() const {
-  if (!m_response_head.has_value()) return AnswerProgress::kNone;
-  const bool has_begun = IsStream() ? m_events.GetProgress() > 0 : m_has_body;
-  return has_begun ? AnswerProgress::kBegun : AnswerProgress::kHeader;
+// Removes the attempt, which must not be used afterwards.
+void ActiveRequest::EndAttempt(ForwardAttempt& attempt, AttemptEnd end) {
+  ReportPrefillDone(attempt);
+  const auto found = std::find_if(m_running.begin(), m_running.end(),
+                                  [&attempt](const auto& running) { return running.get() == &attempt; });
+  const std::unique_ptr<ForwardAttempt> ended = std::move(*found);
+  m_running.erase(found);
+  if (!m_running.empty()) m_outcome.choice = m_running.back()->choice;
+  m_deps.host.OnAttemptEnded(*this, *ended, end);
+}
+
+// Whether the route and the limits of this process allow one more attempt beside those that run.
+bool ActiveRequest::HasAttemptLeft() const {
+  const auto executions = m_outcome.executions + static_cast<uint32_t>(m_running.size());
+  const bool has_time = m_deadline - m_deps.clock.GetNow() > kMinAttemptTime;
+  return executions < m_match.rule->attempts && m_outcome.attempts < kMaxAttempts && has_time;
 }
 
 void ActiveRequest::RetryOrFail(AttemptOutcome outcome, std::string reason) {
+  m_outcome.reason = reason;
+  if (!m_running.empty()) {
+    m_hedge_from = m_deps.clock.GetNow() + kHedgeInterval;
+    return;
+  }
+  m_is_hedge_requested = false;
   const bool may_have_run = outcome == AttemptOutcome::kMayHaveRun;
-  const TimePoint now = m_deps.clock.GetNow();
   const bool is_allowed = !may_have_run || m_match.rule->IsRepeatable();
-  const bool has_executions_left = m_outcome.executions < m_match.rule->attempts;
-  const bool has_attempts_left = m_outcome.attempts < kMaxAttempts;
-  const bool has_time = m_deadline - now > kMinAttemptTime;
-  m_outcome.reason = reason;
-  if (!is_allowed || !has_executions_left || !has_attempts_left || !has_time) {
+  if (!is_allowed || !HasAttemptLeft()) {
     FailWithoutRetry(m_may_have_run, std::move(reason));
     return;
   }
@@ -339,6 +392,15 @@
   }
 }
 
+void ActiveRequest::RefuseAttempt(ForwardFailure failure, std::string reason) {
+  if (m_running.empty()) {
+    Fail(failure, std::move(reason));
+    return;
+  }
+  m_is_hedge_requested = false;
+  m_hedge_from = m_deps.clock.GetNow() + kHedgeInterval;
+}
+
 void ActiveRequest::Fail(ForwardFailure failure, std::string reason) {
   if (m_is_ended) return;
   if (m_has_events) {
@@ -370,7 +432,6 @@
 
 void ActiveRequest::FinishRequest(int status, ForwardFailure failure, std::string reason) {
   m_is_ended = true;
-  ++m_attempt_number;
   m_outcome.status = status;
   m_outcome.failure = failure;
   m_outcome.reason = std::move(reason);
@@ -380,67 +441,96 @@
 
 void ActiveRequest::OnCallerDisconnected() {
   if (m_is_ended) return;
-  // A request that must run once is not cancelled at its endpoint, since cancelling would not undo its effects.
-  const bool is_cancelled = m_match.rule->kind != RequestKind::kOnce;
-  if (m_call != nullptr && is_cancelled) m_call->Cancel();
-  if (m_call != nullptr) EndAttempt(AttemptEnd::kCancelled);
+  for (const AttemptNumber number : GetRunning()) {
+    ForwardAttempt& attempt = *FindAttempt(number);
+    // A request that must run once is not cancelled at its endpoint, since cancelling would not undo its effects.
+    if (m_match.rule->kind != RequestKind::kOnce) attempt.call->Cancel();
+    EndAttempt(attempt, AttemptEnd::kCancelled);
+  }
   FinishRequest(0, ForwardFailure::kCallerGone, "caller closed the connection");
 }
 
-Duration ActiveRequest::GetInactivityTimeout() const {
-  if (m_has_events) return kStreamInactivityTimeout;
-  return std::max<Duration>(kMinInactivityTimeout, kInactivityGoalFactor * m_match.rule->latency_target);
-}
-
 void ActiveRequest::CheckDue(TimePoint now) {
   if (m_is_ended) return;
   if (now >= m_deadline) {
     GiveUp(ForwardFailure::kNoEndpoint, "deadline");
     return;
   }
-  if (IsPastStartLimit(now)) {
-    WithdrawAttempt("not started before the limit of the endpoint's weight version");
-  } else if (IsSilent(now)) {
-    m_call->Cancel();
-    FailAttempt(AttemptEnd::kSilent, "endpoint sent nothing within the inactivity timeout");
+  for (const AttemptNumber number : GetRunning()) {
+    ForwardAttempt* attempt = FindAttempt(number);
+    if (attempt == nullptr || !IsPastStartLimit(*attempt, now)) continue;
+    WithdrawAttempt(*attempt, "not started before the limit of the endpoint's weight version");
+    if (m_is_ended) return;
   }
+  CheckSilence(now);
+}
+
+// Returns how an attempt ends that has no whole answer at the deadline, and reports its silence.
+AttemptEnd ActiveRequest::ReportOverdue(ForwardAttempt& attempt) {
+  if (attempt.head.has_value() && !IsSilent(attempt)) return AttemptEnd::kOverdue;
+  if (!std::exchange(attempt.is_silence_reported, true)) m_deps.host.OnSilent(*this, attempt);
+  return AttemptEnd::kSilent;
 }
 
 void ActiveRequest::GiveUp(ForwardFailure if_not_run, std::string reason) {
   if (m_is_ended) return;
-  if (m_call != nullptr) {
-    const bool was_sent = m_call->IsSent();
-    m_call->Cancel();
-    m_may_have_run = m_may_have_run || was_sent;
-    EndAttempt(was_sent ? AttemptEnd::kSilent : AttemptEnd::kUnreachable);
+  for (const AttemptNumber number : GetRunning()) {
+    ForwardAttempt& attempt = *FindAttempt(number);
+    if (!attempt.call->IsSent()) {
+      CancelAttempt(attempt, AttemptEnd::kUnreachable);
+      continue;
+    }
+    CancelAttempt(attempt, ReportOverdue(attempt));
   }
   Fail(m_may_have_run ? ForwardFailure::kTimeout : if_not_run, std::move(reason));
 }
 
-void ActiveRequest::WithdrawAttempt(const std::string& reason) {
-  const bool has_begun = GetProgress() == AnswerProgress::kBegun;
-  if (m_call == nullptr || has_begun || m_match.rule->kind == RequestKind::kOnce) return;
-  const bool was_sent = m_call->IsSent();
-  m_call->Cancel();
-  if (was_sent) {
-    FailAttempt(AttemptEnd::kWithdrawn, reason);
-    return;
+void ActiveRequest::WithdrawAttempts(const std::string& reason) {
+  for (const AttemptNumber number : GetRunning()) {
+    ForwardAttempt* attempt = FindAttempt(number);
+    if (attempt != nullptr) WithdrawAttempt(*attempt, reason);
   }
-  EndAttempt(AttemptEnd::kWithdrawn);
-  RetryOrFail(AttemptOutcome::kNotSent, reason);
 }
 
-bool ActiveRequest::IsSilent(TimePoint now) const {
-  if (m_call == nullptr || !m_match.rule->IsRepeatable() || !m_call->IsSent()) return false;
-  return now - m_last_received_at >= GetInactivityTimeout() && m_outcome.executions + 1 < m_match.rule->attempts;
+void ActiveRequest::WithdrawAttempt(ForwardAttempt& attempt, const std::string& reason) {
+  const bool has_begun = attempt.GetProgress(IsStream()) == AnswerProgress::kBegun;
+  if (has_begun || m_match.rule->kind == RequestKind::kOnce) return;
+  const bool was_sent = attempt.call->IsSent();
+  CancelAttempt(attempt, AttemptEnd::kWithdrawn);
+  RetryOrFail(was_sent ? AttemptOutcome::kMayHaveRun : AttemptOutcome::kNotSent, reason);
+}
+
+Duration ActiveRequest::GetInactivityTimeout() const {
+  if (m_has_events) return kStreamInactivityTimeout;
+  return std::max<Duration>(kMinInactivityTimeout, kInactivityGoalFactor * m_match.rule->latency_target);
+}
+
+bool ActiveRequest::IsSilent(const ForwardAttempt& attempt) const {
+  if (!m_match.rule->IsRepeatable() || !attempt.call->IsSent()) return false;
+  return m_deps.loop_time.GetElapsed() - attempt.received_loop_time >= GetInactivityTimeout();
+}
+
+void ActiveRequest::CheckSilence(TimePoint now) {
+  bool are_all_silent = !m_running.empty();
+  for (const auto& attempt : m_running) {
+    const bool is_silent = IsSilent(*attempt);
+    are_all_silent = are_all_silent && is_silent;
+    if (is_silent && !std::exchange(attempt->is_silence_reported, true)) m_deps.host.OnSilent(*this, *attempt);
+  }
+  const bool may_hedge = are_all_silent && !m_is_hedge_requested && now >= m_hedge_from && HasAttemptLeft();
+  // Without event IDs another endpoint would begin the stream anew.
+  const bool can_resume = !m_has_events || m_last_event_id.has_value();
+  if (!may_hedge || !can_resume || !m_deps.host.IsRepeatWorthwhile(*this)) return;
+  m_is_hedge_requested = true;
+  m_deps.host.RequestAttempt(*this);
 }
 
-bool ActiveRequest::IsPastStartLimit(TimePoint now) const {
+bool ActiveRequest::IsPastStartLimit(const ForwardAttempt& attempt, TimePoint now) const {
   // The body of a stream shows that it has started; the body of another response comes only at its end. Cancelling a
   // request that must run once would not undo its effects.
-  if (m_call == nullptr || m_has_body || !IsStream()) return false;
-  const std::optional<WeightVersion> answered = m_response_head.has_value() ? m_response_head->version : std::nullopt;
-  const std::optional<TimePoint> limit = m_deps.host.GetAttemptLimit(*this, m_endpoint, answered);
+  if (attempt.has_body || !IsStream()) return false;
+  const std::optional<WeightVersion> answered = attempt.head.has_value() ? attempt.head->version : std::nullopt;
+  const std::optional<TimePoint> limit = m_deps.host.GetAttemptLimit(*this, attempt.choice.endpoint, answered);
   return limit.has_value() && now >= *limit - kWithdrawalMargin;
 }
 
--- a/src/active_request.h
+++ b/src/active_request.h
@@ -11,10 +11,11 @@
 #include "clock.h"
 #include "content_key.h"
 #include "endpoint_balancer.h"
-#include "event_splitter.h"
+#include "forward_attempt.h"
 #include "forward_type.h"
 #include "http_client.h"
 #include "http_server.h"
+#include "loop_time.h"
 #include "retry_policy.h"
 #include "route_match.h"
 #include "wait_queue.h"
@@ -32,24 +33,6 @@
 
 class ActiveRequest;
 
-// How much of an answer an endpoint has sent.
-enum class AnswerProgress {
-  kNone,
-  // The header, and possibly a part of the first event.
-  kHeader,
-  // A part of a body that is not a stream, or an event of a stream.
-  kBegun,
-};
-
-// An attempt that has ended.
-struct EndedAttempt {
-  EndpointId endpoint;
-  AttemptEnd end = AttemptEnd::kCancelled;
-  AnswerProgress progress = AnswerProgress::kNone;
-  TimePoint sent_at;
-  Incarnation incarnation;
-};
-
 // Interface of the traffic loop that owns the forwarded requests.
 class ActiveRequestHost {
  public:
@@ -58,13 +41,18 @@
   // Called once for each attempt when the endpoint has processed the prompt: at its first event, or at the attempt's
   // end if no event came.
   virtual void OnPrefillDone(ActiveRequest& active, const EndpointId& endpoint) = 0;
-  // Called for the header of each response of the current attempt's endpoint.
-  virtual void OnResponseHead(const ActiveRequest& active, const ResponseHead& head) = 0;
+  // Called for the header of each response, once `attempt.head` is set.
+  virtual void OnResponseHead(const ActiveRequest& active, const ForwardAttempt& attempt) = 0;
   // Called when an attempt's answer has begun: at the first event of a stream, or at the end of another answer.
-  virtual void OnAnswerBegun(ActiveRequest& active) = 0;
-  virtual void OnAttemptEnded(ActiveRequest& active, const EndedAttempt& attempt) = 0;
-  // Requests another attempt. The host calls StartAttempt or Fail, possibly within this call.
+  virtual void OnAnswerBegun(ActiveRequest& active, const ForwardAttempt& attempt) = 0;
+  // Called once each time that an attempt has received nothing for too long.
+  virtual void OnSilent(const ActiveRequest& active, const ForwardAttempt& attempt) = 0;
+  virtual void OnAttemptEnded(ActiveRequest& active, const ForwardAttempt& attempt, AttemptEnd end) = 0;
+  // Requests another attempt, which is a hedge if one still runs. The host calls StartAttempt or RefuseAttempt,
+  // possibly within this call.
   virtual void RequestAttempt(ActiveRequest& active) = 0;
+  // Called when the hedge that was requested is not needed any more.
+  virtual void WithdrawHedge(ActiveRequest& active) = 0;
   // Whether a request that may have run at an endpoint that failed is worth another endpoint.
   virtual bool IsRepeatWorthwhile(const ActiveRequest& active) const = 0;
   // Takes one retry from the shared budget, which counts requests that arrive at endpoints. Returns false if the budget
@@ -85,18 +73,8 @@
   const CallerProtocol& protocol;
   AttemptSender& sender;
   ActiveRequestHost& host;
-};
-
-// Weight versions that apply to an attempt at an engine.
-struct AttemptWeights {
-  // Version that the endpoint serves according to its last report; unset for endpoints without weights.
-  std::optional<WeightVersion> loaded;
-  // Oldest version that may start a request; unset if every version may.
-  std::optional<WeightVersion> min_version;
-  // Time from which no request may start on `loaded`; unset if it is not superseded.
-  std::optional<TimePoint> start_limit;
-  // Whether the endpoint must refuse the attempt if it serves another version than `loaded`.
-  bool is_exact = false;
+  // Time of the traffic loop, on which the silence of endpoints is measured.
+  const LoopTime& loop_time;
 };
 
 // Result of a forwarded request, for logs and metrics.
@@ -108,16 +86,9 @@
   uint32_t attempts = 0;
   // Number of attempts that may have been executed.
   uint32_t executions = 0;
-  EndpointId endpoint;
-  uint32_t load = 0;
-  Duration load_age{};
-  // Expected time to the first event, as estimated when the attempt was sent.
-  Duration expected{};
+  // The last attempt, or the one whose answer the caller got.
+  AttemptChoice choice;
   Duration wait_time{};
-  // Weight versions of the last attempt, and the time that was left until the limit of its version when it was sent.
-  std::optional<WeightVersion> version;
-  std::optional<WeightVersion> min_version;
-  std::optional<Duration> until_limit;
   std::optional<Duration> first_event;
   Duration total{};
   uint64_t events = 0;
@@ -127,6 +98,11 @@
 TimePoint ComputeDeadline(const ForwardRequest& request, const RouteRule& rule, TimePoint now);
 
 // One forwarded request and its attempts. Not thread-safe; used on one traffic loop.
+//
+// An attempt whose endpoint falls silent goes on, since a sound endpoint may stand still for a moment. If the request
+// may be repeated, another attempt is started beside it (a hedge). The first of the two that answers is passed to the
+// caller and the other one is cancelled; until then neither is, so that a hedge that cannot be had costs the caller
+// nothing.
 class ActiveRequest : public std::enable_shared_from_this<ActiveRequest> {
  public:
   // `matcher` owns the routing document that `match` points into.
@@ -137,31 +113,31 @@
   // Registers for the event that the caller closes its connection.
   void WatchForDisconnect();
 
-  // Sends the request to an endpoint.
+  // Sends the request to an endpoint, beside a silent attempt if there is one.
   void StartAttempt(const EndpointChoice& choice, const AttemptWeights& weights);
 
   // Ends the request with a failure. Never reports a request that may have run as not run.
   void Fail(ForwardFailure failure, std::string reason);
 
-  // Ends the request and cancels its attempt. `if_not_run` is the failure if the request cannot have run.
+  // Called by the host if it cannot start the attempt that was requested. Ends the request with the failure unless an
+  // attempt still runs.
+  void RefuseAttempt(ForwardFailure failure, std::string reason);
+
+  // Ends the request and cancels its attempts. `if_not_run` is the failure if the request cannot have run.
   void GiveUp(ForwardFailure if_not_run, std::string reason);
 
-  // Ends the current attempt if its answer has not begun, and the request unless it may be sent again. Does nothing to
-  // a request that must run once, because cancelling would not undo its effects.
-  void WithdrawAttempt(const std::string& reason);
+  // Ends the attempts whose answer has not begun, and the request unless it may be sent again. Does nothing to a
+  // request that must run once, because cancelling would not undo its effects.
+  void WithdrawAttempts(const std::string& reason);
 
   // Handles the deadline and the inactivity timeout. Must be called regularly.
   void CheckDue(TimePoint now);
 
   // Returns the key of the whole request. It is computed when it is first needed.
   const ContentKey& GetRequestKey() const;
-  // Returns the endpoint of the last attempt, its incarnation, and when the attempt was sent.
-  const EndpointId& GetEndpoint() const { return m_endpoint; }
-  Incarnation GetEndpointIncarnation() const { return m_endpoint_incarnation; }
-  TimePoint GetSentAt() const { return m_sent_at; }
-
   bool IsEnded() const { return m_is_ended; }
-  bool IsWaiting() const { return m_call == nullptr && !m_is_ended; }
+  // Whether no attempt runs.
+  bool IsWaiting() const { return m_running.empty() && !m_is_ended; }
   const ForwardRequest& GetRequest() const { return m_request; }
   const RouteMatch& GetMatch() const { return m_match; }
   const RouteMatcher& GetMatcher() const { return *m_matcher; }
@@ -179,26 +155,42 @@
   const ModelName& GetModel() const { return m_model; }
 
  private:
-  void OnHead(int status, const HttpHeaders& headers);
-  void OnData(std::string_view data);
-  void OnDone(const absl::Status& status);
-  void OnEvents(std::string events);
-  void FinishAttempt(const absl::Status& status);
-  void FinishStream();
-  void DeliverResponse();
-  void FailAttempt(AttemptEnd end, std::string reason);
-  void EndAttempt(AttemptEnd end);
-  void ReportPrefillDone();
-  AnswerProgress GetProgress() const;
+  // Handlers of an attempt's response. The attempt may have ended when they return.
+  void OnHead(ForwardAttempt& attempt, int status, const HttpHeaders& headers);
+  void OnData(ForwardAttempt& attempt, std::string_view data);
+  void OnEvents(ForwardAttempt& attempt, std::string events);
+  void FinishAttempt(ForwardAttempt& attempt, const absl::Status& status);
+  void FinishStream(ForwardAttempt& attempt);
+  void DeliverResponse(ForwardAttempt& attempt);
+
+  HttpCallbacks MakeCallbacks(AttemptNumber number);
+  HttpRequest MakeRequest(const ForwardAttempt& attempt, const AttemptWeights& weights) const;
+  HttpCallOptions MakeOptions(TimePoint now) const;
+  ForwardAttempt* FindAttempt(AttemptNumber number);
+  // Returns the numbers of the running attempts, for loops in which attempts may end.
+  std::vector<AttemptNumber> GetRunning() const;
+
+  void RecordReceived(ForwardAttempt& attempt);
+  // Makes an attempt the only one, because its answer is the one that the caller gets.
+  void SelectAnswer(ForwardAttempt& attempt);
+  void CancelAttempt(ForwardAttempt& attempt, AttemptEnd end);
+  void WithdrawAttempt(ForwardAttempt& attempt, const std::string& reason);
+  void FailAttempt(ForwardAttempt& attempt, AttemptEnd end, std::string reason);
+  void EndAttempt(ForwardAttempt& attempt, AttemptEnd end);
+  void ReportPrefillDone(ForwardAttempt& attempt);
+
+  bool HasAttemptLeft() const;
   void RetryOrFail(AttemptOutcome outcome, std::string reason);
   void FailWithoutRetry(bool may_have_run, std::string reason);
   void FinishRequest(int status, ForwardFailure failure, std::string reason);
   void AbortCaller();
   void OnCallerDisconnected();
-  HttpCallOptions MakeOptions(TimePoint now) const;
+
   Duration GetInactivityTimeout() const;
-  bool IsSilent(TimePoint now) const;
-  bool IsPastStartLimit(TimePoint now) const;
+  bool IsSilent(const ForwardAttempt& attempt) const;
+  void CheckSilence(TimePoint now);
+  AttemptEnd ReportOverdue(ForwardAttempt& attempt);
+  bool IsPastStartLimit(const ForwardAttempt& attempt, TimePoint now) const;
   bool IsStream() const { return m_match.rule->kind == RequestKind::kStream; }
 
   ActiveRequestDeps& m_deps;
@@ -212,20 +204,14 @@
   const TimePoint m_started_at;
   const TimePoint m_deadline;
 
-  // Current attempt. Callbacks of earlier attempts are recognised by m_attempt_number and ignored.
-  std::shared_ptr<HttpCall> m_call;
-  uint64_t m_attempt_number = 0;
-  EndpointId m_endpoint;
-  TimePoint m_sent_at;
-  Incarnation m_endpoint_incarnation;
-  std::optional<ResponseHead> m_response_head;
-  std::string m_response_body;
-  EventSplitter m_events;
-  // When the endpoint last sent its head, a new event of a stream, or bytes of another response.
-  TimePoint m_last_received_at;
-  bool m_is_prefill_done = false;
-  // Whether the endpoint has sent a part of the response's body, so that the request has started there.
-  bool m_has_body = false;
+  // Attempts that run, in the order in which they were sent. Callbacks of ended attempts are recognised by their
+  // numbers and ignored.
+  std::vector<std::unique_ptr<ForwardAttempt>> m_running;
+  AttemptNumber m_last_number;
+  // When a hedge may be requested again after one that could not be had.
+  TimePoint m_hedge_from;
+  // Whether the host was asked for a hedge and has neither sent nor refused it.
+  bool m_is_hedge_requested = false;
 
   std::vector<EndpointId> m_tried_endpoints;
   // Whether an attempt that has ended may have been executed.
--- a/src/endpoint_balancer.cpp
+++ b/src/endpoint_balancer.cpp
@@ -348,6 +348,7 @@
     case AttemptEnd::kError:
     case AttemptEnd::kConnectionLost:
     case AttemptEnd::kBroken:
+    case AttemptEnd::kOverdue:
       RecordOutcome(state, true);
       break;
     case AttemptEnd::kFull:
@@ -360,15 +361,20 @@
       BackOff(state, kUnreachableBackoff, kMaxUnreachableBackoff);
       break;
     case AttemptEnd::kSilent:
-      RecordOutcome(state, true);
-      BackOff(state, kSilentBackoff, kMaxSilentBackoff);
-      break;
+      // OnSilent has recorded it.
     case AttemptEnd::kWithdrawn:
     case AttemptEnd::kCancelled:
       break;
   }
 }
 
+void EndpointBalancer::OnSilent(const EndpointId& id) {
+  const auto found = m_states.find(id);
+  if (found == m_states.end()) return;
+  RecordOutcome(found->second, true);
+  BackOff(found->second, kSilentBackoff, kMaxSilentBackoff);
+}
+
 Duration EndpointBalancer::GetStatedPause(const PoolName& pool) const {
   const auto states = m_pools.find(pool);
   if (states == m_pools.end()) return Duration::zero();
--- a/src/endpoint_balancer.h
+++ b/src/endpoint_balancer.h
@@ -41,8 +41,10 @@
   kMisdirected,
   // The connection could not be established.
   kUnreachable,
-  // The endpoint sent nothing within the time limit.
+  // Given up while the endpoint was silent, at the deadline or because another endpoint answered first.
   kSilent,
+  // The answer was not complete at the deadline although the endpoint was sending it.
+  kOverdue,
   // The connection ended before the answer was complete.
   kConnectionLost,
   // The answer was malformed.
@@ -125,6 +127,8 @@
   // if no event came.
   void OnPrefillDone(const EndpointId& id, uint32_t prompt_tokens);
   void OnEnded(const EndpointId& id, AttemptEnd end);
+  // Records that an attempt has received nothing from the endpoint for too long.
+  void OnSilent(const EndpointId& id);
 
   // Returns the time until an endpoint of the pool takes requests again, if all in service have stated that they want
   // none for some time; 0 otherwise.
--- a/src/forward_metrics.cpp
+++ b/src/forward_metrics.cpp
@@ -40,6 +40,8 @@
       return "unreachable";
     case AttemptEnd::kSilent:
       return "silent";
+    case AttemptEnd::kOverdue:
+      return "overdue";
     case AttemptEnd::kConnectionLost:
       return "connection_lost";
     case AttemptEnd::kBroken:
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -49,6 +49,8 @@
   return EndpointRun(HashName(endpoint.Get() + '/' + std::to_string(incarnation.Get())));
 }
 
+bool IsStream(const ActiveRequest& active) { return active.GetMatch().rule->kind == RequestKind::kStream; }
+
 std::string FormatParts(const std::vector<ContentKey>& parts) {
   std::string text;
   for (const ContentKey& part : parts) {
@@ -67,7 +69,7 @@
       m_protocol(protocol),
       m_metrics(metrics),
       m_options(std::move(options)),
-      m_request_deps{clock, protocol, sender, *this},
+      m_request_deps{clock, protocol, sender, *this, m_loop_time},
       m_balancer(clock, random, m_options.balancer),
       m_quarantine(clock),
       m_fleet(std::make_shared<FleetView>()) {}
@@ -268,6 +270,11 @@
   const EndpointChoice choice = m_balancer.Choose(query);
   why = choice.failure;
   if (choice.endpoint == nullptr) return false;
+  const bool is_hedge = !active.IsWaiting();
+  if (is_hedge && !TryAcquireRetry(active)) {
+    why = NoEndpointReason::kBusy;
+    return false;
+  }
   m_balancer.OnSent(choice.endpoint->id, active.GetRequest().prompt_tokens);
   GetPool(active.GetPool()).wait_queue.RecordServed(HasMissedGoal(active), m_clock.GetNow());
   active.StartAttempt(choice, MakeAttemptWeights(query, choice));
@@ -275,16 +282,23 @@
 }
 
 void ForwardTraffic::Enqueue(ActiveRequest& active) {
+  const bool is_hedge = !active.IsWaiting();
+  if (is_hedge && GetPool(active.GetPool()).budget->GetBalance() < 1) {
+    active.RefuseAttempt(ForwardFailure::kNoEndpoint, "retry budget exhausted");
+    return;
+  }
   if (!m_quarantine.IsEmpty() && m_quarantine.Admit(GetContentKeys(active)) == ContentAdmission::kBlocked) {
     RefuseBlocked(active);
     return;
   }
   if (EndangersEndpoints(active)) {
-    active.Fail(ForwardFailure::kNoEndpoint, "kept from the endpoints left: others crashed at this content");
+    active.RefuseAttempt(ForwardFailure::kNoEndpoint, "kept from the endpoints left: others crashed at this content");
     return;
   }
   const TimePoint now = m_clock.GetNow();
   WaitQueue& wait_queue = GetPool(active.GetPool()).wait_queue;
+  // A hedge may be waiting whose request has lost its other attempt meanwhile.
+  wait_queue.Remove(active.GetTicket());
   const WaitingRequest entry{active.GetTicket(), active.GetMatch().priority,
                              HasMissedGoal(active) && !active.HasEvents(), now + GetMaxWait(active)};
   NoEndpointReason why = NoEndpointReason::kBusy;
@@ -319,12 +333,12 @@
 }
 
 void ForwardTraffic::RefuseQueued(ActiveRequest& active, ForwardFailure failure) {
-  active.Fail(failure, failure == ForwardFailure::kOverloaded ? "its turn would come too late"
-                                                              : "no endpoint accepts the request");
+  active.RefuseAttempt(failure, failure == ForwardFailure::kOverloaded ? "its turn would come too late"
+                                                                       : "no endpoint accepts the request");
 }
 
 void ForwardTraffic::RefuseBlocked(ActiveRequest& active) {
-  active.Fail(ForwardFailure::kBlockedContent, "endpoints crash at this content");
+  active.RefuseAttempt(ForwardFailure::kBlockedContent, "endpoints crash at this content");
 }
 
 // Logs contents that have been blocked or cleared, and checks queued and sent requests again if one was blocked.
@@ -344,7 +358,7 @@
     if (active->IsWaiting()) {
       RefuseBlocked(*active);
     } else {
-      active->WithdrawAttempt("endpoints crash at this content");
+      active->WithdrawAttempts("endpoints crash at this content");
     }
   }
 }
@@ -371,6 +385,7 @@
 
 void ForwardTraffic::CheckDue() {
   const TimePoint now = m_clock.GetNow();
+  m_loop_time.Update(now);
   m_ended_requests.clear();
   ApplyContentChanges();
   m_balancer.GetStatements().GrantDue();
@@ -408,8 +423,9 @@
   m_balancer.OnPrefillDone(endpoint, active.GetRequest().prompt_tokens);
 }
 
-void ForwardTraffic::OnResponseHead(const ActiveRequest& active, const ResponseHead& head) {
-  const EndpointId& endpoint = active.GetEndpoint();
+void ForwardTraffic::OnResponseHead(const ActiveRequest&, const ForwardAttempt& attempt) {
+  const ResponseHead& head = *attempt.head;
+  const EndpointId& endpoint = attempt.choice.endpoint;
   EndpointStatements& statements = m_balancer.GetStatements();
   if (!head.malformed_rate.empty()) {
     LogEvent(LogLevel::kWarn, "endpoint_rate_malformed", {{"endpoint", endpoint}, {"value", head.malformed_rate}});
@@ -423,8 +439,8 @@
   if (!head.malformed_pause.empty()) {
     LogEvent(LogLevel::kWarn, "endpoint_pause_malformed", {{"endpoint", endpoint}, {"value", head.malformed_pause}});
   }
-  if (statements.OnPause(endpoint, active.GetEndpointIncarnation(), head.pause)) m_has_statement_news = true;
-  if (head.is_leaving && statements.OnLeaving(endpoint, active.GetEndpointIncarnation())) m_has_statement_news = true;
+  if (statements.OnPause(endpoint, attempt.incarnation, head.pause)) m_has_statement_news = true;
+  if (head.is_leaving && statements.OnLeaving(endpoint, attempt.incarnation)) m_has_statement_news = true;
 }
 
 void ForwardTraffic::LogStatementChanges() {
@@ -450,47 +466,59 @@
   m_metrics.SetLimitedEndpoints(m_balancer.GetStatements().GetLimitCount());
 }
 
-void ForwardTraffic::OnAnswerBegun(ActiveRequest& active) {
+void ForwardTraffic::OnSilent(const ActiveRequest& active, const ForwardAttempt& attempt) {
+  m_balancer.OnSilent(attempt.choice.endpoint);
+  LogEvent(LogLevel::kInfo, "endpoint_silent",
+           {{"request", active.GetRequest().id},
+            {"endpoint", attempt.choice.endpoint},
+            {"silent_ms", ToMilliseconds(m_clock.GetNow() - attempt.received_at)},
+            {"has_events", active.HasEvents()},
+            {"attempt", active.GetOutcome().attempts}});
+}
+
+void ForwardTraffic::OnAnswerBegun(ActiveRequest& active, const ForwardAttempt& attempt) {
   if (!m_quarantine.IsEmpty()) {
-    m_quarantine.OnRunAnswered(GetRun(active.GetEndpoint(), active.GetEndpointIncarnation()), active.GetSentAt());
+    m_quarantine.OnRunAnswered(GetRun(attempt.choice.endpoint, attempt.incarnation), attempt.sent_at);
   }
   m_quarantine.OnAnswered(m_quarantine.KnowsRequests() ? GetContentKeys(active) : active.GetRequest().shared_parts);
 }
 
 // Records a lost connection as the end of the endpoint, unless it was about to end anyway.
-void ForwardTraffic::RecordCrash(const ActiveRequest& active, const EndedAttempt& attempt) {
+void ForwardTraffic::RecordCrash(const ActiveRequest& active, const ForwardAttempt& attempt) {
   const auto& endpoints = m_fleet->endpoints;
   const bool is_leaving = std::any_of(endpoints.begin(), endpoints.end(), [&](const EndpointInfo& endpoint) {
-    return endpoint.id == attempt.endpoint && m_balancer.IsLeaving(endpoint);
+    return endpoint.id == attempt.choice.endpoint && m_balancer.IsLeaving(endpoint);
   });
   if (is_leaving) return;
   std::vector<ContentKey> keys = active.GetRequest().shared_parts;
   keys.push_back(active.GetRequestKey());
-  m_quarantine.OnCrash(keys, GetRun(attempt.endpoint, attempt.incarnation), attempt.sent_at,
-                       attempt.progress == AnswerProgress::kHeader);
+  const bool has_header = attempt.GetProgress(IsStream(active)) == AnswerProgress::kHeader;
+  m_quarantine.OnCrash(keys, GetRun(attempt.choice.endpoint, attempt.incarnation), attempt.sent_at, has_header);
   if (m_on_crash) m_on_crash();
 }
 
-void ForwardTraffic::OnAttemptEnded(ActiveRequest& active, const EndedAttempt& attempt) {
-  m_metrics.CountAttempt(attempt.end);
-  m_balancer.OnEnded(attempt.endpoint, attempt.end);
-  if (attempt.end == AttemptEnd::kConnectionLost && attempt.progress != AnswerProgress::kBegun) {
-    RecordCrash(active, attempt);
-  }
-  if (attempt.end == AttemptEnd::kSuccess) return;
+void ForwardTraffic::OnAttemptEnded(ActiveRequest& active, const ForwardAttempt& attempt, AttemptEnd end) {
+  const AnswerProgress progress = attempt.GetProgress(IsStream(active));
+  m_metrics.CountAttempt(end);
+  m_balancer.OnEnded(attempt.choice.endpoint, end);
+  if (end == AttemptEnd::kConnectionLost && progress != AnswerProgress::kBegun) RecordCrash(active, attempt);
+  if (end == AttemptEnd::kSuccess) return;
+  const TimePoint now = m_clock.GetNow();
   LogEvent(LogLevel::kInfo, "attempt_failed",
            {{"request", active.GetRequest().id},
-            {"endpoint", attempt.endpoint},
+            {"endpoint", attempt.choice.endpoint},
             {"pool", active.GetPool()},
-            {"end", GetAttemptEndName(attempt.end)},
-            {"progress", GetAnswerProgressName(attempt.progress)},
-            {"after_ms", ToMilliseconds(m_clock.GetNow() - active.GetStart())},
+            {"end", GetAttemptEndName(end)},
+            {"progress", GetAnswerProgressName(progress)},
+            {"after_ms", ToMilliseconds(now - active.GetStart())},
             {"sent_ms", ToMilliseconds(attempt.sent_at - active.GetStart())},
-            {"attempt", active.GetOutcome().attempts},
+            {"silent_ms", ToMilliseconds(now - attempt.received_at)},
+            {"attempt", attempt.number},
+            {"is_last", active.IsWaiting()},
             {"prompt", FormatParts(active.GetRequest().shared_parts)},
-            {"content", attempt.end == AttemptEnd::kConnectionLost ? active.GetRequestKey().id : ""},
-            {"version", GetVersionNumber(active.GetOutcome().version)},
-            {"min_version", GetVersionNumber(active.GetOutcome().min_version)}});
+            {"content", end == AttemptEnd::kConnectionLost ? active.GetRequestKey().id : ""},
+            {"version", GetVersionNumber(attempt.choice.version)},
+            {"min_version", GetVersionNumber(attempt.choice.min_version)}});
 }
 
 void ForwardTraffic::BeginDrain(TimePoint refuse_from, TimePoint end) {
@@ -511,7 +539,7 @@
     const ActiveRequestOutcome& outcome = active->GetOutcome();
     LogEvent(LogLevel::kWarn, "request_cut",
              {{"request", active->GetRequest().id},
-              {"endpoint", outcome.endpoint},
+              {"endpoint", outcome.choice.endpoint},
               {"attempts", outcome.attempts},
               {"is_waiting", active->IsWaiting()},
               {"has_events", active->HasEvents()},
@@ -521,6 +549,10 @@
 
 void ForwardTraffic::RequestAttempt(ActiveRequest& active) { Enqueue(active); }
 
+void ForwardTraffic::WithdrawHedge(ActiveRequest& active) {
+  GetPool(active.GetPool()).wait_queue.Remove(active.GetTicket());
+}
+
 bool ForwardTraffic::TryAcquireRetry(ActiveRequest& active) { return GetPool(active.GetPool()).budget->TryConsume(); }
 
 std::optional<TimePoint> ForwardTraffic::GetAttemptLimit(const ActiveRequest& active, const EndpointId& endpoint,
@@ -546,15 +578,16 @@
        {"reason", outcome.reason},
        {"waiting", GetPool(active.GetPool()).wait_queue.GetSize()},
        {"attempts", outcome.attempts},
-       {"endpoint", outcome.endpoint},
-       {"load", outcome.load},
-       {"load_age_ms", outcome.load_age == Duration::max() ? -1 : ToMilliseconds(outcome.load_age)},
+       {"endpoint", outcome.choice.endpoint},
+       {"load", outcome.choice.load},
+       {"load_age_ms", outcome.choice.load_age == Duration::max() ? -1 : ToMilliseconds(outcome.choice.load_age)},
        {"wait_ms", ToMilliseconds(outcome.wait_time)},
-       {"expected_ms", ToMilliseconds(outcome.expected)},
+       {"expected_ms", ToMilliseconds(outcome.choice.expected)},
        {"first_ms", outcome.first_event.has_value() ? ToMilliseconds(*outcome.first_event) : -1},
-       {"version", GetVersionNumber(outcome.version)},
-       {"min_version", GetVersionNumber(outcome.min_version)},
-       {"limit_ms", outcome.until_limit.has_value() ? std::to_string(ToMilliseconds(*outcome.until_limit)) : "none"},
+       {"version", GetVersionNumber(outcome.choice.version)},
+       {"min_version", GetVersionNumber(outcome.choice.min_version)},
+       {"limit_ms",
+        outcome.choice.until_limit.has_value() ? std::to_string(ToMilliseconds(*outcome.choice.until_limit)) : "none"},
        {"total_ms", ToMilliseconds(outcome.total)},
        {"config", active.GetMatcher().GetDocument().version}});
   const auto found = m_active_requests.find(active.GetTicket());
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -114,14 +114,16 @@
   Duration GetRetryAfter(const ActiveRequest& active);
 
   void OnPrefillDone(ActiveRequest& active, const EndpointId& endpoint) override;
-  void OnResponseHead(const ActiveRequest& active, const ResponseHead& head) override;
-  void OnAnswerBegun(ActiveRequest& active) override;
+  void OnResponseHead(const ActiveRequest& active, const ForwardAttempt& attempt) override;
+  void OnAnswerBegun(ActiveRequest& active, const ForwardAttempt& attempt) override;
+  void OnSilent(const ActiveRequest& active, const ForwardAttempt& attempt) override;
   bool IsRepeatWorthwhile(const ActiveRequest& active) const override {
     return m_quarantine.IsEmpty() || !m_quarantine.IsSuspect(GetContentKeys(active));
   }
-  void OnAttemptEnded(ActiveRequest& active, const EndedAttempt& attempt) override;
-  void RecordCrash(const ActiveRequest& active, const EndedAttempt& attempt);
+  void OnAttemptEnded(ActiveRequest& active, const ForwardAttempt& attempt, AttemptEnd end) override;
+  void RecordCrash(const ActiveRequest& active, const ForwardAttempt& attempt);
   void RequestAttempt(ActiveRequest& active) override;
+  void WithdrawHedge(ActiveRequest& active) override;
   bool TryAcquireRetry(ActiveRequest& active) override;
   Duration SuggestRetryAfter(ActiveRequest& active) override { return GetRetryAfter(active); }
   std::optional<TimePoint> GetAttemptLimit(const ActiveRequest& active, const EndpointId& endpoint,
@@ -133,6 +135,7 @@
   const CallerProtocol& m_protocol;
   ForwardMetrics& m_metrics;
   const ForwardOptions m_options;
+  LoopTime m_loop_time;
   ActiveRequestDeps m_request_deps;
   EndpointBalancer m_balancer;
   CrashQuarantine m_quarantine;
--- /dev/null
+++ b/tests/forward_silence_test.cpp
@@ -0,0 +1,205 @@
+#include <catch2/catch.hpp>
+
+#include "failure_type.h"
+#include "forward_fake.h"
+
+namespace plantain {
+namespace {
+
+const std::string kFirst = "id: 1\ndata: a\n\n";
+const std::string kSecond = "id: 2\ndata: b\n\n";
+
+ForwardOptions MakeOptionsWithoutRetries() {
+  ForwardOptions options = ForwardFixture::MakeOptions();
+  options.retry_share = 0;
+  options.retry_slack = 0;
+  return options;
+}
+
+std::vector<EndpointInfo> MakeEngines(int count) {
+  std::vector<EndpointInfo> engines;
+  for (int i = 1; i <= count; ++i) engines.push_back(MakeEndpoint("e" + std::to_string(i), kEnginePool, "praha"));
+  return engines;
+}
+
+void CheckStreamGoesOn(ForwardFixture& fixture, FakeForwardCaller& caller) {
+  FakeAttemptSender::Sent& first = fixture.sender.At(0);
+  REQUIRE_FALSE(first.is_cancelled);
+  REQUIRE_FALSE(caller.is_aborted);
+  first.SendData(kSecond);
+  first.FinishResponse();
+  CHECK(caller.body == kFirst + kSecond);
+  CHECK(caller.is_complete);
+}
+
+// Guards against answers that are ended because their endpoint stands still for a second or so, without any other one
+// that could give the answer.
+TEST_CASE("An answer goes on after a pause of its endpoint if no other endpoint can give it") {
+  SECTION("a stream at the only endpoint") {
+    ForwardFixture fixture(MakeEngines(1));
+    const auto caller = fixture.SendRequest("/draft/1", "6000");
+    fixture.sender.At(0).BeginStream();
+    fixture.sender.At(0).SendData(kFirst);
+    fixture.AdvanceTime(Milliseconds(2000));
+    CheckStreamGoesOn(fixture, *caller);
+  }
+  SECTION("a stream, with the retry budget used up") {
+    ForwardFixture fixture(MakeEngines(2), MakeOptionsWithoutRetries());
+    const auto caller = fixture.SendRequest("/draft/1", "6000");
+    fixture.sender.At(0).BeginStream();
+    fixture.sender.At(0).SendData(kFirst);
+    fixture.AdvanceTime(Milliseconds(2000));
+    CheckStreamGoesOn(fixture, *caller);
+  }
+  SECTION("a stream that has not begun, with the retry budget used up") {
+    ForwardFixture fixture(MakeEngines(2), MakeOptionsWithoutRetries());
+    const auto caller = fixture.SendRequest("/draft/1", "6000");
+    fixture.AdvanceTime(Milliseconds(2000));
+    REQUIRE_FALSE(fixture.sender.At(0).is_cancelled);
+    fixture.sender.At(0).BeginStream();
+    fixture.sender.At(0).SendData(kFirst);
+    CheckStreamGoesOn(fixture, *caller);
+  }
+  SECTION("an idempotent request, with the retry budget used up") {
+    ForwardFixture fixture({MakeEndpoint("g1", kRegisterPool, "praha"), MakeEndpoint("g2", kRegisterPool, "praha")},
+                           MakeOptionsWithoutRetries());
+    const auto caller = fixture.SendRequest("/look/1", "1000");
+    fixture.AdvanceTime(Milliseconds(900));
+    REQUIRE_FALSE(fixture.sender.At(0).is_cancelled);
+    fixture.sender.At(0).SendResponse(200, "whole");
+    CHECK(caller->body == "whole");
+  }
+  SECTION("a request whose other endpoints are full") {
+    ForwardFixture fixture(MakeEngines(2));
+    std::vector<std::shared_ptr<FakeForwardCaller>> callers;
+    while (fixture.sender.GetCount() < 10) {
+      callers.push_back(fixture.SendRequest("/draft/1", "6000"));
+      FakeAttemptSender::Sent& sent = fixture.sender.At(fixture.sender.GetCount() - 1);
+      sent.BeginStream();
+      sent.SendData(kFirst);
+    }
+    fixture.AdvanceTime(Milliseconds(2000));
+    for (size_t i = 0; i < callers.size(); ++i) {
+      CHECK_FALSE(fixture.sender.At(i).is_cancelled);
+      CHECK_FALSE(callers[i]->is_aborted);
+    }
+  }
+}
+
+// Guards against a caller that waits for an endpoint which is gone, and against answers joined from two runs.
+TEST_CASE("A silent endpoint is replaced only when another one has begun to answer") {
+  ForwardFixture fixture(MakeEngines(3));
+  const auto caller = fixture.SendRequest("/draft/1", "6000");
+  FakeAttemptSender::Sent& first = fixture.sender.At(0);
+  first.BeginStream();
+  first.SendData(kFirst);
+  fixture.AdvanceTime(Milliseconds(1250));
+  REQUIRE(fixture.sender.GetCount() == 2);
+  FakeAttemptSender::Sent& second = fixture.sender.At(1);
+  CHECK(second.GetField("Last-Event-Id") == "1");
+  CHECK_FALSE(first.is_cancelled);
+
+  SECTION("the other one answers first") {
+    second.BeginStream();
+    CHECK_FALSE(first.is_cancelled);
+    second.SendData(kSecond);
+    CHECK(first.is_cancelled);
+    second.FinishResponse();
+    CHECK(caller->body == kFirst + kSecond);
+    CHECK(caller->is_complete);
+  }
+  SECTION("the silent one goes on first") {
+    first.SendData(kSecond);
+    CHECK(second.is_cancelled);
+    first.FinishResponse();
+    CHECK(caller->body == kFirst + kSecond);
+    CHECK(caller->is_complete);
+  }
+  SECTION("the other one fails") {
+    const std::string end = GENERATE("lost", "refused", "error");
+    if (end == "lost") second.FinishResponse(MakeFailure(FailureCode::kConnectionLost, "reset"));
+    if (end == "refused") second.RefuseAsNotRun();
+    if (end == "error") second.SendResponse(500, "no");
+    CheckStreamGoesOn(fixture, *caller);
+  }
+  SECTION("the silent one fails") {
+    first.FinishResponse(MakeFailure(FailureCode::kConnectionLost, "reset"));
+    CHECK_FALSE(second.is_cancelled);
+    second.BeginStream();
+    second.SendData(kSecond);
+    second.FinishResponse();
+    CHECK(caller->body == kFirst + kSecond);
+    CHECK(caller->is_complete);
+  }
+  SECTION("neither answers until the deadline") {
+    fixture.AdvanceTime(Milliseconds(5000));
+    CHECK(first.is_cancelled);
+    CHECK(second.is_cancelled);
+    CHECK(caller->is_aborted);
+    CHECK(fixture.sender.GetCount() == 2);
+  }
+  SECTION("the caller goes away") {
+    caller->on_closed();
+    CHECK(first.is_cancelled);
+    CHECK(second.is_cancelled);
+    CHECK(fixture.traffic->GetInFlight() == 0);
+  }
+}
+
+// Guards against an error or a second answer at the caller while one of two attempts still runs.
+TEST_CASE("Of two attempts at an idempotent request the first complete answer reaches the caller") {
+  ForwardFixture fixture({MakeEndpoint("g1", kRegisterPool, "praha"), MakeEndpoint("g2", kRegisterPool, "praha"),
+                          MakeEndpoint("g3", kRegisterPool, "praha")});
+  const auto caller = fixture.SendRequest("/look/1", "1000");
+  fixture.AdvanceTime(Milliseconds(470));
+  REQUIRE(fixture.sender.GetCount() == 2);
+  FakeAttemptSender::Sent& first = fixture.sender.At(0);
+  FakeAttemptSender::Sent& second = fixture.sender.At(1);
+
+  SECTION("an error waits for the other attempt") {
+    second.SendResponse(500, "error");
+    CHECK(caller->status == 0);
+    first.SendResponse(200, "whole");
+    CHECK(caller->body == "whole");
+  }
+  SECTION("a part of an answer does not cancel the other attempt") {
+    second.SendHead(200, {{"Plantainmast-Server-Stamp", "s"}});
+    second.SendData("who");
+    CHECK_FALSE(first.is_cancelled);
+    first.SendResponse(200, "whole");
+    CHECK(second.is_cancelled);
+    CHECK(caller->body == "whole");
+  }
+  SECTION("there are no more runs than the route allows") {
+    first.FinishResponse(MakeFailure(FailureCode::kConnectionLost, "reset"));
+    second.FinishResponse(MakeFailure(FailureCode::kConnectionLost, "reset"));
+    CHECK(fixture.sender.GetCount() == 2);
+    CHECK(caller->status == 502);
+  }
+}
+
+// Guards against a request that may run once only and is sent again because its endpoint is silent.
+TEST_CASE("A request that must run once is never sent beside a silent attempt") {
+  ForwardFixture fixture({MakeEndpoint("g1", kRegisterPool, "praha"), MakeEndpoint("g2", kRegisterPool, "praha")});
+  const auto caller = fixture.SendRequest("/seal/1", "1000");
+  fixture.AdvanceTime(Milliseconds(900));
+  CHECK(fixture.sender.GetCount() == 1);
+  fixture.sender.At(0).SendResponse(200, "sealed");
+  CHECK(caller->body == "sealed");
+}
+
+// Guards against attempts that are taken for silent although it is this process that did not read.
+TEST_CASE("Time in which the entry itself stood still is no silence of its endpoints") {
+  ForwardFixture fixture(MakeEngines(2));
+  const auto caller = fixture.SendRequest("/draft/1", "6000");
+  fixture.sender.At(0).BeginStream();
+  fixture.sender.At(0).SendData(kFirst);
+  fixture.AdvanceTime(Milliseconds(100));
+  fixture.clock.Advance(Milliseconds(3000));
+  fixture.traffic->CheckDue();
+  CHECK(fixture.sender.GetCount() == 1);
+  CheckStreamGoesOn(fixture, *caller);
+}
+
+}  // namespace
+}  // namespace plantain
