Count a pause of an endpoint once, and end it with the first byte that comes

Cause: EndpointBalancer backed off once for each attempt that a failure met, so that one pause counted as several failures in a row, up to the longest backoff, and an answer that went on did not end it. The same held for connections that fail at the same time. Class of fault: one fact about an endpoint counted once for each request that saw it.

Change: EndpointSilence (no I/O) tells an endpoint that stands still from one that leaves single requests unanswered. A failure that attempts show which were sent before it was found is not counted again. The first part of an answer ends the pause. Until then requests wait for a place as at a full endpoint, and one of them tries it from time to time.

The balancer's tests pass the time of each attempt now; the checks are the same.

--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -164,6 +164,7 @@
   attempt.received_at = m_deps.clock.GetNow();
   attempt.received_loop_time = m_deps.loop_time.GetElapsed();
   attempt.is_silence_reported = false;
+  m_deps.host.OnReceived(attempt);
 }
 
 void ActiveRequest::OnHead(ForwardAttempt& attempt, int status, const HttpHeaders& headers) {
--- a/src/active_request.h
+++ b/src/active_request.h
@@ -45,6 +45,8 @@
   virtual void OnResponseHead(const ActiveRequest& active, const ForwardAttempt& attempt) = 0;
   // Called when an attempt's answer has begun: at the first event of a stream, or at the end of another answer.
   virtual void OnAnswerBegun(ActiveRequest& active, const ForwardAttempt& attempt) = 0;
+  // Called when an endpoint has sent a part of its answer.
+  virtual void OnReceived(const ForwardAttempt& attempt) = 0;
   // Called once each time that an attempt has received nothing for too long.
   virtual void OnSilent(const ActiveRequest& active, const ForwardAttempt& attempt) = 0;
   virtual void OnAttemptEnded(ActiveRequest& active, const ForwardAttempt& attempt, AttemptEnd end) = 0;
--- a/src/endpoint_balancer.cpp
+++ b/src/endpoint_balancer.cpp
@@ -204,7 +204,8 @@
 EndpointBalancer::Availability EndpointBalancer::GetAvailability(State& state, const EndpointQuery& query,
                                                                  TimePoint now) {
   if (!IsEligible(state, query)) return Availability::kIneligible;
-  if (state.backoff_until > now) return Availability::kBackedOff;
+  // An endpoint that stands still may go on at any moment.
+  if (state.backoff_until > now) return state.silence.IsPaused() ? Availability::kBusy : Availability::kBackedOff;
   if (state.pause_until > now) return Availability::kBusy;
   if (m_statements.GetPauseLeft(state.info.id, state.info.incarnation) > Duration::zero()) return Availability::kBusy;
   if (state.is_switching && HasFreshReport(state, now)) return Availability::kBusy;
@@ -320,6 +321,8 @@
   ++found->second.own_requests;
   found->second.own_prompt_tokens += prompt_tokens;
   if (found->second.cold_requests_per_s > 0) found->second.rate_tokens -= 1;
+  // One request tells whether an endpoint goes on; others would only be held up with it.
+  if (found->second.silence.IsPaused()) found->second.backoff_until = m_clock.GetNow() + kSilentBackoff;
   m_statements.OnSent(id);
 }
 
@@ -329,13 +332,38 @@
   state.attempts = std::min(kErrorRateWindow, state.attempts + 1);
 }
 
-void EndpointBalancer::BackOff(State& state, Duration initial, Duration maximum) {
+bool EndpointBalancer::BackOff(State& state, TimePoint since, Duration initial, Duration maximum) {
+  if (since < state.failure_found_at) return false;
   const uint32_t doublings = std::min(state.failures, kMaxDoublings);
   ++state.failures;
-  state.backoff_until = m_clock.GetNow() + std::min(maximum, initial * (1 << doublings));
+  state.failure_found_at = m_clock.GetNow();
+  state.backoff_until = state.failure_found_at + std::min(maximum, initial * (1 << doublings));
+  return true;
 }
 
-void EndpointBalancer::OnEnded(const EndpointId& id, AttemptEnd end) {
+std::optional<Duration> EndpointBalancer::OnReceived(const EndpointId& id) {
+  const auto found = m_states.find(id);
+  if (found == m_states.end()) return std::nullopt;
+  State& state = found->second;
+  const std::optional<Duration> pause = state.silence.OnReceived(m_clock.GetNow());
+  if (!pause.has_value()) return std::nullopt;
+  state.failures = 0;
+  state.backoff_until = m_clock.GetNow();
+  return pause;
+}
+
+SilenceFinding EndpointBalancer::OnSilent(const EndpointId& id, TimePoint since) {
+  const auto found = m_states.find(id);
+  if (found == m_states.end()) return SilenceFinding::kRequestOnly;
+  State& state = found->second;
+  const SilenceFinding finding = state.silence.OnSilent(since, m_clock.GetNow());
+  const bool is_new = BackOff(state, since, kSilentBackoff, kMaxSilentBackoff);
+  // A pause is one failure, whatever the number of requests that it holds up.
+  if (is_new || finding == SilenceFinding::kRequestOnly) RecordOutcome(state, true);
+  return finding;
+}
+
+void EndpointBalancer::OnEnded(const EndpointId& id, AttemptEnd end, TimePoint sent_at) {
   const auto found = m_states.find(id);
   if (found == m_states.end()) return;
   State& state = found->second;
@@ -358,7 +386,7 @@
       state.pause_until = std::max(state.pause_until, m_clock.GetNow() + kMisdirectedPause);
       break;
     case AttemptEnd::kUnreachable:
-      BackOff(state, kUnreachableBackoff, kMaxUnreachableBackoff);
+      BackOff(state, sent_at, kUnreachableBackoff, kMaxUnreachableBackoff);
       break;
     case AttemptEnd::kSilent:
       // OnSilent has recorded it.
@@ -368,13 +396,6 @@
   }
 }
 
-void EndpointBalancer::OnSilent(const EndpointId& id) {
-  const auto found = m_states.find(id);
-  if (found == m_states.end()) return;
-  RecordOutcome(found->second, true);
-  BackOff(found->second, kSilentBackoff, kMaxSilentBackoff);
-}
-
 Duration EndpointBalancer::GetStatedPause(const PoolName& pool) const {
   const auto states = m_pools.find(pool);
   if (states == m_pools.end()) return Duration::zero();
--- a/src/endpoint_balancer.h
+++ b/src/endpoint_balancer.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "clock.h"
+#include "endpoint_silence.h"
 #include "endpoint_statement.h"
 #include "fleet_type.h"
 #include "random.h"
@@ -84,7 +85,8 @@
   kNoneEligible,
   // All eligible endpoints are in backoff after failures.
   kBackedOff,
-  // Every eligible endpoint that is not in backoff is full, rate-limited, loading weights or wants no requests for now.
+  // Every eligible endpoint that is not in backoff is full, rate-limited, loading weights, stands still or wants no
+  // requests for now.
   kBusy,
 };
 
@@ -126,9 +128,13 @@
   // Called when the endpoint has finished prompt processing (prefill) for an attempt: on its first event, or on its end
   // if no event came.
   void OnPrefillDone(const EndpointId& id, uint32_t prompt_tokens);
-  void OnEnded(const EndpointId& id, AttemptEnd end);
-  // Records that an attempt has received nothing from the endpoint for too long.
-  void OnSilent(const EndpointId& id);
+  void OnEnded(const EndpointId& id, AttemptEnd end, TimePoint sent_at);
+
+  // Records that the endpoint has sent a part of an answer. Returns how long it stood still, if it did.
+  std::optional<Duration> OnReceived(const EndpointId& id);
+  // Records that an attempt has received nothing from the endpoint since `since`. Until something comes from it, new
+  // requests go to other endpoints, and only one to this one from time to time.
+  SilenceFinding OnSilent(const EndpointId& id, TimePoint since);
 
   // Returns the time until an endpoint of the pool takes requests again, if all in service have stated that they want
   // none for some time; 0 otherwise.
@@ -164,8 +170,11 @@
     bool is_switching = false;
     double slowness = 1;
     std::map<ModelName, WeightVersion> loaded;
-    // End of the backoff after failures.
+    EndpointSilence silence;
+    // End of the backoff after failures, and when the last one was found. Attempts that were sent before then and fail
+    // too show nothing new.
     TimePoint backoff_until;
+    TimePoint failure_found_at;
     // End of the pause after a refusal that does not indicate a failure.
     TimePoint pause_until;
     uint32_t failures = 0;
@@ -201,7 +210,9 @@
   bool HasFreshReport(const State& state, TimePoint now) const;
   void RefillRateTokens(State& state, TimePoint now) const;
   void RecordOutcome(State& state, bool is_error);
-  void BackOff(State& state, Duration initial, Duration maximum);
+  // Backs off after a failure that an attempt has shown which has received nothing since `since`. Returns false if that
+  // failure is known already.
+  bool BackOff(State& state, TimePoint since, Duration initial, Duration maximum);
 
   const Clock& m_clock;
   Random& m_random;
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -466,12 +466,20 @@
   m_metrics.SetLimitedEndpoints(m_balancer.GetStatements().GetLimitCount());
 }
 
+void ForwardTraffic::OnReceived(const ForwardAttempt& attempt) {
+  const std::optional<Duration> pause = m_balancer.OnReceived(attempt.choice.endpoint);
+  if (!pause.has_value()) return;
+  LogEvent(LogLevel::kInfo, "endpoint_resumed",
+           {{"endpoint", attempt.choice.endpoint}, {"silent_ms", ToMilliseconds(*pause)}});
+}
+
 void ForwardTraffic::OnSilent(const ActiveRequest& active, const ForwardAttempt& attempt) {
-  m_balancer.OnSilent(attempt.choice.endpoint);
+  const SilenceFinding finding = m_balancer.OnSilent(attempt.choice.endpoint, attempt.received_at);
   LogEvent(LogLevel::kInfo, "endpoint_silent",
            {{"request", active.GetRequest().id},
             {"endpoint", attempt.choice.endpoint},
             {"silent_ms", ToMilliseconds(m_clock.GetNow() - attempt.received_at)},
+            {"is_pause", finding == SilenceFinding::kPause},
             {"has_events", active.HasEvents()},
             {"attempt", active.GetOutcome().attempts}});
 }
@@ -500,7 +508,7 @@
 void ForwardTraffic::OnAttemptEnded(ActiveRequest& active, const ForwardAttempt& attempt, AttemptEnd end) {
   const AnswerProgress progress = attempt.GetProgress(IsStream(active));
   m_metrics.CountAttempt(end);
-  m_balancer.OnEnded(attempt.choice.endpoint, end);
+  m_balancer.OnEnded(attempt.choice.endpoint, end, attempt.sent_at);
   if (end == AttemptEnd::kConnectionLost && progress != AnswerProgress::kBegun) RecordCrash(active, attempt);
   if (end == AttemptEnd::kSuccess) return;
   const TimePoint now = m_clock.GetNow();
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -116,6 +116,7 @@
   void OnPrefillDone(ActiveRequest& active, const EndpointId& endpoint) override;
   void OnResponseHead(const ActiveRequest& active, const ForwardAttempt& attempt) override;
   void OnAnswerBegun(ActiveRequest& active, const ForwardAttempt& attempt) override;
+  void OnReceived(const ForwardAttempt& attempt) override;
   void OnSilent(const ActiveRequest& active, const ForwardAttempt& attempt) override;
   bool IsRepeatWorthwhile(const ActiveRequest& active) const override {
     return m_quarantine.IsEmpty() || !m_quarantine.IsSuspect(GetContentKeys(active));
--- a/tests/endpoint_balancer_test.cpp
+++ b/tests/endpoint_balancer_test.cpp
@@ -57,7 +57,7 @@
     const std::string first = fixture.Send(4000);
     const std::string second = fixture.Send(100);
     fixture.balancer.OnPrefillDone(EndpointId(first), 4000);
-    fixture.balancer.OnEnded(EndpointId(first), AttemptEnd::kSuccess);
+    fixture.balancer.OnEnded(EndpointId(first), AttemptEnd::kSuccess, fixture.clock.GetNow());
     CHECK(fixture.Send(100) == first);
     CHECK(second != first);
   }
@@ -113,31 +113,32 @@
   BalancerFixture fixture({MakeEndpoint("e1", kEnginePool, "praha"), MakeEndpoint("e2", kEnginePool, "brno")});
 
   SECTION("an unreachable endpoint is used again after its backoff") {
-    fixture.balancer.OnEnded(EndpointId("e1"), AttemptEnd::kUnreachable);
+    fixture.balancer.OnEnded(EndpointId("e1"), AttemptEnd::kUnreachable, fixture.clock.GetNow());
     CHECK(fixture.Choose().endpoint->id == EndpointId("e2"));
     fixture.clock.Advance(Milliseconds(450));
     CHECK(fixture.Choose().endpoint->id == EndpointId("e1"));
   }
   SECTION("each consecutive failure doubles the backoff") {
-    for (int i = 0; i < 3; ++i) fixture.balancer.OnEnded(EndpointId("e1"), AttemptEnd::kUnreachable);
+    for (int i = 0; i < 3; ++i)
+      fixture.balancer.OnEnded(EndpointId("e1"), AttemptEnd::kUnreachable, fixture.clock.GetNow());
     fixture.clock.Advance(Milliseconds(1500));
     CHECK(fixture.Choose().endpoint->id == EndpointId("e2"));
   }
   SECTION("a full endpoint is used again after a short pause") {
-    fixture.balancer.OnEnded(EndpointId("e1"), AttemptEnd::kFull);
+    fixture.balancer.OnEnded(EndpointId("e1"), AttemptEnd::kFull, fixture.clock.GetNow());
     CHECK(fixture.Choose().endpoint->id == EndpointId("e2"));
     fixture.clock.Advance(Milliseconds(70));
     CHECK(fixture.Choose().endpoint->id == EndpointId("e1"));
   }
   SECTION("an endpoint with a far higher error rate than the others is avoided") {
     for (int i = 0; i < 12; ++i) {
-      fixture.balancer.OnEnded(EndpointId("e1"), AttemptEnd::kError);
-      fixture.balancer.OnEnded(EndpointId("e2"), AttemptEnd::kSuccess);
+      fixture.balancer.OnEnded(EndpointId("e1"), AttemptEnd::kError, fixture.clock.GetNow());
+      fixture.balancer.OnEnded(EndpointId("e2"), AttemptEnd::kSuccess, fixture.clock.GetNow());
     }
     CHECK(fixture.Choose().endpoint->id == EndpointId("e2"));
   }
   SECTION("a restart clears the backoff") {
-    fixture.balancer.OnSilent(EndpointId("e1"));
+    fixture.balancer.OnSilent(EndpointId("e1"), fixture.clock.GetNow());
     CHECK(fixture.Choose().endpoint->id == EndpointId("e2"));
     fixture.fleet = std::make_shared<FleetView>(*fixture.fleet);
     fixture.fleet->endpoints[0].incarnation = Incarnation(2);
@@ -200,7 +201,7 @@
 
   void FinishDue() {
     while (!m_running.empty() && m_running.front().ends_at <= clock.GetNow()) {
-      balancers[m_running.front().entry]->OnEnded(EndpointId("e1"), AttemptEnd::kSuccess);
+      balancers[m_running.front().entry]->OnEnded(EndpointId("e1"), AttemptEnd::kSuccess, clock.GetNow());
       m_running.pop_front();
     }
   }
--- a/tests/forward_silence_test.cpp
+++ b/tests/forward_silence_test.cpp
@@ -188,6 +188,47 @@
   CHECK(caller->body == "sealed");
 }
 
+// Guards against an endpoint that gets nothing for seconds after a pause that held up several of its requests.
+TEST_CASE("An endpoint gets requests again with the first byte after its pause, however many it held up") {
+  ForwardFixture fixture(MakeEngines(1), MakeOptionsWithoutRetries());
+  std::vector<std::shared_ptr<FakeForwardCaller>> callers;
+  for (int i = 0; i < 3; ++i) {
+    callers.push_back(fixture.SendRequest("/draft/1", "6000"));
+    fixture.sender.At(i).BeginStream();
+    fixture.sender.At(i).SendData(kFirst);
+  }
+  fixture.AdvanceTime(Milliseconds(1300));
+  const auto held_up = fixture.SendRequest("/draft/1", "6000");
+  CHECK(held_up->status == 0);
+  for (int i = 0; i < 3; ++i) fixture.sender.At(i).SendData(kSecond);
+  const auto next = fixture.SendRequest("/draft/1", "6000");
+  fixture.AdvanceTime(Milliseconds(20));
+  CHECK(fixture.sender.GetCount() == 5);
+  for (const auto& caller : callers) CHECK_FALSE(caller->is_aborted);
+}
+
+// Guards against an endpoint that is gone and still gets a request from each caller.
+TEST_CASE("An endpoint that stays silent gets one request from time to time") {
+  ForwardFixture fixture(MakeEngines(2), MakeOptionsWithoutRetries());
+  const auto send = [&] {
+    const auto caller = fixture.SendRequest("/draft/1", "6000");
+    FakeAttemptSender::Sent& sent = fixture.sender.At(fixture.sender.GetCount() - 1);
+    if (sent.GetEndpoint() == "e1") return;
+    sent.BeginStream();
+    sent.SendData(kFirst);
+    sent.FinishResponse();
+  };
+  size_t to_silent = 0;
+  for (int i = 0; i < 100; ++i) {
+    send();
+    fixture.AdvanceTime(Milliseconds(100));
+    if (i < 20) continue;
+    to_silent += fixture.sender.At(fixture.sender.GetCount() - 1).GetEndpoint() == "e1";
+  }
+  // 8 s with a probe each 1.5 s at most.
+  CHECK(to_silent <= 6);
+}
+
 // Guards against attempts that are taken for silent although it is this process that did not read.
 TEST_CASE("Time in which the entry itself stood still is no silence of its endpoints") {
   ForwardFixture fixture(MakeEngines(2));
