Refuse queued requests at once when no endpoint is left that may run them

Callers whose requests were queued waited 0.5 to 1 s for a refusal after all endpoints of their pool had left the directory.

Cause: only a request that arrived was told that no endpoint may run it; one in the queue waited for the end of its waiting time.

Change: with each new view of the fleet, queued requests without an eligible endpoint are refused. Requests that have been sent go on, since their endpoints may only be draining.

Measured: the case 'Queued requests are refused at once when all endpoints of their pool leave' fails without it.

--- a/src/endpoint_balancer.cpp
+++ b/src/endpoint_balancer.cpp
@@ -302,6 +302,13 @@
   return choice;
 }
 
+bool EndpointBalancer::HasEligible(const EndpointQuery& query) const {
+  const auto pool = m_pools.find(query.pool);
+  if (pool == m_pools.end() || IsSuperseded(query)) return false;
+  return std::any_of(pool->second.begin(), pool->second.end(),
+                     [&](const State* state) { return IsEligible(*state, query); });
+}
+
 std::optional<WeightVersion> EndpointBalancer::GetVersion(const EndpointId& id, const ModelName& model) const {
   const auto found = m_states.find(id);
   if (found == m_states.end()) return std::nullopt;
--- a/src/endpoint_balancer.h
+++ b/src/endpoint_balancer.h
@@ -121,6 +121,9 @@
 
   EndpointChoice Choose(const EndpointQuery& query);
 
+  // Whether an endpoint of the pool may run the request, now or later.
+  bool HasEligible(const EndpointQuery& query) const;
+
   // Returns the version of a model that an endpoint last reported, or nothing.
   std::optional<WeightVersion> GetVersion(const EndpointId& id, const ModelName& model) const;
 
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -81,6 +81,7 @@
   m_fleet = fleet;
   m_balancer.SetFleet(fleet);
   if (is_new_routing) m_matcher = std::make_shared<const RouteMatcher>(fleet->routing);
+  RefuseUnservable();
   for (const auto& [pool, state] : m_pools) DispatchQueued(pool);
 }
 
@@ -363,6 +364,18 @@
   }
 }
 
+void ForwardTraffic::RefuseUnservable() {
+  for (auto& [pool, state] : m_pools) {
+    for (const WaitTicket ticket : state.wait_queue.GetNext(state.wait_queue.GetSize())) {
+      const auto found = m_active_requests.find(ticket);
+      if (found == m_active_requests.end() || m_balancer.HasEligible(MakeQuery(*found->second))) continue;
+      state.wait_queue.Remove(ticket);
+      const std::shared_ptr<ActiveRequest> active = found->second;
+      RefuseQueued(*active, ForwardFailure::kNoEndpoint);
+    }
+  }
+}
+
 void ForwardTraffic::DispatchQueued(const PoolName& pool) {
   WaitQueue& wait_queue = m_pools[pool].wait_queue;
   bool has_dispatched = true;
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -95,6 +95,8 @@
   bool ExceedsDrainDeadline(const ForwardRequest& request, const RouteRule& rule) const;
   void StartRequest(ForwardRequest request, const RouteMatch& match, const std::shared_ptr<HttpResponder>& responder);
   void Enqueue(ActiveRequest& active);
+  // Refuses queued requests that no endpoint may run any more.
+  void RefuseUnservable();
   bool HasMissedGoal(const ActiveRequest& active) const;
   WaitingRequest MakeLateEntry(WaitingRequest entry, const ActiveRequest& active) const;
   Duration GetMaxWait(const ActiveRequest& active) const;
--- a/tests/forward_silence_test.cpp
+++ b/tests/forward_silence_test.cpp
@@ -242,5 +242,29 @@
   CheckStreamGoesOn(fixture, *caller);
 }
 
+// Guards against callers that wait for an endpoint although none is left that may run their request.
+TEST_CASE("Queued requests are refused at once when all endpoints of their pool leave, and sent ones go on") {
+  ForwardFixture fixture(MakeEngines(1));
+  std::vector<std::shared_ptr<FakeForwardCaller>> callers;
+  for (int i = 0; i < 7; ++i) callers.push_back(fixture.SendRequest("/draft/1", "6000"));
+  const size_t sent = fixture.sender.GetCount();
+  REQUIRE(sent == 5);
+  const bool is_listed = GENERATE(true, false);
+  fixture.fleet = std::make_shared<FleetView>(*fixture.fleet);
+  if (is_listed) {
+    fixture.fleet->endpoints[0].is_leaving = true;
+  } else {
+    fixture.fleet->endpoints.clear();
+  }
+  fixture.traffic->SetFleet(fixture.fleet);
+  CHECK(callers[5]->status == 503);
+  CHECK(callers[6]->status == 503);
+  fixture.AdvanceTime(Milliseconds(2000));
+  for (size_t i = 0; i < sent; ++i) {
+    CHECK_FALSE(fixture.sender.At(i).is_cancelled);
+    CHECK(callers[i]->status == 0);
+  }
+}
+
 }  // namespace
 }  // namespace plantain
