Play pauses of engines in the soak of the hosted path

One engine or all of them stand still for up to 2 s, with their connections open, and go on. The run of a request that was held up so stays a case of the checks stop and cut.

--- a/bench/_soak_standins.py
+++ b/bench/_soak_standins.py
@@ -25,6 +25,8 @@
 # An engine whose loop was held up as long is one that stood still; entries take it for failed after 1.2 s of silence.
 LATE_S = 0.6
 DRAIN_MIN_S, DRAIN_MAX_S = 2.0, 5.0
+# Longest time for which a sound engine stands still.
+MAX_PAUSE_S = 2.0
 # Period of the look at stalls of the machine, and the delay from which it is one.
 STALL_PERIOD_S, STALL_S = 0.02, 0.2
 
@@ -177,6 +179,7 @@
         due_at = time.monotonic() + usual_s * (0.5 + self.fleet.random.random())
         await asyncio.sleep(due_at - time.monotonic())
         run.late_s = max(run.late_s, time.monotonic() - due_at)
+        await self.go_on()
         if writer.is_closing() or self.id != run.engine:
             raise ConnectionResetError
 
@@ -229,6 +232,16 @@
     async def engine_drain(self, fault):
         await self.pick(fault).leave(min(DRAIN_MAX_S, max(DRAIN_MIN_S, fault.length_s)))
 
+    async def engine_pause(self, fault):
+        """A sound engine stands still for a moment, and goes on."""
+        self.pick(fault).stand_still(min(MAX_PAUSE_S, fault.length_s))
+        await asyncio.sleep(min(MAX_PAUSE_S, fault.length_s))
+
+    async def engines_pause(self, fault):
+        for engine in self.fleet.engines:
+            engine.stand_still(min(MAX_PAUSE_S, fault.length_s))
+        await asyncio.sleep(min(MAX_PAUSE_S, fault.length_s))
+
     async def set_mode(self, fault, mode):
         engine = self.pick(fault)
         engine.mode = mode
