--- a/bench/_soak_standins.py
+++ b/bench/_soak_standins.py
@@ -25,8 +25,6 @@
 # An engine whose loop was held up as long is one that stood still; entries take it for failed after 1.2 s of silence.
 LATE_S = 0.6
 DRAIN_MIN_S, DRAIN_MAX_S = 2.0, 5.0
-# Longest time for which a sound engine stands still.
-MAX_PAUSE_S = 2.0
 # Period of the look at stalls of the machine, and the delay from which it is one.
 STALL_PERIOD_S, STALL_S = 0.02, 0.2
 
@@ -234,13 +232,13 @@
 
     async def engine_pause(self, fault):
         """A sound engine stands still for a moment, and goes on."""
-        self.pick(fault).stand_still(min(MAX_PAUSE_S, fault.length_s))
-        await asyncio.sleep(min(MAX_PAUSE_S, fault.length_s))
+        self.pick(fault).stand_still(fault.length_s)
+        await asyncio.sleep(fault.length_s)
 
     async def engines_pause(self, fault):
         for engine in self.fleet.engines:
-            engine.stand_still(min(MAX_PAUSE_S, fault.length_s))
-        await asyncio.sleep(min(MAX_PAUSE_S, fault.length_s))
+            engine.stand_still(fault.length_s)
+        await asyncio.sleep(fault.length_s)
 
     async def set_mode(self, fault, mode):
         engine = self.pick(fault)
