Let a shorter idle time hold for a connection from its next answer on

The caller had no way to know the new limit.

Change: each connection keeps the limit that was in force when it began to wait; a longer one holds at once (IdleLimit, no I/O).

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "clock.h"
+#include "event_log.h"
 #include "failure_type.h"
 #include "http_session_asio.h"
 #include "socket_option.h"
@@ -49,9 +50,14 @@
   const TimePoint now = GetMonotonicTime();
   // A session that closes may leave the set.
   const std::vector<HttpSession*> all(sessions.begin(), sessions.end());
+  size_t closed = 0;
   for (HttpSession* session : all) {
-    if (sessions.contains(session)) session->CheckTime(now);
+    if (sessions.contains(session) && session->CheckTime(now)) ++closed;
   }
+  if (closed == 0) return;
+  LogEvent(
+      LogLevel::kInfo, "idle_connections_closed",
+      {{"connections", closed}, {"idle_limit_ms", ToMilliseconds(limits.idle_timeout)}, {"left", sessions.size()}});
 }
 
 void HttpServer::Impl::WaitForConnections() {
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -43,7 +43,8 @@
   size_t max_body_bytes = 1024 * 1024;
   // Longest time from the first byte of a request to the end of its header, and as long again for its body.
   Duration header_timeout{};
-  // Longest time between an answer and the first byte of the next request.
+  // Longest time between an answer and the first byte of the next request. A shorter one holds for a connection from
+  // its next answer on.
   Duration idle_timeout{};
 };
 
--- a/src/http_session.cpp
+++ b/src/http_session.cpp
@@ -81,16 +81,17 @@
   return m_socket.available(error) > 0;
 }
 
-void HttpSession::CheckTime(TimePoint now) {
+bool HttpSession::CheckTime(TimePoint now) {
   if (m_state == State::kLingering) {
     if (now - m_read_since >= kLingerTime) Close();
-    return;
+    return false;
   }
-  if (m_state != State::kReading) return;
+  if (m_state != State::kReading) return false;
   const HttpLimits& limits = m_server->limits;
   if (!HasBegunRequest()) {
-    if (limits.idle_timeout > Duration::zero() && now - m_read_since >= limits.idle_timeout && IsIdle()) Close();
-    return;
+    const bool is_over = m_idle_limit.IsOver(limits.idle_timeout, now) && IsIdle();
+    if (is_over) Close();
+    return is_over;
   }
   if (!m_has_begun) {
     m_has_begun = true;
@@ -98,6 +99,7 @@
   }
   const Duration allowed = m_parser->is_header_done() ? 2 * limits.header_timeout : limits.header_timeout;
   if (limits.header_timeout > Duration::zero() && now - m_read_since >= allowed) RefuseRequest(408);
+  return false;
 }
 
 void HttpSession::Send(HttpResponse response) {
@@ -160,6 +162,7 @@
   m_parser->header_limit(static_cast<uint32_t>(m_server->limits.max_header_bytes));
   m_parser->body_limit(m_server->limits.max_body_bytes);
   m_read_since = GetMonotonicTime();
+  m_idle_limit.Begin(m_server->limits.idle_timeout, m_read_since);
   m_has_begun = false;
 }
 
--- a/src/http_session_asio.h
+++ b/src/http_session_asio.h
@@ -4,6 +4,7 @@
 #define PLANTAIN_HTTP_SESSION_ASIO_H_
 
 #include "http_server.h"
+#include "idle_limit.h"
 #include "loop_asio.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -74,8 +75,8 @@
   // request is first left some time for one, counted from the first call.
   void CloseIfIdle(TimePoint now);
 
-  // Applies the time limits.
-  void CheckTime(TimePoint now);
+  // Applies the time limits. Returns whether it has closed the connection because it was idle for too long.
+  bool CheckTime(TimePoint now);
 
   // Whether bytes have arrived that belong to no request that was handled.
   bool HasUnread() const;
@@ -153,6 +154,7 @@
   bool m_is_refused = false;
   // Since when the session waits for the next request, or, once it has begun, for its end.
   TimePoint m_read_since;
+  IdleLimit m_idle_limit;
   bool m_has_carried_request = false;
   // When the server, while it closes idle connections, first found this one without any request.
   std::optional<TimePoint> m_found_unused_at;
--- a/tests/http_limits_test.cpp
+++ b/tests/http_limits_test.cpp
@@ -10,8 +10,10 @@
 #include <string>
 #include <vector>
 
+#include "clock.h"
 #include "http_client.h"
 #include "http_server.h"
+#include "idle_limit.h"
 #include "log_writer.h"
 #include "loopback_address.h"
 
@@ -125,6 +127,38 @@
   CHECK(answer.find("HTTP/1.1 200") != answer.rfind("HTTP/1.1 200"));
 }
 
+// Guards against requests that are lost because a configuration shortens the idle time, and all connections that have
+// been idle for longer are closed at once, also those on which a request is on its way.
+TEST_CASE("A shorter idle time holds for a connection from its next answer on") {
+  SECTION("as a decision") {
+    const TimePoint begin = VirtualClock().GetNow();
+    IdleLimit limit;
+    limit.Begin(std::chrono::seconds(60), begin);
+    CHECK_FALSE(limit.IsOver(std::chrono::seconds(1), begin + std::chrono::seconds(59)));
+    CHECK(limit.IsOver(std::chrono::seconds(1), begin + std::chrono::seconds(60)));
+    CHECK_FALSE(limit.IsOver(std::chrono::seconds(90), begin + std::chrono::seconds(89)));
+    CHECK_FALSE(limit.IsOver(Duration::zero(), begin + std::chrono::hours(1)));
+    limit.Begin(std::chrono::seconds(1), begin + std::chrono::seconds(30));
+    CHECK(limit.IsOver(std::chrono::seconds(1), begin + std::chrono::seconds(31)));
+  }
+  SECTION("on connections") {
+    RawHttpFixture fixture;
+    tcp::socket kept(fixture.loop.GetImpl().context);
+    kept.connect(tcp::endpoint(boost::asio::ip::make_address(kTarget.address.Get()), kTarget.port.Get()));
+    // Accepted under the longer limit, as this answer shows.
+    fixture.Exchange("GET /a HTTP/1.1\r\nConnection: close\r\n\r\n");
+    fixture.SetIdleTimeout(Milliseconds(100));
+    // A connection that comes later is closed by the shorter limit.
+    CHECK(fixture.Exchange("").empty());
+    boost::asio::write(kept, boost::asio::buffer(std::string("GET /b HTTP/1.1\r\nConnection: close\r\n\r\n")));
+    std::string answer;
+    boost::asio::async_read(kept, boost::asio::dynamic_buffer(answer),
+                            [&](const ErrorCode&, size_t) { fixture.loop.Stop(); });
+    fixture.loop.Run();
+    CHECK(GetStatusLine(answer).starts_with("HTTP/1.1 200"));
+  }
+}
+
 std::string FormatDroppedLines(uint64_t dropped) { return "dropped " + std::to_string(dropped) + "\n"; }
 
 // Guards against a stalled log reader that blocks the threads that write log lines.
