Go on with a silent attempt on the stand-ins' path too

The same cause as on the forwarding path: AttemptClient reported an attempt as lost after attempt.silence_ms and cancelled it, before RequestExecution knew whether another endpoint could go on, so that a pause of one agent or engine ended streams whose callers had no other endpoint, or no retry left.

Change: AttemptClient reports silence and the attempt goes on. RequestExecution starts a hedge if an endpoint and a retry can be had, and cancels the other attempt when one of the two answers.

Two tests changed because they demanded the fault: a timeout was to report a loss and cancel; it now is to report silence and go on.

--- a/src/attempt_client.cpp
+++ b/src/attempt_client.cpp
@@ -14,8 +14,6 @@
 
 std::string_view GetAttemptLossName(AttemptLoss loss) {
   switch (loss) {
-    case AttemptLoss::kSilent:
-      return "silent";
     case AttemptLoss::kEndpointGone:
       return "endpoint_gone";
     case AttemptLoss::kProtocol:
@@ -58,7 +56,7 @@
   attempt.is_completion = start.has_completion();
   attempt.next_index = start.completion().resume_from();
   attempt.expected_manifest = Digest(start.completion().manifest());
-  attempt.last_message_at = m_clock.GetNow();
+  attempt.heard_at = m_clock.GetNow();
   proto::AttemptMessage message;
   *message.mutable_start() = std::move(start);
   if (!m_transport.Send(to, message.SerializeAsString())) return AttemptId();
@@ -112,7 +110,7 @@
     m_observer.OnDropped(MessageDropReason::kWrongEndpoint);
     return nullptr;
   }
-  found->second.last_message_at = m_clock.GetNow();
+  found->second.heard_at = m_clock.GetNow();
   return &found->second;
 }
 
@@ -194,12 +192,18 @@
 
 void AttemptClient::CheckTimeouts() {
   const TimePoint now = m_clock.GetNow();
-  std::vector<AttemptId> lost;
-  for (const auto& [id, attempt] : m_attempts) {
+  std::vector<AttemptId> silent;
+  for (auto& [id, attempt] : m_attempts) {
     const Duration limit = attempt.has_token ? m_options.silence_timeout : m_options.first_timeout;
-    if (now - attempt.last_message_at > limit) lost.push_back(id);
+    if (now - attempt.heard_at <= limit) continue;
+    attempt.heard_at = now;
+    silent.push_back(id);
+  }
+  for (const AttemptId id : silent) {
+    // A listener may have ended another attempt of the list.
+    const auto found = m_attempts.find(id);
+    if (found != m_attempts.end()) found->second.listener->OnSilent(id);
   }
-  for (const AttemptId id : lost) ReportLost(id, AttemptLoss::kSilent);
 }
 
 }  // namespace plantain
--- a/src/attempt_client.h
+++ b/src/attempt_client.h
@@ -27,7 +27,7 @@
 };
 
 // Why an attempt ended without a valid final reply from its agent. The request may have been executed.
-enum class AttemptLoss { kSilent, kEndpointGone, kProtocol };
+enum class AttemptLoss { kEndpointGone, kProtocol };
 
 // Returns the name used in metrics and events.
 std::string_view GetAttemptLossName(AttemptLoss loss);
@@ -42,6 +42,8 @@
   virtual void OnEnd(AttemptId attempt, int status, std::string body) = 0;
   virtual void OnRefused(AttemptId attempt, const proto::AttemptRefused& refused) = 0;
   virtual void OnLost(AttemptId attempt, AttemptLoss loss) = 0;
+  // Nothing has come for the attempt within its timeout. It goes on; called again after each further timeout.
+  virtual void OnSilent(AttemptId attempt) = 0;
 };
 
 // Why a message from an agent was discarded.
@@ -59,9 +61,9 @@
 };
 
 struct AttemptOptions {
-  // Maximum time to the first token, or to the response of a service call.
+  // Time without the first token, or the response of a service call, after which an attempt is silent.
   Duration first_timeout = std::chrono::seconds(15);
-  // Maximum time between two messages once the first token has arrived.
+  // The same between two messages once the first token has arrived.
   Duration silence_timeout = std::chrono::seconds(2);
 };
 
@@ -83,7 +85,7 @@
   // Reports all attempts on a removed VM as lost.
   void HandleEndpointGone(const VmId& vm);
 
-  // Reports attempts that exceeded a timeout as lost. Must be called periodically.
+  // Reports attempts that exceeded a timeout as silent. Must be called periodically.
   void CheckTimeouts();
 
   size_t GetInFlight() const { return m_attempts.size(); }
@@ -96,7 +98,8 @@
     uint32_t next_index = 0;
     Digest expected_manifest;
     Digest manifest;
-    TimePoint last_message_at;
+    // When the last message came, or the attempt was last reported as silent.
+    TimePoint heard_at;
     bool has_token = false;
   };
 
--- a/src/request_execution.cpp
+++ b/src/request_execution.cpp
@@ -58,35 +58,55 @@
       m_prefix(m_request.IsCompletion() ? HashPrefix(m_request.prompt) : PrefixHashes()) {}
 
 RequestExecution::~RequestExecution() {
-  if (m_attempt == AttemptId()) return;
-  m_deps.attempts.Cancel(m_attempt);
-  EndAttempt();
+  while (!m_running.empty()) CancelAttempt(m_running.back().id);
 }
 
 void RequestExecution::Start() { SendAttempt(); }
 
-void RequestExecution::SendAttempt() {
-  m_is_waiting = false;
+RouteChoice RequestExecution::ChooseEndpoint() {
   RouteQuery query;
   query.key = m_request.key;
   query.prefix = m_prefix;
   query.excluded = m_tried;
   if (HasTokens()) query.manifest = m_answer->GetAnswer().manifest;
-  RouteChoice choice = m_deps.chooser.Choose(query);
-  if (!choice.vm.has_value()) return HandleNoRoute(choice);
-  m_vm = *choice.vm;
-  m_tried.push_back(m_vm);
+  return m_deps.chooser.Choose(query);
+}
+
+bool RequestExecution::StartAttempt(const VmId& vm) {
+  m_endpoint = vm;
+  m_tried.push_back(vm);
   ++m_attempts;
-  m_attempt = m_deps.attempts.Start(m_vm, MakeStart(), *this);
-  if (m_attempt == AttemptId()) {
-    m_deps.chooser.OnRefused(m_vm, Duration{});
-    m_deps.observer.OnAttemptFailed(*this, m_attempt, m_vm, "not_sent", true);
-    return RetryOrFail(AttemptOutcome::kNotSent, EntryFailure::kNoEndpoint, Duration{}, "endpoint not connected");
+  const AttemptId attempt = m_deps.attempts.Start(vm, MakeStart(), *this);
+  if (attempt == AttemptId()) {
+    m_deps.chooser.OnRefused(vm, Duration{});
+    m_deps.observer.OnAttemptFailed(*this, attempt, vm, "not_sent", true);
+    return false;
   }
   ++m_sent;
-  m_attempt_at = m_deps.clock.GetNow();
-  m_deps.chooser.OnAttemptStarted(m_vm);
-  m_deps.observer.OnAttempt(*this, m_attempt, m_vm, m_sent);
+  m_running.push_back({attempt, vm, m_deps.clock.GetNow()});
+  m_deps.chooser.OnAttemptStarted(vm);
+  m_deps.observer.OnAttempt(*this, attempt, vm, m_sent);
+  return true;
+}
+
+void RequestExecution::SendAttempt() {
+  m_is_waiting = false;
+  const RouteChoice choice = ChooseEndpoint();
+  if (!choice.vm.has_value()) return HandleNoRoute(choice);
+  if (StartAttempt(*choice.vm)) return;
+  RetryOrFail(AttemptOutcome::kNotSent, EntryFailure::kNoEndpoint, Duration{}, "endpoint not connected");
+}
+
+void RequestExecution::OnSilent(AttemptId attempt) {
+  const auto silent = std::find_if(m_running.begin(), m_running.end(),
+                                   [attempt](const RunningAttempt& running) { return running.id == attempt; });
+  if (silent == m_running.end()) return;
+  m_deps.chooser.OnRefused(silent->vm, Duration{});
+  if (m_running.size() > 1 || !m_request.is_idempotent) return;
+  const RouteChoice choice = ChooseEndpoint();
+  // Decided last, since it takes a retry from the budget.
+  if (!choice.vm.has_value()) return;
+  if (GetRetryPolicy().Decide(MakeRetryQuery(AttemptOutcome::kMayHaveRun)).is_retry) StartAttempt(*choice.vm);
 }
 
 void RequestExecution::HandleNoRoute(const RouteChoice& choice) {
@@ -139,60 +159,87 @@
   call.set_idempotency_key(m_request.idempotency_key);
 }
 
-void RequestExecution::EndAttempt() {
-  m_deps.chooser.OnAttemptEnded(m_vm, m_deps.clock.GetNow() - m_attempt_at);
-  m_attempt = AttemptId();
+VmId RequestExecution::EndAttempt(AttemptId attempt) {
+  const auto found = std::find_if(m_running.begin(), m_running.end(),
+                                  [attempt](const RunningAttempt& running) { return running.id == attempt; });
+  const RunningAttempt ended = *found;
+  m_running.erase(found);
+  if (!m_running.empty()) m_endpoint = m_running.back().vm;
+  m_deps.chooser.OnAttemptEnded(ended.vm, m_deps.clock.GetNow() - ended.sent_at);
+  return ended.vm;
 }
 
-void RequestExecution::OnToken(AttemptId, std::string text, const Digest& manifest) {
+void RequestExecution::CancelAttempt(AttemptId attempt) {
+  // The endpoint may already be running it.
   m_is_not_run = false;
+  EndAttempt(attempt);
+  m_deps.attempts.Cancel(attempt);
+}
+
+void RequestExecution::CancelOthers(AttemptId attempt) {
+  const std::vector<RunningAttempt> running = m_running;
+  for (const RunningAttempt& other : running) {
+    if (other.id == attempt) continue;
+    m_deps.observer.OnAttemptFailed(*this, other.id, other.vm, "replaced", false);
+    CancelAttempt(other.id);
+  }
+}
+
+void RequestExecution::OnToken(AttemptId attempt, std::string text, const Digest& manifest) {
+  m_is_not_run = false;
+  if (m_running.size() > 1) CancelOthers(attempt);
   m_deps.observer.OnToken(*this, manifest);
   m_answer->PublishToken(std::move(text), manifest);
 }
 
-void RequestExecution::OnEnd(AttemptId, int status, std::string body) {
+void RequestExecution::OnEnd(AttemptId attempt, int status, std::string body) {
   m_is_not_run = false;
-  EndAttempt();
-  m_deps.chooser.OnSuccess(m_vm);
+  CancelOthers(attempt);
+  m_deps.chooser.OnSuccess(EndAttempt(attempt));
   m_answer->PublishComplete(status, std::move(body));
   Finish();
 }
 
 void RequestExecution::OnRefused(AttemptId attempt, const proto::AttemptRefused& refused) {
-  EndAttempt();
+  const VmId vm = EndAttempt(attempt);
   const Duration hint = Milliseconds(refused.retry_after_ms());
   const proto::RefusalReason reason = refused.reason();
-  m_deps.observer.OnAttemptFailed(*this, attempt, m_vm, proto::RefusalReason_Name(reason), refused.not_run());
+  m_deps.observer.OnAttemptFailed(*this, attempt, vm, proto::RefusalReason_Name(reason), refused.not_run());
   // A duplicate did not run, but the original call may be running elsewhere.
   if (!refused.not_run() || reason == proto::REFUSAL_REASON_DUPLICATE_RUNNING) m_is_not_run = false;
-  if (IsFinal(reason)) return Fail(ToFailure(reason), hint, "refused by the endpoint");
-  m_deps.chooser.OnRefused(m_vm, hint);
+  if (IsFinal(reason) && m_running.empty()) return Fail(ToFailure(reason), hint, "refused by the endpoint");
+  m_deps.chooser.OnRefused(vm, hint);
   if (IsOverload(reason)) m_deps.observer.OnOverload(*this);
   const AttemptOutcome outcome = refused.not_run() ? AttemptOutcome::kNotRun : AttemptOutcome::kMayHaveRun;
   RetryOrFail(outcome, ToFailure(reason), hint, "refused by the endpoint");
 }
 
 void RequestExecution::OnLost(AttemptId attempt, AttemptLoss loss) {
-  EndAttempt();
+  const VmId vm = EndAttempt(attempt);
   m_is_not_run = false;
-  m_deps.chooser.OnRefused(m_vm, Duration{});
-  m_deps.observer.OnAttemptFailed(*this, attempt, m_vm, GetAttemptLossName(loss), false);
+  m_deps.chooser.OnRefused(vm, Duration{});
+  m_deps.observer.OnAttemptFailed(*this, attempt, vm, GetAttemptLossName(loss), false);
   const EntryFailure failure = !m_request.is_idempotent ? EntryFailure::kUnknownOutcome
                                : HasTokens()            ? EntryFailure::kInterrupted
                                                         : EntryFailure::kEndpointFailed;
   RetryOrFail(AttemptOutcome::kMayHaveRun, failure, Duration{}, "lost the endpoint during the attempt");
 }
 
-void RequestExecution::RetryOrFail(AttemptOutcome outcome, EntryFailure failure, Duration hint, std::string detail) {
-  if (m_last_failure == EntryFailure::kNone || outcome != AttemptOutcome::kNotSent) m_last_failure = failure;
+RetryQuery RequestExecution::MakeRetryQuery(AttemptOutcome outcome) const {
   RetryQuery query;
   query.outcome = outcome;
   query.is_idempotent = m_request.is_idempotent;
   query.attempts = m_attempts;
   query.deadline = m_request.deadline;
   query.expected = m_deps.get_expected(m_request.key);
-  RetryPolicy& policy = HasTokens() ? m_deps.resumes : m_deps.retries;
-  const RetryDecision decision = policy.Decide(query);
+  return query;
+}
+
+void RequestExecution::RetryOrFail(AttemptOutcome outcome, EntryFailure failure, Duration hint, std::string detail) {
+  if (m_last_failure == EntryFailure::kNone || outcome != AttemptOutcome::kNotSent) m_last_failure = failure;
+  // The other attempt may still answer.
+  if (!m_running.empty()) return;
+  const RetryDecision decision = GetRetryPolicy().Decide(MakeRetryQuery(outcome));
   if (!decision.is_retry) return Fail(failure, hint, std::move(detail));
   if (decision.delay == Duration{}) return SendAttempt();
   m_is_waiting = true;
@@ -212,7 +259,7 @@
 
 void RequestExecution::GiveUp() {
   if (m_is_finished) return;
-  const bool may_have_run = !m_is_not_run || m_attempt != AttemptId();
+  const bool may_have_run = !m_is_not_run || !m_running.empty();
   Fail(may_have_run ? EntryFailure::kEndpointFailed : EntryFailure::kDraining, Duration{}, "the process stops");
 }
 
@@ -224,13 +271,7 @@
 void RequestExecution::Fail(EntryFailure failure, Duration hint, std::string detail) {
   EntryError error;
   error.type = failure;
-  if (m_attempt != AttemptId()) {
-    // The endpoint may already be running the attempt that is cancelled here.
-    m_is_not_run = false;
-    const AttemptId attempt = m_attempt;
-    EndAttempt();
-    m_deps.attempts.Cancel(attempt);
-  }
+  while (!m_running.empty()) CancelAttempt(m_running.back().id);
   error.is_not_run = m_is_not_run;
   if (!m_is_not_run && !m_request.is_idempotent) error.type = EntryFailure::kUnknownOutcome;
   if (HasTokens() && IsEndpointFault(failure)) error.type = EntryFailure::kInterrupted;
--- a/src/request_execution.h
+++ b/src/request_execution.h
@@ -49,6 +49,9 @@
 };
 
 // Used on one traffic loop only.
+//
+// An attempt whose endpoint is silent goes on. If the request may be repeated, another one is started beside it (a
+// hedge); the first of the two that answers is the answer, and the other one is cancelled then.
 class RequestExecution : public AttemptListener {
  public:
   RequestExecution(RequestDeps& deps, EntryRequest request, std::shared_ptr<SharedAnswer> answer);
@@ -73,7 +76,7 @@
 
   bool IsFinished() const { return m_is_finished; }
   // The endpoint of the latest attempt; empty before the first.
-  const VmId& GetEndpoint() const { return m_vm; }
+  const VmId& GetEndpoint() const { return m_endpoint; }
   const EntryRequest& GetRequest() const { return m_request; }
   const SharedAnswer& GetAnswer() const { return *m_answer; }
 
@@ -81,14 +84,31 @@
   void OnEnd(AttemptId attempt, int status, std::string body) override;
   void OnRefused(AttemptId attempt, const proto::AttemptRefused& refused) override;
   void OnLost(AttemptId attempt, AttemptLoss loss) override;
+  void OnSilent(AttemptId attempt) override;
 
  private:
+  // An attempt that was sent and has not ended.
+  struct RunningAttempt {
+    AttemptId id;
+    VmId vm;
+    TimePoint sent_at;
+  };
+
   void SendAttempt();
+  RouteChoice ChooseEndpoint();
+  // Returns false if the attempt was definitely not sent.
+  bool StartAttempt(const VmId& vm);
   proto::AttemptStart MakeStart() const;
   void FillCompletion(proto::CompletionCall& call) const;
   void FillService(proto::ServiceCall& call) const;
   void HandleNoRoute(const RouteChoice& choice);
-  void EndAttempt();
+  // Removes an attempt from those that run and returns its endpoint.
+  VmId EndAttempt(AttemptId attempt);
+  void CancelAttempt(AttemptId attempt);
+  // Makes an attempt the only one, because its answer is the one that callers get.
+  void CancelOthers(AttemptId attempt);
+  RetryQuery MakeRetryQuery(AttemptOutcome outcome) const;
+  RetryPolicy& GetRetryPolicy() const { return HasTokens() ? m_deps.resumes : m_deps.retries; }
   void RetryOrFail(AttemptOutcome outcome, EntryFailure failure, Duration hint, std::string detail);
   void Finish();
   void Fail(EntryFailure failure, Duration hint, std::string detail);
@@ -98,9 +118,9 @@
   const EntryRequest m_request;
   const std::shared_ptr<SharedAnswer> m_answer;
   const PrefixHashes m_prefix;
-  AttemptId m_attempt;
-  TimePoint m_attempt_at;
-  VmId m_vm;
+  // At most a silent attempt and its hedge, in the order in which they were sent.
+  std::vector<RunningAttempt> m_running;
+  VmId m_endpoint;
   std::vector<VmId> m_tried;
   uint32_t m_attempts = 0;
   // Attempts that could be sent.
--- a/tests/entry_traffic_test.cpp
+++ b/tests/entry_traffic_test.cpp
@@ -69,16 +69,34 @@
     CHECK(second_vm == other);
     CHECK(second.completion().resume_from() == 1);
     CHECK(second.completion().manifest() == kWeightsA.Get());
-    CHECK(fixture.transport.GetCancels() == std::vector<uint64_t>{id});
+    CHECK(fixture.transport.GetCancels().empty());
 
-    SECTION("a late token of the first endpoint is not duplicated") {
+    SECTION("the first endpoint goes on and is the one that is kept") {
       fixture.traffic.HandleMessage(vm, MakeToken(id, 1, "b"));
+      CHECK(fixture.transport.GetCancels() == std::vector<uint64_t>{second.attempt()});
       fixture.traffic.HandleMessage(second_vm, MakeToken(second.attempt(), 1, "b", kWeightsA));
+      fixture.traffic.HandleMessage(vm, MakeEnd(id, 2));
+      CHECK(caller->m_body == MakeEvent("r1", 0, "a", kWeightsA) + MakeEvent("r1", 1, "b", kWeightsA) + kDone);
+    }
+
+    SECTION("the second endpoint fails and the first one goes on") {
+      fixture.traffic.HandleMessage(second_vm,
+                                    MakeRefusal(second.attempt(), proto::REFUSAL_REASON_ENGINE_FAILED, false));
+      fixture.traffic.HandleMessage(vm, MakeToken(id, 1, "b"));
+      fixture.traffic.HandleMessage(vm, MakeEnd(id, 2));
+      CHECK(caller->m_body == MakeEvent("r1", 0, "a", kWeightsA) + MakeEvent("r1", 1, "b", kWeightsA) + kDone);
+    }
+
+    SECTION("a late token of the first endpoint is not duplicated") {
+      fixture.traffic.HandleMessage(second_vm, MakeToken(second.attempt(), 1, "b", kWeightsA));
+      CHECK(fixture.transport.GetCancels() == std::vector<uint64_t>{id});
+      fixture.traffic.HandleMessage(vm, MakeToken(id, 1, "b"));
       fixture.traffic.HandleMessage(second_vm, MakeEnd(second.attempt(), 2));
       CHECK(caller->m_body == MakeEvent("r1", 0, "a", kWeightsA) + MakeEvent("r1", 1, "b", kWeightsA) + kDone);
     }
 
     SECTION("tokens from other weights are rejected and the stream ends with a typed error") {
+      fixture.traffic.HandleMessage(vm, MakeRefusal(id, proto::REFUSAL_REASON_ENGINE_FAILED, false));
       fixture.traffic.HandleMessage(second_vm, MakeToken(second.attempt(), 1, "b", kWeightsB));
       fixture.AdvanceTime(Milliseconds(300));
       CHECK(caller->m_is_complete);
@@ -88,6 +106,16 @@
     }
   }
 
+  SECTION("if no other endpoint may go on, a stream waits for the one that is silent") {
+    fixture.traffic.SetTable(MakeTable(MakeEntryConfig(), {MakeEngineMember(vm.Get(), "praha")}));
+    fixture.traffic.HandleMessage(vm, MakeToken(id, 0, "a", kWeightsA));
+    fixture.AdvanceTime(Milliseconds(5000));
+    CHECK(fixture.transport.GetCancels().empty());
+    fixture.traffic.HandleMessage(vm, MakeToken(id, 1, "b"));
+    fixture.traffic.HandleMessage(vm, MakeEnd(id, 2));
+    CHECK(caller->m_body == MakeEvent("r1", 0, "a", kWeightsA) + MakeEvent("r1", 1, "b", kWeightsA) + kDone);
+  }
+
   SECTION("a lost token is detected by the index gap and the stream resumes at the missing index") {
     fixture.traffic.HandleMessage(vm, MakeToken(id, 0, "a", kWeightsA));
     fixture.traffic.HandleMessage(vm, MakeToken(id, 2, "c"));
