End an agent only when its entries have confirmed that they send nothing more

On the stand-ins' path an attempt could reach an agent after it had counted no attempt in progress and decided to end. It got no reply, and the caller of a request that must run once was told that its outcome is unknown. Replies that were queued when the channel closed were dropped.

Change: an entry sends the notice of a leaving agent back, and no attempt behind it. Replies that are queued at the end are sent for up to 500 ms. An agent that knows no connection of an entry is not covered: an entry that has never sent it an attempt learns of the stop by heartbeats only.

--- a/src/attempt_client.cpp
+++ b/src/attempt_client.cpp
@@ -92,12 +92,18 @@
     case proto::AttemptMessage::kRefused:
       return HandleRefused(from, message.refused());
     case proto::AttemptMessage::kLeaving:
-      return m_observer.OnLeaving(from);
+      return HandleLeaving(from, bytes);
     default:
       m_observer.OnDropped(MessageDropReason::kUnexpected);
   }
 }
 
+// The observer sends nothing more to the agent, so that the notice that goes back is the last on the connection.
+void AttemptClient::HandleLeaving(const VmId& from, std::string_view notice) {
+  m_observer.OnLeaving(from);
+  m_transport.Send(from, notice);
+}
+
 // Returns the attempt with this id if the message came from the endpoint that runs it; otherwise discards the message
 // and returns null.
 AttemptClient::Attempt* AttemptClient::Find(const VmId& from, uint64_t id) {
--- a/src/attempt_client.h
+++ b/src/attempt_client.h
@@ -57,6 +57,7 @@
   virtual ~AttemptObserver() = default;
   virtual void OnDropped(MessageDropReason reason) = 0;
   virtual void OnLoad(const VmId& vm, const LoadReport& load) = 0;
+  // No attempt may be started on the VM from now on, until it has restarted.
   virtual void OnLeaving(const VmId& vm) = 0;
 };
 
@@ -104,6 +105,7 @@
   };
 
   Attempt* Find(const VmId& from, uint64_t id);
+  void HandleLeaving(const VmId& from, std::string_view notice);
   void HandleToken(const VmId& from, proto::AttemptToken& token);
   void HandleEnd(const VmId& from, proto::AttemptEnd& end);
   void EndAttempt(const VmId& from, proto::AttemptEnd& end);
--- a/src/attempt_server.cpp
+++ b/src/attempt_server.cpp
@@ -9,6 +9,18 @@
 // Far above the number of entries in any fleet; bounds memory when connections are opened and closed repeatedly.
 constexpr size_t kMaxConnections = 4096;
 
+// Time for the last replies to leave the process.
+constexpr Duration kLinger = Milliseconds(500);
+// Valid messages between entries and agents are always smaller; larger ones are rejected.
+constexpr size_t kMaxMessageBytes = 4 * 1024 * 1024;
+
+ChannelOptions MakeChannelOptions() {
+  ChannelOptions options;
+  options.max_message_bytes = kMaxMessageBytes;
+  options.linger = kLinger;
+  return options;
+}
+
 RunnerDeps WithSendCallback(RunnerDeps deps, ServerChannel& channel) {
   deps.send = [&channel](const ConnectionId& to, const proto::AttemptMessage& message) {
     return channel.Send(to, message.SerializeAsString());
@@ -27,7 +39,7 @@
       m_admission(deps.admission),
       m_metrics(deps.metrics),
       m_drain_once(std::move(drain_once)),
-      m_channel(traffic_loop, channels, ChannelOptions{kMaxMessageBytes},
+      m_channel(traffic_loop, channels, MakeChannelOptions(),
                 [this](const ConnectionId& from, std::string_view bytes) { OnMessage(from, bytes); }),
       m_runner(WithSendCallback(std::move(deps), m_channel)) {}
 
@@ -45,7 +57,10 @@
     return;
   }
   if (m_connections.size() < kMaxConnections) m_connections.insert(from);
-  if (message.has_start()) {
+  if (m_is_leaving && !m_leave.IsNotified(from)) NotifyLeaving(from);
+  if (message.has_leaving()) {
+    m_leave.OnReply(from);
+  } else if (message.has_start()) {
     m_runner.Begin(from, message.start());
   } else if (message.has_cancel()) {
     m_runner.Cancel({from, AttemptId(message.cancel().attempt())});
@@ -58,8 +73,11 @@
   m_admission.Tick();
   m_runner.Tick();
   if (!m_on_drained) return;
-  const bool is_late = m_clock.GetNow() >= m_drain_deadline;
-  if (m_runner.GetInProgress() > 0 && !is_late) return;
+  const TimePoint now = m_clock.GetNow();
+  const bool is_late = now >= m_drain_deadline;
+  const bool may_get_more = m_runner.GetInProgress() > 0 || !m_leave.IsComplete(now);
+  if (may_get_more && !is_late) return;
+  if (m_leave.GetWaiting() > 0) LogEvent(LogLevel::kWarn, "leave_not_confirmed", {{"entries", m_leave.GetWaiting()}});
   if (is_late) LogEvent(LogLevel::kWarn, "drain_limit_reached", {{"in_progress", m_runner.GetInProgress()}});
   FinishDrain();
 }
@@ -73,11 +91,14 @@
   m_is_leaving = true;
   LogEvent(LogLevel::kInfo, "leaving", {{"in_progress", m_runner.GetInProgress()}});
   m_runner.BeginLeaving();
+  for (const ConnectionId& connection : m_connections) NotifyLeaving(connection);
+}
+
+void AttemptServer::NotifyLeaving(const ConnectionId& connection) {
   proto::AttemptMessage message;
   message.mutable_leaving();
-  const std::string bytes = message.SerializeAsString();
-  // Sending to a closed connection fails and is ignored.
-  for (const ConnectionId& connection : m_connections) m_channel.Send(connection, bytes);
+  // Nothing can come on a connection that is closed.
+  if (m_channel.Send(connection, message.SerializeAsString())) m_leave.OnNotified(connection, m_clock.GetNow());
 }
 
 void AttemptServer::BeginDrain(std::function<void()> done) {
--- a/src/attempt_server.h
+++ b/src/attempt_server.h
@@ -13,6 +13,7 @@
 #include "channel.h"
 #include "http_client.h"
 #include "kernel.h"
+#include "leave_handshake.h"
 #include "loop.h"
 #include "process.h"
 
@@ -27,6 +28,9 @@
 
 // Decodes attempt messages, dispatches them to the runner and sends its replies. Runs on one traffic loop; Start, Stop
 // and BeginDrain must be called on the control thread.
+//
+// A drain ends when no attempt is in progress and all entries have replied to the notice that this agent leaves, so
+// that no attempt can be on its way.
 class AttemptServer : public Service, public Drainable {
  public:
   // Calls its argument on the control thread when the at-most-once service has no calls in progress; empty for an
@@ -48,11 +52,9 @@
   void OnMessage(const ConnectionId& from, std::string_view bytes);
   void OnTick();
   void AnnounceLeaving();
+  void NotifyLeaving(const ConnectionId& connection);
   void FinishDrain();
 
-  // Valid messages between entries and agents are always smaller; larger ones are rejected.
-  static constexpr size_t kMaxMessageBytes = 4 * 1024 * 1024;
-
   Loop& m_traffic_loop;
   Loop& m_control_loop;
   const Clock& m_clock;
@@ -65,6 +67,7 @@
   std::unique_ptr<Timer> m_tick;
   // Connections that sent a message; they are notified when this agent leaves.
   std::set<ConnectionId> m_connections;
+  LeaveHandshake m_leave;
   bool m_is_leaving = false;
   TimePoint m_drain_deadline;
   std::function<void()> m_on_drained;
--- a/src/channel.cpp
+++ b/src/channel.cpp
@@ -24,7 +24,7 @@
 void SetOption(void* socket, int option, int value) { zmq_setsockopt(socket, option, &value, sizeof(value)); }
 
 void SetCommonOptions(void* socket, const ChannelOptions& options) {
-  SetOption(socket, ZMQ_LINGER, 0);
+  SetOption(socket, ZMQ_LINGER, static_cast<int>(std::chrono::duration_cast<Milliseconds>(options.linger).count()));
   SetOption(socket, ZMQ_SNDHWM, options.queue_messages);
   SetOption(socket, ZMQ_RCVHWM, options.queue_messages);
   const auto probe_ms = static_cast<int>(std::chrono::duration_cast<Milliseconds>(options.probe_period).count());
--- a/src/channel.h
+++ b/src/channel.h
@@ -37,6 +37,8 @@
   int queue_messages = 10'000;
   // Interval of the heartbeats that detect stalled links; 0 disables them. Heartbeats from one end are enough.
   Duration probe_period = std::chrono::seconds(1);
+  // Longest time for which messages that were queued are still sent after the channel has been destroyed.
+  Duration linger{};
 };
 
 // Identifies one connection of a server channel. Valid until the connection is lost; a reconnection gets a new ID.
--- a/tests/attempt_client_test.cpp
+++ b/tests/attempt_client_test.cpp
@@ -108,6 +108,8 @@
     message.mutable_leaving();
     REQUIRE_CALL(observer, OnLeaving(e1));
     client.HandleMessage(e1, message.SerializeAsString());
+    // The agent may end once it knows that nothing more comes.
+    CHECK(transport.CountLeaving() == 1);
   }
 }
 
--- a/tests/entry_fake.h
+++ b/tests/entry_fake.h
@@ -3,6 +3,7 @@
 #ifndef PLANTAIN_TESTS_ENTRY_FAKE_H_
 #define PLANTAIN_TESTS_ENTRY_FAKE_H_
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -124,6 +125,12 @@
     return starts;
   }
 
+  // Returns how many notices of a leaving agent were sent back.
+  size_t CountLeaving() const {
+    return static_cast<size_t>(std::count_if(m_sent.begin(), m_sent.end(),
+                                             [](const SentMessage& sent) { return sent.message.has_leaving(); }));
+  }
+
   std::vector<uint64_t> GetCancels() const {
     std::vector<uint64_t> cancels;
     for (const SentMessage& sent : m_sent) {
