Count only requests that an engine began in bench/engine_pause.py

A full engine refuses a request without running it, and the entry may then send it to another one, also one that must run once.

--- a/bench/_hosted_fleet.py
+++ b/bench/_hosted_fleet.py
@@ -82,6 +82,8 @@
     # Whether its answer says that the engine leaves, and the Retry-After of a refusal, in seconds.
     is_leaving: bool = False
     retry_after_s: float = None
+    # Whether the engine refused the request without running it because it was full.
+    is_refused: bool = False
 
 
 @dataclasses.dataclass
@@ -215,6 +217,7 @@
                          f"Retry-After: {self.model.retry_after_s:g}\r\nContent-Length: 0\r\n\r\n".encode())
             return True
         if self.active >= 2 * self.model.slots:
+            arrival.is_refused = True
             writer.write(f"HTTP/1.1 503 Full\r\n{prefix}Plantainmast-Not-Executed: 1\r\n"
                          "Content-Length: 0\r\n\r\n".encode())
             return True
--- a/bench/engine_pause.py
+++ b/bench/engine_pause.py
@@ -5,7 +5,7 @@
 write, and their connections stay open. Beside that operators write configurations, all entries get SIGHUP, and one entry is
 stopped and started again. At the end one engine falls silent for good.
 
-`cut`: requests that reached an engine and whose caller saw the connection end without a whole answer before the deadline.
+`cut`: requests that an engine began and whose caller saw the connection end without a whole answer before the deadline.
 `failed`: the same whose caller got 502.
 `runs`, `runs_once`: most engines that began one request, in all and of the requests that must run once.
 `served_after`: share of the requests sent within a second after the pauses of all engines that were served, as a ratio to the
@@ -134,6 +134,7 @@
 
 def measure(report, arguments, entries, engines):
     answers, arrivals, (pauses, spans, silent_at), begin = play(arguments, entries, engines)
+    arrivals = [arrival for arrival in arrivals if not arrival.is_refused]
     runs = collections.Counter(arrival.request for arrival in arrivals)
     once = {arrival.request for arrival in arrivals if arrival.path.startswith("/confirm/")}
     reached = [a for a in answers if runs[a.request] > 0]
