Do not begin a stream without event IDs anew at another endpoint

Callers could get parts of two runs in one stream: a stream whose events have no IDs and that broke off was sent to another endpoint without Last-Event-Id, which began with the first event again.

Change: such a stream breaks off at the caller, who can tell.

--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -367,7 +367,7 @@
   }
   const bool may_have_run = outcome == AttemptOutcome::kMayHaveRun;
   const bool is_allowed = !may_have_run || m_match.rule->IsRepeatable();
-  if (!is_allowed || !HasAttemptLeft()) {
+  if (!is_allowed || !CanResume() || !HasAttemptLeft()) {
     FailWithoutRetry(m_may_have_run, std::move(reason));
     return;
   }
@@ -531,9 +531,7 @@
   }
   if (!are_all_silent && std::exchange(m_is_hedge_requested, false)) m_deps.host.WithdrawHedge(*this);
   const bool may_hedge = are_all_silent && !m_is_hedge_requested && now >= m_hedge_from && HasAttemptLeft();
-  // Without event IDs another endpoint would begin the stream anew.
-  const bool can_resume = !m_has_events || m_last_event_id.has_value();
-  if (!may_hedge || !can_resume || !m_deps.host.IsRepeatWorthwhile(*this)) return;
+  if (!may_hedge || !CanResume() || !m_deps.host.IsRepeatWorthwhile(*this)) return;
   if (!m_deps.host.TryAcquireRetry(*this)) {
     m_hedge_from = now + kHedgeInterval;
     return;
--- a/src/active_request.h
+++ b/src/active_request.h
@@ -184,6 +184,8 @@
   void EndAttempt(ForwardAttempt& attempt, AttemptEnd end);
   void ReportPrefillDone(ForwardAttempt& attempt);
 
+  // Whether another endpoint could go on with what the caller has. Without event IDs it would begin the stream anew.
+  bool CanResume() const { return !m_has_events || m_last_event_id.has_value(); }
   // Whether the route allows one more run beside those that have ended or go on.
   bool HasRunLeft() const;
   bool HasAttemptLeft() const;
--- a/tests/forward_resumed_stream_test.cpp
+++ b/tests/forward_resumed_stream_test.cpp
@@ -48,6 +48,25 @@
   CHECK(fixture.metrics.GetText().find("caller_gone") == std::string::npos);
 }
 
+// Guards against parts of two runs in one stream: without event IDs, another endpoint begins with the first event
+// again.
+TEST_CASE("A stream whose events have no IDs is not begun anew at another endpoint") {
+  ForwardFixture fixture({MakeEndpoint("e1", kEnginePool, "praha"), MakeEndpoint("e2", kEnginePool, "brno")});
+  const auto caller = fixture.SendRequest("/draft/1", "6000");
+  fixture.sender.At(0).BeginStream();
+  fixture.sender.At(0).SendData("data: a\n\n");
+  SECTION("its connection is lost") {
+    fixture.sender.At(0).FinishResponse(MakeFailure(FailureCode::kConnectionLost, "reset"));
+    CHECK(caller->is_aborted);
+  }
+  SECTION("its endpoint is silent") {
+    fixture.AdvanceTime(Milliseconds(1300));
+    CHECK_FALSE(caller->is_aborted);
+  }
+  CHECK(fixture.sender.GetCount() == 1);
+  CHECK(caller->body == "data: a\n\n");
+}
+
 TEST_CASE("A resumed stream that has nothing left and ends explicitly is complete") {
   ForwardFixture fixture({MakeEndpoint("e1", kEnginePool, "praha"), MakeEndpoint("e2", kEnginePool, "brno")});
   const auto caller = fixture.SendRequest("/draft/1", "6000");
