Keep the end of a request private to it

ActiveRequest::Fail must not be called while an attempt runs, and only the request itself calls it; the host calls RefuseAttempt. A variable of a test that nothing used is gone.

--- a/src/active_request.h
+++ b/src/active_request.h
@@ -121,9 +121,6 @@
   // Sends the request to an endpoint, beside a silent attempt if there is one.
   void StartAttempt(const EndpointChoice& choice, const AttemptWeights& weights);
 
-  // Ends the request with a failure. Never reports a request that may have run as not run.
-  void Fail(ForwardFailure failure, std::string reason);
-
   // Called by the host if it cannot start the attempt that was requested. Ends the request with the failure unless an
   // attempt still runs.
   void RefuseAttempt(ForwardFailure failure, std::string reason);
@@ -191,6 +188,8 @@
   bool HasAttemptLeft() const;
   void RetryOrFail(AttemptOutcome outcome, std::string reason);
   void FailWithoutRetry(bool may_have_run, std::string reason);
+  // Ends a request of which no attempt runs with a failure. Never reports one that may have run as not run.
+  void Fail(ForwardFailure failure, std::string reason);
   void FinishRequest(int status, ForwardFailure failure, std::string reason);
   void AbortCaller();
   void OnCallerDisconnected();
--- a/tests/forward_silence_test.cpp
+++ b/tests/forward_silence_test.cpp
@@ -223,7 +223,6 @@
   ForwardFixture fixture({MakeEndpoint("e1", kEnginePool, "praha"), MakeEndpoint("e2", kEnginePool, "praha", 1)});
   const auto caller = fixture.SendRequest("/draft/1", "6000");
   FakeAttemptSender::Sent& first = fixture.sender.At(0);
-  const std::string endpoint = first.GetEndpoint();
   // All other places are taken.
   std::vector<size_t> others;
   for (int i = 0; i < 12; ++i) {
