--- a/Makefile
+++ b/Makefile
@@ -26,13 +26,13 @@
 	cmake --build $(BUILD) -j $(JOBS)
 
 test: build
-	cd $(BUILD) && ctest --verbose --timeout 600
+	cd $(BUILD) && ctest --output-on-failure -j $(JOBS) --timeout 600
 
 # Runs the tests under a sanitizer, for example `make sanitize BUILD=build-tsan SANITIZE=thread`.
 sanitize: setup $(BUILD)/build.ninja
 	cmake --build $(BUILD) -j $(JOBS) --target plantain-tests
 	cd $(BUILD) && TSAN_OPTIONS=suppressions=$(CURDIR)/tests/tsan-suppressions.txt \
-	  ctest --verbose --timeout 900
+	  ctest --output-on-failure -j $(JOBS) --timeout 900
 
 demo: build
 	scripts/demo --build $(BUILD) --fault "$(FAULT)" --report "$(REPORT)"
