Do not lose the attempts at an agent that is only suspected

What callers saw: on the stand-ins' path, when an agent stood still for longer than 3 s and went on, the calls that must run once ended with an unknown outcome, and streams without another endpoint with an error, although the agent would have answered.

Cause: a member without heartbeats for 3 s was suspected, and all attempts at it were reported as lost at once; beside it the connections between entries and agents were given up after the same 3 s, so that answers that were ready had no way back.

Change: a suspected endpoint makes its attempts silent; they go on, repeatable ones get a hedge. They are lost when the agent has restarted, is removed or counts as dead, or with the connection, which is kept for peer.dead_ms. FindEndpointChanges is the decision without I/O. Silence is measured in the time in which the loop ran, so that an entry that stood still finds nobody silent for it. The test of the time-out runs the loop in steps now, since one step counts for 100 ms at most, and checks the second report too.

--- a/src/attempt_channels.h
+++ b/src/attempt_channels.h
@@ -18,30 +18,30 @@
 class AttemptChannels : public AttemptTransport {
  public:
   using OnMessage = std::function<void(const VmId& from, std::string_view message)>;
-  using OnGone = std::function<void(const VmId& vm)>;
+  using OnChanged = std::function<void(const VmId& vm)>;
 
-  AttemptChannels(Loop& loop, ChannelContext& context, Port port, OnMessage on_message, OnGone on_gone);
+  AttemptChannels(Loop& loop, ChannelContext& context, Port port, ChannelOptions options, OnMessage on_message,
+                  OnChanged on_gone, OnChanged on_suspect);
 
   // Opens a channel to each new endpoint and closes the channels of endpoints that were removed or changed address.
-  // Endpoints that restarted or became suspect are also reported as gone, since they will not answer earlier attempts.
+  // Reports those, and endpoints that restarted, as gone, since they will not answer earlier attempts.
   void SetEndpoints(const std::map<VmId, EndpointContact>& endpoints);
 
   bool Send(const VmId& to, std::string_view message) override;
 
  private:
-  struct Connection {
-    EndpointContact contact;
-    std::unique_ptr<ClientChannel> channel;
-  };
-
   void Open(const VmId& vm, const EndpointContact& contact);
 
   Loop& m_loop;
   ChannelContext& m_context;
   const Port m_port;
+  const ChannelOptions m_options;
   const OnMessage m_on_message;
-  const OnGone m_on_gone;
-  std::map<VmId, Connection> m_connections;
+  const OnChanged m_on_gone;
+  const OnChanged m_on_suspect;
+  std::map<VmId, EndpointContact> m_contacts;
+  // One for each contact.
+  std::map<VmId, std::unique_ptr<ClientChannel>> m_channels;
 };
 
 }  // namespace plantain
--- a/src/attempt_client.cpp
+++ b/src/attempt_client.cpp
@@ -1,7 +1,6 @@
 #include "attempt_client.h"
 
 #include <utility>
-#include <vector>
 
 namespace plantain {
 namespace {
@@ -56,7 +55,8 @@
   attempt.is_completion = start.has_completion();
   attempt.next_index = start.completion().resume_from();
   attempt.expected_manifest = Digest(start.completion().manifest());
-  attempt.heard_at = m_clock.GetNow();
+  attempt.heard_at = m_loop_time.GetElapsed();
+  attempt.timeout = m_options.first_timeout;
   proto::AttemptMessage message;
   *message.mutable_start() = std::move(start);
   if (!m_transport.Send(to, message.SerializeAsString())) return AttemptId();
@@ -116,7 +116,7 @@
     m_observer.OnDropped(MessageDropReason::kWrongEndpoint);
     return nullptr;
   }
-  found->second.heard_at = m_clock.GetNow();
+  found->second.heard_at = m_loop_time.GetElapsed();
   return &found->second;
 }
 
@@ -133,6 +133,7 @@
   if (!AcceptManifest(*attempt, token.manifest())) return ReportLost(id, AttemptLoss::kProtocol);
   ++attempt->next_index;
   attempt->has_token = true;
+  attempt->timeout = m_options.silence_timeout;
   const Digest manifest = attempt->manifest;
   attempt->listener->OnToken(id, std::move(*token.mutable_text()), manifest);
 }
@@ -188,28 +189,43 @@
   attempt.listener->OnLost(id, loss);
 }
 
-void AttemptClient::HandleEndpointGone(const VmId& vm) {
-  std::vector<AttemptId> lost;
+std::vector<AttemptId> AttemptClient::GetAttemptsAt(const VmId& vm) const {
+  std::vector<AttemptId> ids;
   for (const auto& [id, attempt] : m_attempts) {
-    if (attempt.vm == vm) lost.push_back(id);
+    if (attempt.vm == vm) ids.push_back(id);
+  }
+  return ids;
+}
+
+void AttemptClient::HandleEndpointGone(const VmId& vm) {
+  for (const AttemptId id : GetAttemptsAt(vm)) ReportLost(id, AttemptLoss::kEndpointGone);
+}
+
+void AttemptClient::HandleEndpointSuspect(const VmId& vm) {
+  for (const AttemptId id : GetAttemptsAt(vm)) {
+    const auto found = m_attempts.find(id);
+    if (found == m_attempts.end()) continue;
+    // Another endpoint is tried again soon if it cannot be had now, whether or not a token has come.
+    found->second.timeout = m_options.silence_timeout;
+    ReportSilent(id);
   }
-  for (const AttemptId id : lost) ReportLost(id, AttemptLoss::kEndpointGone);
+}
+
+// Does nothing for an attempt that has ended, which a listener may do to other attempts than its own.
+void AttemptClient::ReportSilent(AttemptId id) {
+  const auto found = m_attempts.find(id);
+  if (found == m_attempts.end()) return;
+  found->second.heard_at = m_loop_time.GetElapsed();
+  found->second.listener->OnSilent(id);
 }
 
 void AttemptClient::CheckTimeouts() {
-  const TimePoint now = m_clock.GetNow();
+  m_loop_time.Update(m_clock.GetNow());
   std::vector<AttemptId> silent;
-  for (auto& [id, attempt] : m_attempts) {
-    const Duration limit = attempt.has_token ? m_options.silence_timeout : m_options.first_timeout;
-    if (now - attempt.heard_at <= limit) continue;
-    attempt.heard_at = now;
-    silent.push_back(id);
-  }
-  for (const AttemptId id : silent) {
-    // A listener may have ended another attempt of the list.
-    const auto found = m_attempts.find(id);
-    if (found != m_attempts.end()) found->second.listener->OnSilent(id);
+  for (const auto& [id, attempt] : m_attempts) {
+    if (m_loop_time.GetElapsed() - attempt.heard_at > attempt.timeout) silent.push_back(id);
   }
+  for (const AttemptId id : silent) ReportSilent(id);
 }
 
 }  // namespace plantain
--- a/src/attempt_client.h
+++ b/src/attempt_client.h
@@ -8,10 +8,12 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "attempt.pb.h"
 #include "clock.h"
 #include "core_type.h"
+#include "loop_time.h"
 #include "random.h"
 #include "route_choose.h"
 
@@ -83,9 +85,13 @@
   // Processes one message from the agent on VM `from`.
   void HandleMessage(const VmId& from, std::string_view message);
 
-  // Reports all attempts on a removed VM as lost.
+  // Reports all attempts on a VM that was removed or has restarted as lost.
   void HandleEndpointGone(const VmId& vm);
 
+  // Reports all attempts on a VM that is suspected to be down as silent. They go on: the VM may only be standing still,
+  // or its heartbeats are lost on a path that its replies do not take.
+  void HandleEndpointSuspect(const VmId& vm);
+
   // Reports attempts that exceeded a timeout as silent. Must be called periodically.
   void CheckTimeouts();
 
@@ -99,8 +105,10 @@
     uint32_t next_index = 0;
     Digest expected_manifest;
     Digest manifest;
-    // When the last message came, or the attempt was last reported as silent.
-    TimePoint heard_at;
+    // Time of the loop at which the last message came, or the attempt was last reported as silent.
+    Duration heard_at{};
+    // Time without a message after which the attempt is silent.
+    Duration timeout{};
     bool has_token = false;
   };
 
@@ -111,7 +119,9 @@
   void EndAttempt(const VmId& from, proto::AttemptEnd& end);
   void HandleRefused(const VmId& from, const proto::AttemptRefused& refused);
   bool AcceptManifest(Attempt& attempt, const std::string& manifest);
+  std::vector<AttemptId> GetAttemptsAt(const VmId& vm) const;
   void ReportLost(AttemptId id, AttemptLoss loss);
+  void ReportSilent(AttemptId id);
   void SendCancel(const VmId& vm, AttemptId id);
   void ReportLoad(const VmId& vm, bool has_load, const proto::EndpointLoad& load);
 
@@ -119,6 +129,8 @@
   AttemptTransport& m_transport;
   AttemptObserver& m_observer;
   const AttemptOptions m_options;
+  // Advanced by CheckTimeouts. The silence of agents is measured on it.
+  LoopTime m_loop_time;
   AttemptId m_next_id;
   std::unordered_map<AttemptId, Attempt> m_attempts;
 };
--- a/src/attempt_server.cpp
+++ b/src/attempt_server.cpp
@@ -14,10 +14,11 @@
 // Valid messages between entries and agents are always smaller; larger ones are rejected.
 constexpr size_t kMaxMessageBytes = 4 * 1024 * 1024;
 
-ChannelOptions MakeChannelOptions() {
+ChannelOptions MakeChannelOptions(Duration silence_timeout) {
   ChannelOptions options;
   options.max_message_bytes = kMaxMessageBytes;
   options.linger = kLinger;
+  options.silence_timeout = silence_timeout;
   return options;
 }
 
@@ -39,7 +40,7 @@
       m_admission(deps.admission),
       m_metrics(deps.metrics),
       m_drain_once(std::move(drain_once)),
-      m_channel(traffic_loop, channels, MakeChannelOptions(),
+      m_channel(traffic_loop, channels, MakeChannelOptions(m_options.silence_timeout),
                 [this](const ConnectionId& from, std::string_view bytes) { OnMessage(from, bytes); }),
       m_runner(WithSendCallback(std::move(deps), m_channel)) {}
 
--- a/src/attempt_server.h
+++ b/src/attempt_server.h
@@ -24,6 +24,9 @@
   Port port;
   // Maximum time to wait for attempts in progress at shutdown.
   Duration drain_limit{};
+  // Time without a message or heartbeat after which the connection of an entry, and with it the attempts there, is
+  // lost.
+  Duration silence_timeout = std::chrono::seconds(10);
 };
 
 // Decodes attempt messages, dispatches them to the runner and sends its replies. Runs on one traffic loop; Start, Stop
--- a/src/attempt_services.cpp
+++ b/src/attempt_services.cpp
@@ -118,7 +118,8 @@
     AttemptServer::DrainOnce drain_once;
     if (is_service) drain_once = [once](std::function<void()> done) { once->Drain(std::move(done)); };
     AttemptServerOptions options{parts.address, parts.settings.GetPort("attempt.port"),
-                                 parts.settings.GetDuration("drain.limit_ms")};
+                                 parts.settings.GetDuration("drain.limit_ms"),
+                                 parts.settings.GetDuration("peer.dead_ms")};
     return AttemptServer(GetTrafficLoop(parts), parts.control_loop, parts.channels, std::move(options),
                          std::move(runner), std::move(drain_once));
   }
--- a/src/channel.cpp
+++ b/src/channel.cpp
@@ -16,20 +16,20 @@
 
 constexpr int kReconnectMs = 50;
 constexpr int kReconnectMaxMs = 1000;
-// A connection without traffic or heartbeat for this time counts as lost, which detects stalled links.
-constexpr int kHeartbeatTimeoutMs = 3000;
 // Messages handled in one callback, so that other callbacks of the loop are not delayed.
 constexpr int kMaxMessagesPerDrain = 64;
 
 void SetOption(void* socket, int option, int value) { zmq_setsockopt(socket, option, &value, sizeof(value)); }
 
+int ToOptionMs(Duration time) { return static_cast<int>(std::chrono::duration_cast<Milliseconds>(time).count()); }
+
 void SetCommonOptions(void* socket, const ChannelOptions& options) {
-  SetOption(socket, ZMQ_LINGER, static_cast<int>(std::chrono::duration_cast<Milliseconds>(options.linger).count()));
+  SetOption(socket, ZMQ_LINGER, ToOptionMs(options.linger));
   SetOption(socket, ZMQ_SNDHWM, options.queue_messages);
   SetOption(socket, ZMQ_RCVHWM, options.queue_messages);
-  const auto probe_ms = static_cast<int>(std::chrono::duration_cast<Milliseconds>(options.probe_period).count());
+  const int probe_ms = ToOptionMs(options.probe_period);
   SetOption(socket, ZMQ_HEARTBEAT_IVL, probe_ms);
-  if (probe_ms > 0) SetOption(socket, ZMQ_HEARTBEAT_TIMEOUT, kHeartbeatTimeoutMs);
+  if (probe_ms > 0) SetOption(socket, ZMQ_HEARTBEAT_TIMEOUT, ToOptionMs(options.silence_timeout));
   const int64_t max_bytes = static_cast<int64_t>(options.max_message_bytes);
   zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &max_bytes, sizeof(max_bytes));
 }
--- a/src/channel.h
+++ b/src/channel.h
@@ -37,6 +37,8 @@
   int queue_messages = 10'000;
   // Interval of the heartbeats that detect stalled links; 0 disables them. Heartbeats from one end are enough.
   Duration probe_period = std::chrono::seconds(1);
+  // Time without traffic or heartbeat after which a connection counts as lost.
+  Duration silence_timeout = std::chrono::seconds(3);
   // Longest time for which messages that were queued are still sent after the channel has been destroyed.
   Duration linger{};
 };
--- a/src/entry_traffic.h
+++ b/src/entry_traffic.h
@@ -64,9 +64,12 @@
   // Handles a message received from an agent.
   void HandleMessage(const VmId& from, std::string_view message) { m_attempt_client.HandleMessage(from, message); }
 
-  // Fails the attempts in progress at a VM that was removed, has restarted or is suspected to be down.
+  // Fails the attempts in progress at a VM that was removed or has restarted.
   void HandleEndpointGone(const VmId& vm) { m_attempt_client.HandleEndpointGone(vm); }
 
+  // Sends requests in progress at a VM that is suspected to be down to other endpoints too, where they may run twice.
+  void HandleEndpointSuspect(const VmId& vm) { m_attempt_client.HandleEndpointSuspect(vm); }
+
   // Runs due timeouts, retries and deadlines. Call every few milliseconds.
   void CheckDue();
 
--- a/src/entry_worker.cpp
+++ b/src/entry_worker.cpp
@@ -32,14 +32,23 @@
   return options;
 }
 
+// A connection to an agent that stands still is kept until the agent counts as dead: the attempts there are lost with
+// it.
+ChannelOptions MakeChannelOptions(const Settings& settings) {
+  ChannelOptions options;
+  options.silence_timeout = settings.GetDuration("peer.dead_ms");
+  return options;
+}
+
 }  // namespace
 
 EntryWorker::EntryWorker(ProcessParts& parts, Loop& loop, SloCounter& slo)
     : m_loop(loop), m_clock(parts.clock), m_random(parts.random.GetBits()) {
   m_channels = std::make_unique<AttemptChannels>(
-      loop, parts.channels, parts.settings.GetPort("attempt.port"),
+      loop, parts.channels, parts.settings.GetPort("attempt.port"), MakeChannelOptions(parts.settings),
       [this](const VmId& from, std::string_view message) { m_traffic->HandleMessage(from, message); },
-      [this](const VmId& vm) { m_traffic->HandleEndpointGone(vm); });
+      [this](const VmId& vm) { m_traffic->HandleEndpointGone(vm); },
+      [this](const VmId& vm) { m_traffic->HandleEndpointSuspect(vm); });
   m_traffic = std::make_unique<EntryTraffic>(parts.clock, m_random, *m_channels, parts.metrics, parts.history, slo,
                                              ReadTrafficOptions(parts));
   m_server = std::make_unique<HttpServer>(loop, parts.address, parts.settings.GetPort("http.port"),
--- a/src/route_table.cpp
+++ b/src/route_table.cpp
@@ -123,4 +123,20 @@
   return nullptr;
 }
 
+EndpointChanges FindEndpointChanges(const std::map<VmId, EndpointContact>& before,
+                                    const std::map<VmId, EndpointContact>& after) {
+  EndpointChanges changes;
+  for (const auto& [vm, old] : before) {
+    const auto found = after.find(vm);
+    if (found == after.end() || found->second.address != old.address) {
+      changes.unreachable.push_back(vm);
+    } else if (found->second.incarnation != old.incarnation) {
+      changes.restarted.push_back(vm);
+    } else if (found->second.is_suspect && !old.is_suspect) {
+      changes.suspect.push_back(vm);
+    }
+  }
+  return changes;
+}
+
 }  // namespace plantain
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -40,6 +40,20 @@
   bool is_suspect = false;
 };
 
+// Endpoints whose state has changed in a way that concerns the attempts in progress there.
+struct EndpointChanges {
+  // Removed, or listed at another address.
+  std::vector<VmId> unreachable;
+  // A new process runs, which knows nothing of earlier attempts.
+  std::vector<VmId> restarted;
+  // No heartbeats have come for some time.
+  std::vector<VmId> suspect;
+};
+
+// Compares two tables of endpoints. An endpoint is in one list at most, the first that applies.
+EndpointChanges FindEndpointChanges(const std::map<VmId, EndpointContact>& before,
+                                    const std::map<VmId, EndpointContact>& after);
+
 // One VM as a candidate for one route key.
 struct RouteCandidate {
   // Index into RouteTable::GetVms.
--- a/tests/attempt_client_test.cpp
+++ b/tests/attempt_client_test.cpp
@@ -88,16 +88,52 @@
     client.HandleMessage(e1, MakeRefusal(id.Get(), proto::REFUSAL_REASON_OVERLOADED, true));
   }
 
+  // Runs the loop, which checks for timeouts every few milliseconds.
+  const auto run = [&](Duration time) {
+    for (Duration passed{}; passed < time; passed += Milliseconds(5)) {
+      clock.Advance(Milliseconds(5));
+      client.CheckTimeouts();
+    }
+  };
+  client.CheckTimeouts();
+
   SECTION("an attempt that times out is reported as silent, once for each timeout, and goes on") {
     const AttemptId id = client.Start(e1, MakeStart(), listener);
-    clock.Advance(std::chrono::seconds(15));
-    client.CheckTimeouts();
+    run(std::chrono::seconds(15));
     {
       REQUIRE_CALL(listener, OnSilent(id));
-      clock.Advance(Milliseconds(1));
-      client.CheckTimeouts();
+      run(Milliseconds(5));
       client.CheckTimeouts();
     }
+    {
+      REQUIRE_CALL(listener, OnSilent(id));
+      run(std::chrono::seconds(15) + Milliseconds(5));
+    }
+    CHECK(transport.GetCancels().empty());
+    REQUIRE_CALL(listener, OnToken(id, std::string("a"), kWeightsA));
+    client.HandleMessage(e1, MakeToken(id.Get(), 0, "a", kWeightsA));
+  }
+
+  SECTION("time in which this process stood still is no silence") {
+    client.Start(e1, MakeStart(), listener);
+    FORBID_CALL(listener, OnSilent(_));
+    clock.Advance(std::chrono::minutes(1));
+    client.CheckTimeouts();
+    run(std::chrono::seconds(10));
+  }
+
+  SECTION("an attempt at a suspected endpoint is silent at once, soon again, and goes on") {
+    const AttemptId id = client.Start(e1, MakeStart(), listener);
+    client.Start(VmId("e2"), MakeStart(), listener);
+    {
+      REQUIRE_CALL(listener, OnSilent(id));
+      client.HandleEndpointSuspect(e1);
+      run(std::chrono::seconds(2));
+    }
+    {
+      REQUIRE_CALL(listener, OnSilent(id));
+      run(Milliseconds(5));
+    }
     CHECK(transport.GetCancels().empty());
     REQUIRE_CALL(listener, OnToken(id, std::string("a"), kWeightsA));
     client.HandleMessage(e1, MakeToken(id.Get(), 0, "a", kWeightsA));
--- a/tests/entry_traffic_test.cpp
+++ b/tests/entry_traffic_test.cpp
@@ -179,6 +179,96 @@
   }
 }
 
+// Guards against answers that are ended because the heartbeats of their endpoint are late or lost, or because it stands
+// still for a moment and goes on.
+TEST_CASE("An answer of an endpoint that is suspected to be down goes on until another one has begun") {
+  TrafficFixture fixture;
+
+  SECTION("a stream without another endpoint") {
+    fixture.traffic.SetTable(MakeTable(MakeEntryConfig(), {MakeEngineMember("e1", "praha")}));
+    const auto caller = fixture.Send(TrafficFixture::MakeCompletion("r1", "x"));
+    const auto [vm, start] = fixture.transport.GetStarts().at(0);
+    fixture.traffic.HandleMessage(vm, MakeToken(start.attempt(), 0, "a", kWeightsA));
+    fixture.traffic.HandleEndpointSuspect(vm);
+    fixture.AdvanceTime(std::chrono::seconds(3));
+    CHECK(fixture.transport.GetCancels().empty());
+    CHECK_FALSE(caller->m_is_aborted);
+    fixture.traffic.HandleMessage(vm, MakeEnd(start.attempt(), 1));
+    CHECK(caller->m_body == MakeEvent("r1", 0, "a", kWeightsA) + kDone);
+  }
+
+  SECTION("a stream with another endpoint, of which the first one that sends goes on") {
+    fixture.traffic.SetTable(
+        MakeTable(MakeEntryConfig(), {MakeEngineMember("e1", "praha"), MakeEngineMember("e2", "praha")}));
+    const auto caller = fixture.Send(TrafficFixture::MakeCompletion("r1", "x"));
+    const auto [vm, start] = fixture.transport.GetStarts().at(0);
+    fixture.traffic.HandleMessage(vm, MakeToken(start.attempt(), 0, "a", kWeightsA));
+    fixture.traffic.HandleEndpointSuspect(vm);
+    REQUIRE(fixture.transport.GetStarts().size() == 2);
+    const auto [other_vm, other] = fixture.transport.GetStarts().at(1);
+    CHECK(other_vm != vm);
+    CHECK(other.completion().resume_from() == 1);
+    CHECK(fixture.transport.GetCancels().empty());
+    SECTION("the suspected one") {
+      fixture.traffic.HandleMessage(vm, MakeToken(start.attempt(), 1, "b"));
+      CHECK(fixture.transport.GetCancels() == std::vector<uint64_t>{other.attempt()});
+      fixture.traffic.HandleMessage(vm, MakeEnd(start.attempt(), 2));
+    }
+    SECTION("the other one") {
+      fixture.traffic.HandleMessage(other_vm, MakeToken(other.attempt(), 1, "b", kWeightsA));
+      CHECK(fixture.transport.GetCancels() == std::vector<uint64_t>{start.attempt()});
+      fixture.traffic.HandleMessage(other_vm, MakeEnd(other.attempt(), 2));
+    }
+    CHECK(caller->m_body == MakeEvent("r1", 0, "a", kWeightsA) + MakeEvent("r1", 1, "b", kWeightsA) + kDone);
+  }
+
+  SECTION("a call that must run once") {
+    fixture.traffic.SetTable(
+        MakeTable(MakeEntryConfig(), {MakeServiceMember("s1", "praha"), MakeServiceMember("s2", "praha")}));
+    const auto caller = fixture.Send(TrafficFixture::MakeCall("r1", "seal", "futon 7"));
+    const auto [vm, start] = fixture.transport.GetStarts().at(0);
+    fixture.traffic.HandleEndpointSuspect(vm);
+    CHECK(fixture.transport.GetStarts().size() == 1);
+    fixture.traffic.HandleMessage(vm, MakeEnd(start.attempt(), 0, "sealed"));
+    CHECK(caller->m_body == "sealed");
+  }
+}
+
+// Guards against an endpoint that is only suspected and is treated as if it had restarted.
+TEST_CASE("A change of an endpoint is told by what it means for the attempts there") {
+  const EndpointContact contact{IpAddress("127.0.0.1"), Incarnation(1), false};
+  EndpointContact changed = contact;
+  const auto compare = [&] { return FindEndpointChanges({{VmId("e1"), contact}}, {{VmId("e1"), changed}}); };
+
+  SECTION("nothing") {
+    const EndpointChanges changes = compare();
+    CHECK((changes.unreachable.empty() && changes.restarted.empty() && changes.suspect.empty()));
+  }
+  SECTION("suspected") {
+    changed.is_suspect = true;
+    const EndpointChanges changes = compare();
+    CHECK(changes.suspect.size() == 1);
+    CHECK((changes.unreachable.empty() && changes.restarted.empty()));
+    CHECK(FindEndpointChanges({{VmId("e1"), changed}}, {{VmId("e1"), changed}}).suspect.empty());
+    CHECK(FindEndpointChanges({{VmId("e1"), changed}}, {{VmId("e1"), contact}}).suspect.empty());
+  }
+  SECTION("restarted, and suspected besides") {
+    changed.incarnation = Incarnation(2);
+    changed.is_suspect = true;
+    const EndpointChanges changes = compare();
+    CHECK(changes.restarted.size() == 1);
+    CHECK((changes.unreachable.empty() && changes.suspect.empty()));
+  }
+  SECTION("listed at another address") {
+    changed.address = IpAddress("127.0.0.2");
+    CHECK(compare().unreachable.size() == 1);
+  }
+  SECTION("removed and added") {
+    CHECK(FindEndpointChanges({{VmId("e1"), contact}}, {}).unreachable.size() == 1);
+    CHECK(FindEndpointChanges({}, {{VmId("e1"), contact}}).unreachable.empty());
+  }
+}
+
 // Guards against reporting not_run for a request that may have been executed, and against executing a non-idempotent
 // call twice.
 TEST_CASE("not_run is reported only if no attempt can have been executed") {
