Do not take a caller's short deadline for the silence of an endpoint

What callers saw: after a request with little time left (5 or 40 ms, for example a repeat), its endpoint got no requests for 1.5 s, although it answered others; with one endpoint in the pool all of them were refused.

Cause: at the deadline an attempt without a header was reported as silent, whatever time it had had.

Change: at the deadline, too, an attempt is silent only if nothing has come for as long as it takes to call it so; else it ends as overdue. A request that must run once follows the same rule and still marks an endpoint that is gone.

--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -471,9 +471,10 @@
   CheckSilence(now);
 }
 
-// Returns how an attempt ends that has no whole answer at the deadline, and reports its silence.
+// Returns how an attempt ends that has no whole answer at the deadline, and reports its silence. That a caller left
+// little time says nothing about the endpoint.
 AttemptEnd ActiveRequest::ReportOverdue(ForwardAttempt& attempt) {
-  if (attempt.head.has_value() && !IsSilent(attempt)) return AttemptEnd::kOverdue;
+  if (!HasBeenSilent(attempt)) return AttemptEnd::kOverdue;
   ReportSilence(attempt);
   return AttemptEnd::kSilent;
 }
@@ -512,7 +513,10 @@
 }
 
 bool ActiveRequest::IsSilent(const ForwardAttempt& attempt) const {
-  if (!m_match.rule->IsRepeatable() || !attempt.call->IsSent()) return false;
+  return m_match.rule->IsRepeatable() && attempt.call->IsSent() && HasBeenSilent(attempt);
+}
+
+bool ActiveRequest::HasBeenSilent(const ForwardAttempt& attempt) const {
   return m_deps.loop_time.GetElapsed() - attempt.received_loop_time >= GetInactivityTimeout();
 }
 
--- a/src/active_request.h
+++ b/src/active_request.h
@@ -195,6 +195,9 @@
   void OnCallerDisconnected();
 
   Duration GetInactivityTimeout() const;
+  // Whether nothing has come for longer than a sound endpoint takes.
+  bool HasBeenSilent(const ForwardAttempt& attempt) const;
+  // The same of an attempt that may get another one beside it.
   bool IsSilent(const ForwardAttempt& attempt) const;
   void CheckSilence(TimePoint now);
   void ReportSilence(ForwardAttempt& attempt);
--- a/src/endpoint_balancer.h
+++ b/src/endpoint_balancer.h
@@ -44,7 +44,7 @@
   kUnreachable,
   // Given up while the endpoint was silent, at the deadline or because another endpoint answered first.
   kSilent,
-  // The answer was not complete at the deadline although the endpoint was sending it.
+  // The answer was not complete at the deadline, and the endpoint had not been silent for long.
   kOverdue,
   // The connection ended before the answer was complete.
   kConnectionLost,
--- a/tests/forward_silence_test.cpp
+++ b/tests/forward_silence_test.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <tuple>
 
 #include "failure_type.h"
 #include "forward_fake.h"
@@ -349,5 +350,41 @@
   }
 }
 
+// Guards against an endpoint that gets no requests for a while because a caller left it no time for its answer.
+TEST_CASE("A request with little time left keeps no others from a sound endpoint") {
+  SECTION("of any kind") {
+    const auto [pool, path, left_ms] =
+        GENERATE(std::make_tuple(kRegisterPool, "/look/", 40), std::make_tuple(kRegisterPool, "/seal/", 40),
+                 std::make_tuple(kEnginePool, "/draft/", 40), std::make_tuple(kEnginePool, "/draft/", 5));
+    CAPTURE(path, left_ms);
+    ForwardFixture fixture({MakeEndpoint("x1", pool, "praha")});
+    const auto hurried = fixture.SendRequest(std::string(path) + "1", std::to_string(left_ms));
+    REQUIRE(fixture.sender.GetCount() == 1);
+    fixture.AdvanceTime(Milliseconds(left_ms + 10));
+    CHECK(hurried->status == 504);
+    fixture.SendRequest(std::string(path) + "2", "1000");
+    CHECK(fixture.sender.GetCount() == 2);
+  }
+  SECTION("while the endpoint answers others") {
+    ForwardFixture fixture({MakeEndpoint("x1", kEnginePool, "praha")});
+    const auto other = fixture.SendRequest("/draft/0", "6000");
+    fixture.sender.At(0).BeginStream();
+    fixture.SendRequest("/draft/1", "40");
+    for (int id = 1; id <= 10; ++id) {
+      fixture.AdvanceTime(Milliseconds(5));
+      fixture.sender.At(0).SendData("id: " + std::to_string(id) + "\ndata: a\n\n");
+    }
+    fixture.SendRequest("/draft/2", "6000");
+    CHECK(fixture.sender.GetCount() == 3);
+  }
+  SECTION("one that was silent for long does") {
+    ForwardFixture fixture({MakeEndpoint("x1", kRegisterPool, "praha")});
+    fixture.SendRequest("/seal/1", "1000");
+    fixture.AdvanceTime(Milliseconds(1010));
+    fixture.SendRequest("/seal/2", "1000");
+    CHECK(fixture.sender.GetCount() == 1);
+  }
+}
+
 }  // namespace
 }  // namespace plantain
--- a/tests/forward_unbounded_test.cpp
+++ b/tests/forward_unbounded_test.cpp
@@ -72,6 +72,7 @@
   FakeAttemptSender::Sent& second = fixture.sender.At(1);
   CHECK(second.GetField("Last-Event-Id") == last_event_id);
   second.BeginStream();
+  CHECK_FALSE(first.is_cancelled);
   second.SendData(last_event_id.empty() ? "id: 1\ndata: a\n\n" : "id: 2\ndata: b\n\n");
   CHECK(first.is_cancelled);
 }
