Try a hedge again soon if it could not be had or was refused

What callers saw, on the stand-ins' path: a stream at a silent endpoint whose hedge was refused, or that found no endpoint or retry at that moment, was sent to a free one only after the next timeout, 2 s in a stream and 15 s before it, so often never.

Cause: a hedge was decided once for each report of silence, and an attempt that fails beside another one is not repeated.

Change: the request remembers that its only attempt is silent, and tries again every 200 ms until a hedge runs or the attempt is heard, as the hosted path does. The retry is taken before the endpoint is chosen and given back if there is none, so that a choice that leads to nothing does not count.

--- a/src/attempt_client.cpp
+++ b/src/attempt_client.cpp
@@ -56,7 +56,6 @@
   attempt.next_index = start.completion().resume_from();
   attempt.expected_manifest = Digest(start.completion().manifest());
   attempt.heard_at = m_loop_time.GetElapsed();
-  attempt.timeout = m_options.first_timeout;
   proto::AttemptMessage message;
   *message.mutable_start() = std::move(start);
   if (!m_transport.Send(to, message.SerializeAsString())) return AttemptId();
@@ -133,7 +132,6 @@
   if (!AcceptManifest(*attempt, token.manifest())) return ReportLost(id, AttemptLoss::kProtocol);
   ++attempt->next_index;
   attempt->has_token = true;
-  attempt->timeout = m_options.silence_timeout;
   const Digest manifest = attempt->manifest;
   attempt->listener->OnToken(id, std::move(*token.mutable_text()), manifest);
 }
@@ -202,13 +200,7 @@
 }
 
 void AttemptClient::HandleEndpointSuspect(const VmId& vm) {
-  for (const AttemptId id : GetAttemptsAt(vm)) {
-    const auto found = m_attempts.find(id);
-    if (found == m_attempts.end()) continue;
-    // Another endpoint is tried again soon if it cannot be had now, whether or not a token has come.
-    found->second.timeout = m_options.silence_timeout;
-    ReportSilent(id);
-  }
+  for (const AttemptId id : GetAttemptsAt(vm)) ReportSilent(id);
 }
 
 // Does nothing for an attempt that has ended, which a listener may do to other attempts than its own.
@@ -223,7 +215,8 @@
   m_loop_time.Update(m_clock.GetNow());
   std::vector<AttemptId> silent;
   for (const auto& [id, attempt] : m_attempts) {
-    if (m_loop_time.GetElapsed() - attempt.heard_at > attempt.timeout) silent.push_back(id);
+    const Duration timeout = attempt.has_token ? m_options.silence_timeout : m_options.first_timeout;
+    if (m_loop_time.GetElapsed() - attempt.heard_at > timeout) silent.push_back(id);
   }
   for (const AttemptId id : silent) ReportSilent(id);
 }
--- a/src/attempt_client.h
+++ b/src/attempt_client.h
@@ -107,8 +107,6 @@
     Digest manifest;
     // Time of the loop at which the last message came, or the attempt was last reported as silent.
     Duration heard_at{};
-    // Time without a message after which the attempt is silent.
-    Duration timeout{};
     bool has_token = false;
   };
 
--- a/src/request_execution.cpp
+++ b/src/request_execution.cpp
@@ -6,6 +6,9 @@
 namespace plantain {
 namespace {
 
+// Time until a hedge is tried again after one that could not be had or was refused.
+constexpr Duration kHedgeInterval = Milliseconds(200);
+
 // Maps an endpoint's reason for refusal to the failure reported to the caller.
 EntryFailure ToFailure(proto::RefusalReason reason) {
   switch (reason) {
@@ -102,11 +105,18 @@
                                    [attempt](const RunningAttempt& running) { return running.id == attempt; });
   if (silent == m_running.end()) return;
   m_deps.chooser.OnRefused(silent->vm, Duration{});
-  if (m_running.size() > 1 || !m_request.is_idempotent) return;
+  m_silent_attempt = attempt;
+  TryHedge();
+}
+
+void RequestExecution::TryHedge() {
+  const bool is_alone = m_running.size() == 1 && m_running.front().id == m_silent_attempt;
+  if (!is_alone || !m_request.is_idempotent) return;
+  m_hedge_at = m_deps.clock.GetNow() + kHedgeInterval;
+  RetryPolicy& retries = GetRetryPolicy();
+  if (!retries.Decide(MakeRetryQuery(AttemptOutcome::kMayHaveRun)).is_retry) return;
   const RouteChoice choice = ChooseEndpoint();
-  // Decided last, since it takes a retry from the budget.
-  if (!choice.vm.has_value()) return;
-  if (GetRetryPolicy().Decide(MakeRetryQuery(AttemptOutcome::kMayHaveRun)).is_retry) StartAttempt(*choice.vm);
+  if (!choice.vm.has_value() || !StartAttempt(*choice.vm)) retries.Return();
 }
 
 void RequestExecution::HandleNoRoute(const RouteChoice& choice) {
@@ -187,6 +197,7 @@
 
 void RequestExecution::OnToken(AttemptId attempt, std::string text, const Digest& manifest) {
   m_is_not_run = false;
+  if (attempt == m_silent_attempt) m_silent_attempt = AttemptId();
   if (m_running.size() > 1) CancelOthers(attempt);
   m_deps.observer.OnToken(*this, manifest);
   m_answer->PublishToken(std::move(text), manifest);
@@ -250,6 +261,7 @@
   if (m_is_finished) return;
   if (now >= m_request.deadline) return Fail(EntryFailure::kDeadline, Duration{}, "deadline exceeded");
   if (m_is_waiting && now >= m_next_attempt_at) SendAttempt();
+  if (m_silent_attempt != AttemptId() && now >= m_hedge_at) TryHedge();
 }
 
 void RequestExecution::Cancel() {
--- a/src/request_execution.h
+++ b/src/request_execution.h
@@ -95,6 +95,8 @@
   };
 
   void SendAttempt();
+  // Sends the request beside its silent attempt, if another endpoint and a retry can be had.
+  void TryHedge();
   RouteChoice ChooseEndpoint();
   // Returns false if the attempt was definitely not sent.
   bool StartAttempt(const VmId& vm);
@@ -120,6 +122,9 @@
   const PrefixHashes m_prefix;
   // At most a silent attempt and its hedge, in the order in which they were sent.
   std::vector<RunningAttempt> m_running;
+  // The attempt that is silent, and when a hedge is tried again; zero if none is.
+  AttemptId m_silent_attempt;
+  TimePoint m_hedge_at;
   VmId m_endpoint;
   std::vector<VmId> m_tried;
   uint32_t m_attempts = 0;
--- a/src/retry_policy.h
+++ b/src/retry_policy.h
@@ -54,6 +54,9 @@
   // Consumes one retry from the budget if it decides to retry. Attempts that were never sent do not use the budget.
   RetryDecision Decide(const RetryQuery& query);
 
+  // Gives back a retry that was consumed and not used.
+  void Return() { m_budget.Return(); }
+
   // Returns the Retry-After time for a refused caller: the bounded hint plus up to half of it as jitter, so that
   // refused callers do not retry at the same time.
   Milliseconds MakeRetryAfter(Duration hint);
--- a/tests/entry_traffic_test.cpp
+++ b/tests/entry_traffic_test.cpp
@@ -222,6 +222,30 @@
     CHECK(caller->m_body == MakeEvent("r1", 0, "a", kWeightsA) + MakeEvent("r1", 1, "b", kWeightsA) + kDone);
   }
 
+  SECTION("a stream whose second endpoint refuses it, or that finds one only later, is sent to the next one soon") {
+    const bool is_refused = GENERATE(true, false);
+    const std::vector<MemberInfo> all = {MakeEngineMember("e1", "praha"), MakeEngineMember("e2", "praha"),
+                                         MakeEngineMember("e3", "praha")};
+    fixture.traffic.SetTable(
+        MakeTable(MakeEntryConfig(), is_refused ? all : std::vector<MemberInfo>{MakeEngineMember("e1", "praha")}));
+    fixture.Send(TrafficFixture::MakeCompletion("r1", "x"));
+    const auto [vm, start] = fixture.transport.GetStarts().at(0);
+    fixture.traffic.HandleEndpointSuspect(vm);
+    if (is_refused) {
+      const auto [other_vm, other] = fixture.transport.GetStarts().at(1);
+      fixture.traffic.HandleMessage(other_vm, MakeRefusal(other.attempt(), proto::REFUSAL_REASON_OVERLOADED, true));
+    }
+    const size_t sent = fixture.transport.GetStarts().size();
+    fixture.AdvanceTime(Milliseconds(100));
+    CHECK(fixture.transport.GetStarts().size() == sent);
+    fixture.traffic.SetTable(MakeTable(MakeEntryConfig(), all));
+    fixture.AdvanceTime(Milliseconds(200));
+    CHECK(fixture.transport.GetStarts().size() == sent + 1);
+    fixture.AdvanceTime(std::chrono::seconds(1));
+    CHECK(fixture.transport.GetStarts().size() == sent + 1);
+    CHECK(fixture.transport.GetCancels().empty());
+  }
+
   SECTION("a call that must run once") {
     fixture.traffic.SetTable(
         MakeTable(MakeEntryConfig(), {MakeServiceMember("s1", "praha"), MakeServiceMember("s2", "praha")}));
