--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 # Runs the tests under a sanitizer, for example `make sanitize BUILD=build-tsan SANITIZE=thread`.
 sanitize: setup $(BUILD)/build.ninja
 	cmake --build $(BUILD) -j $(JOBS) --target plantain-tests
-	cd $(BUILD) && TSAN_OPTIONS=suppressions=$(CURDIR)/tests/tsan-suppressions.txt \
+	cd $(BUILD) && TSAN_OPTIONS="$$TSAN_OPTIONS suppressions=$(CURDIR)/tests/tsan-suppressions.txt" \
 	  ctest --output-on-failure -j $(JOBS) --timeout 900
 
 demo: build
--- a/bench/agent_pause.py
+++ b/bench/agent_pause.py
@@ -4,7 +4,7 @@
 Agents are stopped by signals for 3.5 to 5 s, one after the other and then all at once; members are suspected after 3 s
 without heartbeats and dead after 10 s. Callers do not retry. Results: truncated or incorrect answers (cut), requests that
 ended without an answer although they may have run (failed), and keys of calls that were executed twice. Requests that were
-refused as not run are told beside them: while all agents stand still no other endpoint can be had.
+refused as not run are reported separately: while all agents stand still no other endpoint can be had.
 """
 
 import random
--- a/src/attempt_server.h
+++ b/src/attempt_server.h
@@ -24,8 +24,8 @@
   Port port;
   // Maximum time to wait for attempts in progress at shutdown.
   Duration drain_limit{};
-  // Time without a message or heartbeat after which the connection of an entry, and with it the attempts there, is
-  // lost.
+  // Time without a message or heartbeat after which the connection of an entry is lost. Replies to its attempts cannot
+  // be delivered from then on.
   Duration silence_timeout = std::chrono::seconds(10);
 };
 
--- a/src/entry_traffic.h
+++ b/src/entry_traffic.h
@@ -67,7 +67,8 @@
   // Fails the attempts in progress at a VM that was removed or has restarted.
   void HandleEndpointGone(const VmId& vm) { m_attempt_client.HandleEndpointGone(vm); }
 
-  // Sends requests in progress at a VM that is suspected to be down to other endpoints too, where they may run twice.
+  // Sends the repeatable requests in progress at a VM that is suspected to be down to other endpoints too, as far as
+  // the retry budget allows it.
   void HandleEndpointSuspect(const VmId& vm) { m_attempt_client.HandleEndpointSuspect(vm); }
 
   // Runs due timeouts, retries and deadlines. Call every few milliseconds.
--- a/src/entry_worker.cpp
+++ b/src/entry_worker.cpp
@@ -32,8 +32,8 @@
   return options;
 }
 
-// A connection to an agent that stands still is kept until the agent counts as dead: the attempts there are lost with
-// it.
+// A connection to an agent that stands still is kept until the agent counts as dead, since replies that the agent still
+// sends cannot arrive on a new one.
 ChannelOptions MakeChannelOptions(const Settings& settings) {
   ChannelOptions options;
   options.silence_timeout = settings.GetDuration("peer.dead_ms");
