Say which of two members may be zero

The comment above the silent attempt and the time of its next hedge left open which of them is zero if there is none.

--- a/src/request_execution.h
+++ b/src/request_execution.h
@@ -122,7 +122,7 @@
   const PrefixHashes m_prefix;
   // At most a silent attempt and its hedge, in the order in which they were sent.
   std::vector<RunningAttempt> m_running;
-  // The attempt that is silent, and when a hedge is tried again; zero if none is.
+  // The attempt that is silent, or zero, and when a hedge is tried again beside it.
   AttemptId m_silent_attempt;
   TimePoint m_hedge_at;
   VmId m_endpoint;
