Let all entries of a large fleet know each other, and give a zone's slots to its own entries

Cause: a beacon went to 24 processes at most, those of the own zone and then the lowest addresses. With 60 entries in five zones, entries with high addresses heard their own zone only. Each zone then divided all slots of all endpoints among its own entries, so that an endpoint with 8 slots was promised to up to 40 requests. An entry that owned no slot of an endpoint and had no load report of it could still send one request there. Requests queued at endpoints and were late: no refusal, no retry was needed for it. Beacons that name more than 64 entries were dropped whole.

Change: recipients take turns (RotatingTargets), senders state their interval, and liveness follows it. Entries are named in four bytes each; lists beyond their bounds are cut with a log line, not dropped. The slots of a zone go to its entries first, and the rest to zones whose demand exceeds their slots (SlotShares).

--- a/src/beacon_table.cpp
+++ b/src/beacon_table.cpp
@@ -1,6 +1,9 @@
 #include "beacon_table.h"
 
+#include <arpa/inet.h>
+
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <set>
 #include <tuple>
@@ -12,8 +15,11 @@
 
 // Retention time of an entry that is named by others but sends no beacons itself.
 constexpr Duration kNamedEntryRetention = std::chrono::seconds(10);
+// Beacons that may be lost in a row before their sender counts as dead, and the longest time for that.
+constexpr int kMaxLostBeacons = 4;
+constexpr Duration kMaxTimeout = std::chrono::seconds(10);
 // Limits on the memory used for beacons.
-constexpr int kMaxNamedEntries = 64;
+constexpr int kMaxNamedEntries = 1024;
 constexpr size_t kMaxBeacons = 4096;
 constexpr int kMaxFetches = 8;
 constexpr int kMaxPools = 64;
@@ -148,10 +154,59 @@
   return report;
 }
 
-bool HasBoundedStatements(const proto::Beacon& message) {
-  return message.statements_size() <= kMaxStatements && message.rate_grants_size() <= kMaxStatements &&
-         std::all_of(message.rate_grants().begin(), message.rate_grants().end(),
-                     [](const proto::RateGrants& grants) { return grants.grants_size() <= kMaxNamedEntries; });
+// Shortens a list to its bound. Returns whether it was longer.
+template <typename List>
+bool Truncate(List& list, int max_size) {
+  if (list.size() <= max_size) return false;
+  list.DeleteSubrange(max_size, list.size() - max_size);
+  return true;
+}
+
+// Leaves out what exceeds the bounds. Returns whether there was anything.
+bool TruncateLists(proto::Beacon& message) {
+  bool is_cut = Truncate(*message.mutable_entries(), kMaxNamedEntries);
+  if (message.entry_addresses_size() > kMaxNamedEntries) {
+    message.mutable_entry_addresses()->Truncate(kMaxNamedEntries);
+    is_cut = true;
+  }
+  is_cut |= Truncate(*message.mutable_fetches(), kMaxFetches);
+  is_cut |= Truncate(*message.mutable_demand(), kMaxPools);
+  is_cut |= Truncate(*message.mutable_wanted(), static_cast<int>(kMaxWantedAges));
+  is_cut |= Truncate(*message.mutable_content_evidence(), kMaxContentReports);
+  is_cut |= Truncate(*message.mutable_statements(), kMaxStatements);
+  is_cut |= Truncate(*message.mutable_rate_grants(), kMaxStatements);
+  for (proto::RateGrants& grants : *message.mutable_rate_grants()) {
+    is_cut |= Truncate(*grants.mutable_grants(), kMaxNamedEntries);
+  }
+  return is_cut;
+}
+
+// Entries are named by their addresses, which take four bytes each if they are IPv4 addresses.
+void EncodeEntries(const std::vector<VmId>& entries, proto::Beacon& out) {
+  for (const VmId& entry : entries) {
+    if (out.entries_size() + out.entry_addresses_size() >= kMaxNamedEntries) return;
+    in_addr address{};
+    if (inet_pton(AF_INET, entry.Get().c_str(), &address) == 1) {
+      out.add_entry_addresses(ntohl(address.s_addr));
+    } else {
+      out.add_entries(entry.Get());
+    }
+  }
+}
+
+std::vector<VmId> DecodeEntries(const proto::Beacon& in) {
+  std::vector<VmId> entries;
+  for (const std::string& entry : in.entries()) entries.emplace_back(entry);
+  for (const uint32_t number : in.entry_addresses()) {
+    const in_addr address{htonl(number)};
+    std::array<char, INET_ADDRSTRLEN> text{};
+    if (inet_ntop(AF_INET, &address, text.data(), text.size()) != nullptr) entries.emplace_back(text.data());
+  }
+  return entries;
+}
+
+Duration DecodeInterval(uint32_t interval_ms) {
+  return std::min<Duration>(Milliseconds(interval_ms), kMaxTimeout / kMaxLostBeacons);
 }
 
 }  // namespace
@@ -194,7 +249,9 @@
   message.set_directory_revision(beacon.directory_state.revision.GetNewest().offset.Get());
   EncodeTopicState(beacon.operator_state, *message.mutable_operator_state());
   EncodeTopicState(beacon.directory_state, *message.mutable_directory_state());
-  for (const VmId& entry : beacon.entries) message.add_entries(entry.Get());
+  EncodeEntries(beacon.entries, message);
+  message.set_own_zone_interval_ms(static_cast<uint32_t>(ToMilliseconds(beacon.own_zone_interval)));
+  message.set_other_interval_ms(static_cast<uint32_t>(ToMilliseconds(beacon.other_interval)));
   if (beacon.load.has_value()) EncodeLoad(*beacon.load, *message.mutable_load());
   for (const HoldingInfo& fetch : beacon.fetches) {
     proto::FetchState* state = message.add_fetches();
@@ -220,12 +277,10 @@
 std::optional<BeaconInfo> DecodeBeacon(std::string_view bytes) {
   proto::Beacon message;
   if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) return std::nullopt;
-  const bool is_bounded = message.entries_size() <= kMaxNamedEntries && message.fetches_size() <= kMaxFetches &&
-                          message.demand_size() <= kMaxPools &&
-                          message.wanted_size() <= static_cast<int>(kMaxWantedAges) &&
-                          message.content_evidence_size() <= kMaxContentReports &&
-                          std::all_of(message.content_evidence().begin(), message.content_evidence().end(), IsBounded);
-  if (message.vm().empty() || !is_bounded || !HasBoundedStatements(message)) return std::nullopt;
+  // A report with too many parts cannot be cut without changing what it says.
+  const auto& evidence = message.content_evidence();
+  if (message.vm().empty() || !std::all_of(evidence.begin(), evidence.end(), IsBounded)) return std::nullopt;
+  const bool is_cut = TruncateLists(message);
   BeaconInfo beacon;
   beacon.vm = VmId(message.vm());
   beacon.zone = ZoneName(message.zone());
@@ -234,7 +289,10 @@
   beacon.sequence = message.sequence();
   beacon.operator_state = DecodeTopicState(message.operator_state(), message.operator_revision());
   beacon.directory_state = DecodeTopicState(message.directory_state(), message.directory_revision());
-  for (const std::string& entry : message.entries()) beacon.entries.emplace_back(entry);
+  beacon.entries = DecodeEntries(message);
+  beacon.own_zone_interval = DecodeInterval(message.own_zone_interval_ms());
+  beacon.other_interval = DecodeInterval(message.other_interval_ms());
+  beacon.is_cut = is_cut;
   if (message.has_load()) beacon.load = DecodeLoad(message.load());
   for (const proto::FetchState& state : message.fetches()) {
     HoldingInfo fetch;
@@ -292,30 +350,43 @@
   return all;
 }
 
-std::vector<VmId> BeaconTable::GetTargets(size_t max) const {
-  std::vector<VmId> targets;
-  std::set<VmId> chosen;
-  const auto add = [&](const VmId& vm) {
-    if (vm == m_options.self || targets.size() >= max || !chosen.insert(vm).second) return;
-    targets.push_back(vm);
-  };
+bool BeaconTable::IsLive(const ReceivedBeacon& received) const {
+  const BeaconInfo& beacon = received.beacon;
+  const Duration interval = beacon.zone == m_options.zone ? beacon.own_zone_interval : beacon.other_interval;
+  return m_clock.GetNow() - received.at < std::max<Duration>(m_options.timeout, kMaxLostBeacons * interval);
+}
+
+BeaconTargets BeaconTable::GetTargets() const {
+  BeaconTargets targets;
+  std::set<VmId> other;
   for (const auto& [vm, received] : m_received) {
-    if (received.beacon.is_entry && received.beacon.zone == m_options.zone && IsLive(received)) add(vm);
+    if (!received.beacon.is_entry || !IsLive(received)) continue;
+    if (received.beacon.zone == m_options.zone) {
+      targets.own_zone.push_back(vm);
+    } else {
+      other.insert(vm);
+    }
   }
-  for (const VmId& entry : GetEntries()) add(entry);
-  for (const auto& [vm, at] : m_named_entries) add(vm);
-  for (const VmId& seed : m_options.seeds) add(seed);
+  for (const auto& [vm, at] : m_named_entries) other.insert(vm);
+  other.insert(m_options.seeds.begin(), m_options.seeds.end());
+  other.erase(m_options.self);
+  for (const VmId& vm : targets.own_zone) other.erase(vm);
+  targets.other.assign(other.begin(), other.end());
   return targets;
 }
 
-bool BeaconTable::IsKnown(const VmId& vm, Incarnation incarnation) const {
-  const auto found = m_received.find(vm);
-  return found != m_received.end() && found->second.beacon.incarnation == incarnation;
+BeaconTargets BeaconTable::GetAgents() const {
+  BeaconTargets targets;
+  for (const auto& [vm, received] : m_received) {
+    if (received.beacon.is_entry || !IsLive(received)) continue;
+    (received.beacon.zone == m_options.zone ? targets.own_zone : targets.other).push_back(vm);
+  }
+  return targets;
 }
 
-bool BeaconTable::IsInOwnZone(const VmId& vm) const {
+bool BeaconTable::IsKnown(const VmId& vm, Incarnation incarnation) const {
   const auto found = m_received.find(vm);
-  return found != m_received.end() && found->second.beacon.zone == m_options.zone && IsLive(found->second);
+  return found != m_received.end() && found->second.beacon.incarnation == incarnation;
 }
 
 std::optional<BeaconTable::NewerPeer> BeaconTable::FindNewerPeer(const LogRevision& operator_revision,
--- a/src/beacon_table.h
+++ b/src/beacon_table.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "beacon_targets.h"
 #include "clock.h"
 #include "core_type.h"
 #include "crash_report_type.h"
@@ -41,6 +42,11 @@
   TopicState directory_state;
   // Entries from which it has received beacons.
   std::vector<VmId> entries;
+  // Times within which each process of its zone, and each of other zones, gets a beacon from it; 0 if not stated.
+  Duration own_zone_interval{};
+  Duration other_interval{};
+  // Whether the receiver has left out a part of the beacon that exceeded its bounds.
+  bool is_cut = false;
   std::optional<EndpointLoad> load;
   // Weights that it is downloading, with their progress.
   std::vector<HoldingInfo> fetches;
@@ -54,7 +60,8 @@
   StatementReport statements;
 };
 
-// Encode and decode beacons. Decoding returns nothing if the bytes are not a valid beacon.
+// Encode and decode beacons. Decoding returns nothing if the bytes are not a valid beacon. Lists that are longer than
+// their bounds are cut, since the rest of a beacon is still of use.
 std::string EncodeBeacon(const BeaconInfo& beacon);
 std::optional<BeaconInfo> DecodeBeacon(std::string_view bytes);
 
@@ -65,7 +72,7 @@
 struct BeaconOptions {
   VmId self;
   ZoneName zone;
-  // Time without a beacon after which a process counts as dead.
+  // Time without a beacon after which a process counts as dead, unless it states a longer interval.
   Duration timeout = Milliseconds(2500);
   // Addresses that get beacons even if none was received from them.
   std::vector<VmId> seeds;
@@ -85,15 +92,14 @@
   // Returns the latest beacons of all live processes.
   std::vector<const BeaconInfo*> GetLiveBeacons() const;
 
-  // Returns up to `max` addresses to send a beacon to: live entries, those of the own zone first, then entries named in
-  // other beacons, then seeds.
-  std::vector<VmId> GetTargets(size_t max) const;
+  // Returns the addresses to send beacons to: live entries, entries named in other beacons, and seeds.
+  BeaconTargets GetTargets() const;
 
   // Whether a beacon of this incarnation of a process has been stored.
   bool IsKnown(const VmId& vm, Incarnation incarnation) const;
 
-  // Whether `vm` is a live process in this process's zone.
-  bool IsInOwnZone(const VmId& vm) const;
+  // Returns the agents that this entry tells what it knows: those of its own zone, and others. Both are live.
+  BeaconTargets GetAgents() const;
 
   // A process that has newer records than this one.
   struct NewerPeer {
@@ -111,7 +117,7 @@
     TimePoint at;
   };
 
-  bool IsLive(const ReceivedBeacon& received) const { return m_clock.GetNow() - received.at < m_options.timeout; }
+  bool IsLive(const ReceivedBeacon& received) const;
 
   const Clock& m_clock;
   const BeaconOptions m_options;
--- a/src/endpoint_balancer.cpp
+++ b/src/endpoint_balancer.cpp
@@ -90,7 +90,11 @@
   }
   m_statements.SetEndpoints(std::move(listed));
   std::erase_if(m_states, [](const auto& entry) { return !entry.second.is_listed && entry.second.own_requests == 0; });
+  ApplyPoolSpecs();
   AssignSlots();
+}
+
+void EndpointBalancer::ApplyPoolSpecs() {
   if (m_fleet->routing == nullptr) return;
   for (const PoolSpec& pool : m_fleet->routing->pools) {
     const auto states = m_pools.find(pool.name);
@@ -107,13 +111,27 @@
   AssignSlots();
 }
 
+std::map<ZoneName, double> EndpointBalancer::GetUsableSlots(const std::vector<State*>& states) const {
+  std::map<ZoneName, double> slots;
+  for (const State* state : states) {
+    const bool has_weights = !state->engine.has_value() || !state->loaded.empty();
+    double& count = slots[state->info.zone];
+    if (IsInService(state->info) && has_weights) count += GetSlots(*state);
+  }
+  return slots;
+}
+
 void EndpointBalancer::AssignSlots() {
   for (const auto& [pool, states] : m_pools) {
-    const ShareRange range = GetShareRange(m_entries, m_options.self, pool);
+    const SlotShares shares(m_entries, GetUsableSlots(states), m_options.self, pool);
+    uint32_t total_own_slots = 0;
     for (State* state : states) {
-      state->share = range.to - range.from;
-      state->own_slots = GetOwnSlots(range, state->info.id, GetSlots(*state));
+      state->share = shares.GetDemandShare();
+      state->own_slots = GetOwnSlots(shares.GetRange(state->info.zone), state->info.id, GetSlots(*state));
+      total_own_slots += state->own_slots;
     }
+    // Plain endpoints report no load, and a pool may have fewer slots than there are entries.
+    for (State* state : states) state->may_probe = !state->engine.has_value() || total_own_slots == 0;
   }
 }
 
@@ -152,7 +170,8 @@
   const uint32_t load = GetLoad(state, now);
   if (m_entries.size() < 2) return load >= slots + kSingleEntryOvercommit;
   if (!HasFreshReport(state, now)) {
-    return state.own_requests >= std::max(1U, static_cast<uint32_t>(std::lround(kNoReportFactor * state.own_slots)));
+    const auto allowed = static_cast<uint32_t>(std::lround(kNoReportFactor * state.own_slots));
+    return state.own_requests >= std::max(state.may_probe ? 1U : 0U, allowed);
   }
   if (state.own_requests < state.own_slots) return load >= slots + kReclaimOvercommit;
   return state.own_requests >= state.quota || load >= slots;
--- a/src/endpoint_balancer.h
+++ b/src/endpoint_balancer.h
@@ -112,6 +112,8 @@
   // Sets the entries that share the endpoints, including this one.
   void SetEntries(std::vector<EntryDemand> entries);
   void OnLoad(const EndpointLoad& load);
+  const ZoneName& GetZone() const { return m_options.zone; }
+
   // What endpoints state in their responses.
   EndpointStatements& GetStatements() { return m_statements; }
   const EndpointStatements& GetStatements() const { return m_statements; }
@@ -160,9 +162,12 @@
     double cold_requests_per_s = 0;
     std::optional<EngineSpec> engine;
     uint32_t own_requests = 0;
-    // This entry's share of the endpoint, from 0 to 1, and the slots that it may use whatever other entries do.
+    // This entry's share of the endpoint's free slots, from 0 to 1, and the slots that it may use whatever other
+    // entries do.
     double share = 1;
     uint32_t own_slots = 1;
+    // Whether this entry may send one request at a time while the endpoint's load is unknown.
+    bool may_probe = true;
     // Maximum number of requests of this entry until the next report: its own slots, or its requests in flight plus its
     // share of the free slots if that is more.
     uint32_t quota = 1;
@@ -213,7 +218,10 @@
   static uint32_t GetSlots(const State& state);
   bool IsFull(const State& state, TimePoint now) const;
   State* FindRun(const EndpointId& id, Incarnation incarnation);
+  void ApplyPoolSpecs();
   void AssignSlots();
+  // Returns the slots of a pool in each zone that requests can use.
+  std::map<ZoneName, double> GetUsableSlots(const std::vector<State*>& states) const;
   uint32_t ComputeQuota(const State& state, uint32_t total);
   bool HasFreshReport(const State& state, TimePoint now) const;
   void RefillRateTokens(State& state, TimePoint now) const;
--- a/src/endpoint_statement.cpp
+++ b/src/endpoint_statement.cpp
@@ -35,7 +35,7 @@
 
 EndpointStatements::EndpointStatements(const Clock& clock, VmId self)
     : m_clock(clock), m_self(std::move(self)), m_entries_changed_at(clock.GetNow()) {
-  m_view.entries.push_back({m_self, {}});
+  m_view.entries.push_back({m_self, {}, {}});
 }
 
 void EndpointStatements::SetEndpoints(std::map<EndpointId, ListedEndpoint> listed) {
--- a/src/fleet_relay.cpp
+++ b/src/fleet_relay.cpp
@@ -16,8 +16,18 @@
 constexpr char kDirectoryPath[] = "/records/directory";
 constexpr int kHttpOk = 200;
 constexpr int kHttpNotFound = 404;
-// Maximum recipients of one beacon. Other processes learn of this one through the entries that receive it.
-constexpr size_t kMaxBeaconTargets = 24;
+// Maximum recipients of one beacon in the own zone and elsewhere. If there are more, they take turns. An agent's
+// beacons matter less in other zones, whose entries prefer their own endpoints.
+constexpr size_t kMaxOwnZoneTargets = 32;
+constexpr size_t kMaxOtherTargets = 24;
+constexpr size_t kMaxOtherTargetsOfAgent = 8;
+// The same for the processes that the beacon source adds.
+constexpr size_t kMaxAddedOwnZoneTargets = 16;
+constexpr size_t kMaxAddedOtherTargets = 8;
+// Maximum recipients of a beacon with news that callers' repeats could outrun.
+constexpr size_t kMaxUrgentTargets = 256;
+// Interval of log lines about beacons that could not be used, or only in part.
+constexpr Duration kFaultyBeaconLogInterval = std::chrono::seconds(1);
 // One beacon in kRemoteZoneDivisor is sent to other zones, because bandwidth between regions is limited.
 constexpr uint64_t kRemoteZoneDivisor = 3;
 // An entry reads the store itself and asks a peer only if its own read has not returned the new records by then.
@@ -75,7 +85,12 @@
       m_clock(clock),
       m_mirror(mirror),
       m_options(std::move(options)),
-      m_beacons(clock, BeaconOptions{m_options.vm, m_options.zone, Milliseconds(2500), m_options.seeds}) {
+      m_beacons(clock, BeaconOptions{m_options.vm, m_options.zone, Milliseconds(2500), m_options.seeds}),
+      m_own_zone_targets(kMaxOwnZoneTargets),
+      m_other_targets(m_options.is_entry ? kMaxOtherTargets : kMaxOtherTargetsOfAgent),
+      m_urgent_targets(kMaxUrgentTargets),
+      m_added_own_zone_targets(kMaxAddedOwnZoneTargets),
+      m_added_other_targets(kMaxAddedOtherTargets) {
   mirror.AddFleetListener([this](const std::shared_ptr<const FleetView>&) { OnFleetChanged(); });
 }
 
@@ -115,7 +130,11 @@
 
 void FleetRelay::OnDatagram(std::string_view data) {
   std::optional<BeaconInfo> beacon = DecodeBeacon(data);
-  if (!beacon.has_value()) return;
+  if (!beacon.has_value()) {
+    LogFaultyBeacon("beacon_refused", VmId(), data.size());
+    return;
+  }
+  if (beacon->is_cut) LogFaultyBeacon("beacon_cut", beacon->vm, data.size());
   const BeaconInfo copy = *beacon;
   const bool is_new_entry = copy.is_entry && !m_beacons.IsKnown(copy.vm, copy.incarnation);
   if (!m_beacons.Update(*std::move(beacon))) return;
@@ -130,9 +149,22 @@
   for (const auto& listener : m_listeners) listener(copy);
 }
 
+void FleetRelay::LogFaultyBeacon(std::string_view event, const VmId& vm, size_t bytes) {
+  ++m_faulty_beacons;
+  const TimePoint now = m_clock.GetNow();
+  if (m_faulty_logged_at.has_value() && now - *m_faulty_logged_at < kFaultyBeaconLogInterval) return;
+  m_faulty_logged_at = now;
+  LogEvent(LogLevel::kWarn, event, {{"from", vm}, {"bytes", bytes}, {"count", std::exchange(m_faulty_beacons, 0)}});
+}
+
 void FleetRelay::SendNow() {
-  m_is_urgent = true;
-  SendBeacons();
+  if (m_socket != nullptr) SendUrgentBeacon(MakeBeacon());
+}
+
+void FleetRelay::SendUrgentBeacon(const std::string& data) {
+  const BeaconTargets targets = m_beacons.GetTargets();
+  SendToAll(targets.own_zone, data);
+  SendToAll(m_urgent_targets.GetNext(targets.other), data);
 }
 
 void FleetRelay::SendNowTo(const std::vector<VmId>& targets) {
@@ -157,6 +189,9 @@
   beacon.directory_state = GetTopicState(FleetTopic::kDirectory);
   beacon.entries = m_beacons.GetEntries();
   if (m_options.is_entry) beacon.entries.push_back(m_options.vm);
+  const BeaconTargets targets = m_beacons.GetTargets();
+  beacon.own_zone_interval = m_options.period * m_own_zone_targets.CountTurns(targets.own_zone.size());
+  beacon.other_interval = m_options.period * kRemoteZoneDivisor * m_other_targets.CountTurns(targets.other.size());
   beacon.wanted = m_mirror.GetWantedAges();
   if (m_beacon_source != nullptr) m_beacon_source->FillBeacon(beacon);
   return EncodeBeacon(beacon);
@@ -171,18 +206,21 @@
   for (const EraBound& bound : state.era_bounds) m_mirror.AddEraBound(topic, bound);
 }
 
+void FleetRelay::SendToAll(const std::vector<VmId>& targets, const std::string& data) {
+  for (const VmId& target : targets) SendTo(target, data);
+}
+
 void FleetRelay::SendBeacons() {
   if (m_socket == nullptr) return;
   const std::string data = MakeBeacon();
-  const bool is_urgent = std::exchange(m_is_urgent, false);
-  const bool sends_to_remote_zones = is_urgent || m_sequence % kRemoteZoneDivisor == 1;
-  for (const VmId& target : m_beacons.GetTargets(kMaxBeaconTargets)) {
-    if (!sends_to_remote_zones && !m_beacons.IsInOwnZone(target)) continue;
-    SendTo(target, data);
-  }
-  if ((!sends_to_remote_zones || is_urgent) && m_options.is_entry) return;
-  if (m_beacon_source == nullptr) return;
-  for (const VmId& target : m_beacon_source->GetBeaconTargets()) SendTo(target, data);
+  const bool sends_to_remote_zones = m_regular_beacons++ % kRemoteZoneDivisor == 0;
+  const BeaconTargets targets = m_beacons.GetTargets();
+  SendToAll(m_own_zone_targets.GetNext(targets.own_zone), data);
+  if (sends_to_remote_zones) SendToAll(m_other_targets.GetNext(targets.other), data);
+  if (m_beacon_source == nullptr || (m_options.is_entry && !sends_to_remote_zones)) return;
+  const BeaconTargets added = m_beacon_source->GetBeaconTargets();
+  SendToAll(m_added_own_zone_targets.GetNext(added.own_zone), data);
+  SendToAll(m_added_other_targets.GetNext(added.other), data);
 }
 
 void FleetRelay::FetchContent(const VmId& peer, const std::string& target,
--- a/src/fleet_relay.h
+++ b/src/fleet_relay.h
@@ -24,7 +24,7 @@
   virtual ~BeaconSource() = default;
   virtual void FillBeacon(BeaconInfo& beacon) = 0;
   // Returns additional recipients of the beacon.
-  virtual std::vector<VmId> GetBeaconTargets() const = 0;
+  virtual BeaconTargets GetBeaconTargets() const = 0;
 };
 
 struct RelayOptions {
@@ -72,8 +72,11 @@
  private:
   void OnDatagram(std::string_view data);
   void SendBeacons();
+  void SendUrgentBeacon(const std::string& data);
   std::string MakeBeacon();
   void SendTo(const VmId& target, const std::string& data);
+  void SendToAll(const std::vector<VmId>& targets, const std::string& data);
+  void LogFaultyBeacon(std::string_view event, const VmId& vm, size_t bytes);
   void OnFleetChanged();
   HttpResponse HandleRecordRequest(const HttpRequest& request) const;
   void PullIfBehind();
@@ -96,8 +99,17 @@
   std::unique_ptr<Timer> m_beacon_timer;
   std::unique_ptr<Timer> m_pull_timer;
   uint64_t m_sequence = 0;
-  // Whether the next beacon goes to all targets, whatever its number.
-  bool m_is_urgent = false;
+  // Beacons sent because of their period or an operator's change.
+  uint64_t m_regular_beacons = 0;
+  // Whose turn it is to get a beacon: processes that exchange records, and those that the beacon source adds.
+  RotatingTargets m_own_zone_targets;
+  RotatingTargets m_other_targets;
+  RotatingTargets m_urgent_targets;
+  RotatingTargets m_added_own_zone_targets;
+  RotatingTargets m_added_other_targets;
+  // Beacons since the last log line about a faulty one.
+  uint64_t m_faulty_beacons = 0;
+  std::optional<TimePoint> m_faulty_logged_at;
   // Newest operator revision announced in a beacon.
   LogRevision m_announced_revision;
   // Time since which a peer has announced newer records; unset if no peer has.
--- a/src/forward_service.cpp
+++ b/src/forward_service.cpp
@@ -152,13 +152,7 @@
   beacon.statements = m_statement_report;
 }
 
-std::vector<VmId> ForwardService::GetBeaconTargets() const {
-  std::vector<VmId> targets;
-  for (const BeaconInfo* beacon : m_relay.GetBeacons().GetLiveBeacons()) {
-    if (!beacon->is_entry) targets.push_back(beacon->vm);
-  }
-  return targets;
-}
+BeaconTargets ForwardService::GetBeaconTargets() const { return m_relay.GetBeacons().GetAgents(); }
 
 void ForwardService::TransferBeacons() {
   const bool is_due = ++m_transfer_number % kQuietTransferDivisor == 0;
@@ -167,7 +161,7 @@
   m_loop.Post([this, view = MakeEntryView(), loads = std::exchange(m_loads, {}),
                statement_reports = std::exchange(m_received_statement_reports, {})]() mutable {
     if (m_traffic == nullptr) return;
-    view.entries.push_back({m_parts.vm, m_traffic->GetDemand()});
+    view.entries.push_back({m_parts.vm, m_parts.zone, m_traffic->GetDemand()});
     ShareState(view.entries.back().requests_per_s);
     m_traffic->SetEntries(std::move(view));
     for (const auto& [from, report] : statement_reports) m_traffic->ApplyStatementReport(from, report);
@@ -181,7 +175,7 @@
   for (const BeaconInfo* beacon : m_relay.GetBeacons().GetLiveBeacons()) {
     view.named.insert(beacon->entries.begin(), beacon->entries.end());
     if (!beacon->is_entry) continue;
-    view.entries.push_back({beacon->vm, beacon->demand});
+    view.entries.push_back({beacon->vm, beacon->zone, beacon->demand});
     const auto heard = std::find(beacon->entries.begin(), beacon->entries.end(), m_parts.vm);
     view.is_heard_by_all = view.is_heard_by_all && heard != beacon->entries.end();
   }
--- a/src/forward_service.h
+++ b/src/forward_service.h
@@ -38,7 +38,7 @@
   // Adds the request rate that this entry's callers offer to each pool.
   void FillBeacon(BeaconInfo& beacon) override;
   // Returns all agents from which a beacon was received, so that they learn the address of this entry.
-  std::vector<VmId> GetBeaconTargets() const override;
+  BeaconTargets GetBeaconTargets() const override;
 
  private:
   class HttpAttemptSender;
--- a/src/slot_share.h
+++ b/src/slot_share.h
@@ -16,19 +16,45 @@
 // Offered load of one entry, in requests per second for each pool.
 struct EntryDemand {
   VmId entry;
+  ZoneName zone;
   std::map<PoolName, double> requests_per_s;
 };
 
-// Share of the slots of a pool, as a sub-range of 0 to 1.
+// Share of the slots of an endpoint, as a sub-range of 0 to 1.
 struct ShareRange {
   double from = 0;
   double to = 1;
+
+  double GetWidth() const { return to - from; }
 };
 
-// Returns the range that belongs to `self`. Entries are ordered by id, and the width of each range is proportional to
-// the entry's demand. An entry without demand keeps a narrow range, so that its first requests need not wait until the
-// other entries know of its demand. An entry that is not among `entries`, or is the only one, gets the full range.
-ShareRange GetShareRange(const std::vector<EntryDemand>& entries, const VmId& self, const PoolName& pool);
+// Shares of the endpoints of one pool. All entries with the same view compute ranges that cover 0 to 1 without overlap.
+//
+// Load pattern: more requests than slots, and several times as many entries as an endpoint has slots. If each entry had
+// a share of each endpoint, it would rarely own a whole slot anywhere. So the slots of a zone go to the entries of that
+// zone first, and only what they do not need goes to zones whose demand exceeds their slots. Each zone gets slots in
+// proportion to its demand, so that none waits longer than another.
+class SlotShares {
+ public:
+  // `slots` are the usable slots of the pool in each zone. An entry without demand keeps a narrow share, so that its
+  // first requests need not wait until the other entries know of its demand. Zones keep a narrow share of each other's
+  // endpoints, since some requests must run in certain regions.
+  SlotShares(const std::vector<EntryDemand>& entries, const std::map<ZoneName, double>& slots, const VmId& self,
+             const PoolName& pool);
+
+  // Returns the range of endpoints of a zone that belongs to this entry: all of it if this entry is the only one or is
+  // not among the entries.
+  ShareRange GetRange(const ZoneName& endpoint_zone) const;
+
+  // Returns this entry's part of the demand for the pool.
+  double GetDemandShare() const { return m_demand_share; }
+
+ private:
+  std::map<ZoneName, ShareRange> m_ranges;
+  // Range of endpoints in zones that have no usable slots.
+  ShareRange m_default_range;
+  double m_demand_share = 1;
+};
 
 // Returns how many slots of one endpoint lie in a range. Over adjacent ranges that cover 0 to 1 the results add up to
 // `slots` exactly; fractions of a slot are rounded in favour of different entries at different endpoints.
--- a/tests/endpoint_balancer_test.cpp
+++ b/tests/endpoint_balancer_test.cpp
@@ -153,7 +153,9 @@
 
 std::vector<EntryDemand> MakeEntries(const std::vector<double>& demands) {
   std::vector<EntryDemand> entries;
-  for (const double demand : demands) entries.push_back({MakeOptions(entries.size()).self, {{kEnginePool, demand}}});
+  for (const double demand : demands) {
+    entries.push_back({MakeOptions(entries.size()).self, ZoneName("praha"), {{kEnginePool, demand}}});
+  }
   return entries;
 }
 
--- a/tests/endpoint_rate_test.cpp
+++ b/tests/endpoint_rate_test.cpp
@@ -122,10 +122,10 @@
   void UpdateView(size_t index) {
     Entry& entry = m_entries[index];
     EntryView view;
-    view.entries.push_back({entry.id, {{kPool, entry.demand}}});
+    view.entries.push_back({entry.id, ZoneName(), {{kPool, entry.demand}}});
     for (const auto& [from, last] : entry.heard) {
       if (m_clock.GetNow() - last.at >= kSilence) continue;
-      view.entries.push_back({m_entries[from].id, {{kPool, m_entries[from].demand}}});
+      view.entries.push_back({m_entries[from].id, ZoneName(), {{kPool, m_entries[from].demand}}});
       view.named.insert(last.named->begin(), last.named->end());
       view.is_heard_by_all = view.is_heard_by_all && last.named->contains(entry.id);
     }
--- a/tests/fleet_mirror_test.cpp
+++ b/tests/fleet_mirror_test.cpp
@@ -373,7 +373,7 @@
 TEST_CASE("Beacons announce live processes and newer records") {
   VirtualClock clock;
   BeaconTable beacons(clock, {VmId("10.0.0.1"), ZoneName("praha-a"), Milliseconds(2500), {VmId("10.0.0.9")}});
-  CHECK(beacons.GetTargets(8) == std::vector<VmId>{VmId("10.0.0.9")});
+  CHECK(beacons.GetTargets().other == std::vector<VmId>{VmId("10.0.0.9")});
   CHECK(beacons.Update(MakeBeacon("10.0.0.2", 5, 3)));
   CHECK_FALSE(beacons.Update(MakeBeacon("10.0.0.2", 5, 9)));
   CHECK_FALSE(beacons.Update(MakeBeacon("10.0.0.1", 9)));
@@ -405,6 +405,16 @@
     CHECK(decoded->load->running == 3);
     CHECK(decoded->load->loaded.at(ModelName("m")) == WeightVersion(4));
   }
+  SECTION("a beacon with lists beyond their bounds is cut, and says so") {
+    BeaconInfo beacon = MakeBeacon("10.0.0.3", 1, 8);
+    for (int i = 0; i < 1500; ++i) beacon.fetches.push_back({});
+    for (int i = 0; i < 100; ++i) beacon.entries.push_back(VmId("10.0.1." + std::to_string(i)));
+    const auto decoded = DecodeBeacon(EncodeBeacon(beacon));
+    REQUIRE(decoded.has_value());
+    CHECK(decoded->is_cut);
+    CHECK(decoded->fetches.size() == 8);
+    CHECK(decoded->entries == beacon.entries);
+  }
   SECTION("malformed beacons are rejected") {
     CHECK_FALSE(DecodeBeacon("").has_value());
     CHECK_FALSE(DecodeBeacon("\xff\xff\xff").has_value());
--- a/tests/forward_traffic_test.cpp
+++ b/tests/forward_traffic_test.cpp
@@ -180,7 +180,7 @@
     ForwardFixture fixture({MakeEndpoint("g1", kRegisterPool, "praha"), MakeEndpoint("g2", kRegisterPool, "praha")},
                            options);
     EntryView view;
-    for (size_t i = 0; i < entries; ++i) view.entries.push_back({VmId("vm" + std::to_string(i)), {}});
+    for (size_t i = 0; i < entries; ++i) view.entries.push_back({VmId("vm" + std::to_string(i)), {}, {}});
     fixture.traffic->SetEntries(view);
     size_t retries = 0;
     for (int i = 0; i < 100; ++i) {
