Keep late requests out of the slots that new requests need

Cause: a late request got a slot whenever the queue of requests that can be in time was empty for a moment, and held it for the time of a whole answer, in which new requests arrived, were refused, came back late and were served late in turn. With many entries each queue is short and often empty, so that a third of the capacity went to late requests for as long as the load lasted. New requests waited for 0.45 of their latency target whatever the endpoints took, so that they were late as well once endpoints took longer than the rest.

Change: SpareCapacity lets late requests hold together no more slots than the rate of new requests, times the time that a request holds a slot, leaves of this entry's slots. FirstEventDelay learns how long endpoints take until an answer begins, and a request waits no longer than its target leaves. An entry that reclaims its slots sends one request beyond an endpoint's slots instead of two.

--- a/src/beacon_table.cpp
+++ b/src/beacon_table.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <set>
+#include <iterator>
 #include <tuple>
 
 #include "fleet.pb.h"
@@ -358,20 +358,17 @@
 
 BeaconTargets BeaconTable::GetTargets() const {
   BeaconTargets targets;
-  std::set<VmId> other;
+  std::vector<VmId> other(m_options.seeds);
   for (const auto& [vm, received] : m_received) {
     if (!received.beacon.is_entry || !IsLive(received)) continue;
-    if (received.beacon.zone == m_options.zone) {
-      targets.own_zone.push_back(vm);
-    } else {
-      other.insert(vm);
-    }
+    (received.beacon.zone == m_options.zone ? targets.own_zone : other).push_back(vm);
   }
-  for (const auto& [vm, at] : m_named_entries) other.insert(vm);
-  other.insert(m_options.seeds.begin(), m_options.seeds.end());
-  other.erase(m_options.self);
-  for (const VmId& vm : targets.own_zone) other.erase(vm);
-  targets.other.assign(other.begin(), other.end());
+  for (const auto& [vm, at] : m_named_entries) other.push_back(vm);
+  std::sort(other.begin(), other.end());
+  other.erase(std::unique(other.begin(), other.end()), other.end());
+  std::erase(other, m_options.self);
+  std::set_difference(other.begin(), other.end(), targets.own_zone.begin(), targets.own_zone.end(),
+                      std::back_inserter(targets.other));
   return targets;
 }
 
--- a/src/endpoint_balancer.cpp
+++ b/src/endpoint_balancer.cpp
@@ -14,7 +14,7 @@
 // Without a recent load report each entry uses up to this multiple of its own slots.
 constexpr double kNoReportFactor = 1.5;
 // Requests beyond its slots that an endpoint may get when an entry reclaims slots that other entries were using.
-constexpr uint32_t kReclaimOvercommit = 2;
+constexpr uint32_t kReclaimOvercommit = 1;
 // Score penalty of endpoints in another zone of the region and in another region, in milliseconds to the first event.
 // Bandwidth between zones and regions is scarce, and load reports from remote endpoints are less accurate.
 constexpr double kZonePenaltyMs = 20;
@@ -165,16 +165,19 @@
 
 uint32_t EndpointBalancer::GetSlots(const State& state) { return std::max(1U, state.info.slots); }
 
-bool EndpointBalancer::IsFull(const State& state, TimePoint now) const {
+uint32_t EndpointBalancer::GetRoom(const State& state, TimePoint now) const {
+  const auto subtract = [](uint32_t from, uint32_t used) { return from - std::min(from, used); };
   const uint32_t slots = GetSlots(state);
   const uint32_t load = GetLoad(state, now);
-  if (m_entries.size() < 2) return load >= slots + kSingleEntryOvercommit;
+  if (m_entries.size() < 2) return subtract(slots + kSingleEntryOvercommit, load);
   if (!HasFreshReport(state, now)) {
     const auto allowed = static_cast<uint32_t>(std::lround(kNoReportFactor * state.own_slots));
-    return state.own_requests >= std::max(state.may_probe ? 1U : 0U, allowed);
+    return subtract(std::max(state.may_probe ? 1U : 0U, allowed), state.own_requests);
   }
-  if (state.own_requests < state.own_slots) return load >= slots + kReclaimOvercommit;
-  return state.own_requests >= state.quota || load >= slots;
+  if (state.own_requests < state.own_slots) {
+    return std::min(subtract(state.own_slots, state.own_requests), subtract(slots + kReclaimOvercommit, load));
+  }
+  return std::min(subtract(state.quota, state.own_requests), subtract(slots, load));
 }
 
 // If each entry uses at most its share of the slots that a report shows as free, all entries together use no more than
@@ -229,9 +232,8 @@
   if (state.backoff_until > now) return state.silence.IsPaused() ? Availability::kBusy : Availability::kBackedOff;
   if (state.pause_until > now) return Availability::kBusy;
   if (m_statements.GetPauseLeft(state.info.id, state.info.incarnation) > Duration::zero()) return Availability::kBusy;
-  if (state.is_switching && HasFreshReport(state, now)) return Availability::kBusy;
-  if (!HasVersion(state, query)) return Availability::kBusy;
-  if (IsFull(state, now)) return Availability::kBusy;
+  if (!IsServing(state, query, now)) return Availability::kBusy;
+  if (GetRoom(state, now) == 0) return Availability::kBusy;
   if (!m_statements.IsAvailable(state.info.id)) return Availability::kBusy;
   if (state.cold_requests_per_s > 0) {
     RefillRateTokens(state, now);
@@ -240,6 +242,11 @@
   return Availability::kAvailable;
 }
 
+bool EndpointBalancer::IsServing(const State& state, const EndpointQuery& query, TimePoint now) const {
+  const bool is_switching = state.is_switching && HasFreshReport(state, now);
+  return IsEligible(state, query) && state.backoff_until <= now && !is_switching && HasVersion(state, query);
+}
+
 bool EndpointBalancer::IsOutlier(const State& state) const {
   if (state.attempts < kMinAttempts) return false;
   const auto pool = m_pools.find(state.info.pool);
@@ -323,6 +330,17 @@
   return choice;
 }
 
+uint32_t EndpointBalancer::GetUsableOwnSlots(const EndpointQuery& query) const {
+  const TimePoint now = m_clock.GetNow();
+  const auto pool = m_pools.find(query.pool);
+  if (pool == m_pools.end()) return 0;
+  uint32_t slots = 0;
+  for (const State* state : pool->second) {
+    if (IsServing(*state, query, now)) slots += std::max(state->own_slots, state->may_probe ? 1U : 0U);
+  }
+  return slots;
+}
+
 bool EndpointBalancer::HasEligible(const EndpointQuery& query) const {
   const auto pool = m_pools.find(query.pool);
   if (pool == m_pools.end() || IsSuperseded(query)) return false;
--- a/src/endpoint_balancer.h
+++ b/src/endpoint_balancer.h
@@ -123,6 +123,9 @@
 
   EndpointChoice Choose(const EndpointQuery& query);
 
+  // Returns the slots of this entry at endpoints that accept the request now or when a slot is free.
+  uint32_t GetUsableOwnSlots(const EndpointQuery& query) const;
+
   // Whether an endpoint of the pool may run the request, now or later.
   bool HasEligible(const EndpointQuery& query) const;
 
@@ -208,6 +211,8 @@
   // Whether the only version that the request may use must not start requests any more.
   static bool IsSuperseded(const EndpointQuery& query);
   bool HasVersion(const State& state, const EndpointQuery& query) const;
+  // Whether the endpoint would accept the request if it had a free slot.
+  bool IsServing(const State& state, const EndpointQuery& query, TimePoint now) const;
   bool IsOutlier(const State& state) const;
   double GetPendingPromptTokens(const State& state, TimePoint now) const;
   // Returns the estimated time to the first event of a request with this prompt, in milliseconds.
@@ -216,7 +221,8 @@
   uint32_t GetLoad(const State& state, TimePoint now) const;
   // Returns the slots of an endpoint; an endpoint that announces none counts as one slot.
   static uint32_t GetSlots(const State& state);
-  bool IsFull(const State& state, TimePoint now) const;
+  // Returns how many more requests this entry may send to an endpoint now, at most.
+  uint32_t GetRoom(const State& state, TimePoint now) const;
   State* FindRun(const EndpointId& id, Incarnation incarnation);
   void ApplyPoolSpecs();
   void AssignSlots();
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -13,8 +13,9 @@
 namespace plantain {
 namespace {
 
-// Fraction of a route's latency goal that a request may wait in the queue. The rest is left for the endpoint's time to
-// the first event.
+// Fractions of a route's latency goal that a request may wait in the queue, at least and at most. Between them it waits
+// as long as the endpoint's time to the first event leaves. A short wait does no harm, and keeps slots from idling.
+constexpr double kMinWaitGoalShare = 0.05;
 constexpr double kMaxWaitGoalShare = 0.45;
 // Maximum queue wait of a request that has missed its latency goal, and the divisor that limits the wait to a fraction
 // of the time until its deadline.
@@ -49,6 +50,10 @@
   return EndpointRun(HashName(endpoint.Get() + '/' + std::to_string(incarnation.Get())));
 }
 
+Duration GetGoalShare(const ActiveRequest& active, double share) {
+  return std::chrono::duration_cast<Duration>(active.GetMatch().rule->latency_target * share);
+}
+
 bool IsStream(const ActiveRequest& active) { return active.GetMatch().rule->kind == RequestKind::kStream; }
 
 std::string FormatParts(const std::vector<ContentKey>& parts) {
@@ -187,6 +192,7 @@
   m_metrics.SetInFlight(m_active_requests.size());
   GetPool(pool).budget->OnFirstAttempt();
   GetPool(pool).demand.Count(m_clock.GetNow());
+  if (!IsLate(*active)) GetPool(pool).spare_capacity.OnNewRequest(m_clock.GetNow());
   active->WatchForDisconnect();
   Enqueue(*active);
 }
@@ -199,13 +205,28 @@
   return rule.timeout - caller_timeout + spent > rule.latency_target;
 }
 
-Duration ForwardTraffic::GetMaxWait(const ActiveRequest& active) const {
+bool ForwardTraffic::IsLate(const ActiveRequest& active) const { return !active.HasEvents() && HasMissedGoal(active); }
+
+Duration ForwardTraffic::GetMaxWait(const ActiveRequest& active) {
   if (active.HasEvents()) return kMaxResumeWait;
-  const RouteRule& rule = *active.GetMatch().rule;
+  const TimePoint now = m_clock.GetNow();
   if (HasMissedGoal(active)) {
-    return std::min<Duration>(kMaxLateWait, (active.GetDeadline() - m_clock.GetNow()) / kLateWaitDivisor);
+    return std::min<Duration>(kMaxLateWait, (active.GetDeadline() - now) / kLateWaitDivisor);
   }
-  return std::chrono::duration_cast<Duration>(rule.latency_target * kMaxWaitGoalShare);
+  const Duration left = GetMaxTimelyWait(active) - (now - active.GetStart());
+  return std::max(left, GetGoalShare(active, kMinWaitGoalShare));
+}
+
+Duration ForwardTraffic::GetMaxTimelyWait(const ActiveRequest& active) {
+  const Duration delay = GetPool(active.GetPool()).first_event_delay.GetEstimate();
+  return std::clamp(active.GetMatch().rule->latency_target - delay, GetGoalShare(active, kMinWaitGoalShare),
+                    GetGoalShare(active, kMaxWaitGoalShare));
+}
+
+// Whether a request that was queued as late has waited too long to be answered in time.
+bool ForwardTraffic::HasWaitedTooLong(const ActiveRequest& active) {
+  const bool is_late = GetPool(active.GetPool()).wait_queue.IsLate(active.GetTicket());
+  return is_late && m_clock.GetNow() - active.GetStart() > GetMaxTimelyWait(active);
 }
 
 AttemptWeights ForwardTraffic::MakeAttemptWeights(const EndpointQuery& query, const EndpointChoice& choice) const {
@@ -271,8 +292,15 @@
   const EndpointChoice choice = m_balancer.Choose(query);
   why = choice.failure;
   if (choice.endpoint == nullptr) return false;
+  SpareCapacity& spare_capacity = GetPool(active.GetPool()).spare_capacity;
+  const bool is_late = IsLate(active) || HasWaitedTooLong(active);
+  if (is_late && !spare_capacity.AllowsLate(m_balancer.GetUsableOwnSlots(query), m_clock.GetNow())) {
+    why = NoEndpointReason::kBusy;
+    return false;
+  }
+  if (is_late) spare_capacity.OnLateSent(active.GetTicket());
   m_balancer.OnSent(choice.endpoint->id, active.GetRequest().prompt_tokens);
-  GetPool(active.GetPool()).wait_queue.RecordServed(HasMissedGoal(active), m_clock.GetNow());
+  GetPool(active.GetPool()).wait_queue.RecordServed(is_late, m_clock.GetNow());
   active.StartAttempt(choice, MakeAttemptWeights(query, choice));
   return true;
 }
@@ -290,8 +318,7 @@
   WaitQueue& wait_queue = GetPool(active.GetPool()).wait_queue;
   // A hedge may be waiting whose request has lost its other attempt meanwhile.
   wait_queue.Remove(active.GetTicket());
-  const WaitingRequest entry{active.GetTicket(), active.GetMatch().priority,
-                             HasMissedGoal(active) && !active.HasEvents(), now + GetMaxWait(active)};
+  const WaitingRequest entry{active.GetTicket(), active.GetMatch().priority, IsLate(active), now + GetMaxWait(active)};
   NoEndpointReason why = NoEndpointReason::kBusy;
   if (wait_queue.GetSize() == 0 && TryDispatch(active, why)) return;
   if (why != NoEndpointReason::kBusy) {
@@ -494,6 +521,7 @@
 }
 
 void ForwardTraffic::OnAnswerBegun(ActiveRequest& active, const ForwardAttempt& attempt) {
+  GetPool(active.GetPool()).first_event_delay.Record(m_clock.GetNow() - attempt.sent_at);
   if (!m_quarantine.IsEmpty()) {
     m_quarantine.OnRunAnswered(GetRun(attempt.choice.endpoint, attempt.incarnation), attempt.sent_at);
   }
@@ -518,6 +546,9 @@
   const AnswerProgress progress = attempt.GetProgress(IsStream(active));
   m_metrics.CountAttempt(end);
   m_balancer.OnEnded(attempt.choice.endpoint, end, attempt.sent_at);
+  SpareCapacity& spare_capacity = GetPool(active.GetPool()).spare_capacity;
+  spare_capacity.OnEnded(active.GetTicket());
+  if (end == AttemptEnd::kSuccess) spare_capacity.OnAnswered(m_clock.GetNow() - attempt.sent_at);
   if (end == AttemptEnd::kConnectionLost && progress != AnswerProgress::kBegun) RecordCrash(active, attempt);
   if (end == AttemptEnd::kSuccess) return;
   const TimePoint now = m_clock.GetNow();
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -15,6 +15,7 @@
 #include "crash_quarantine.h"
 #include "endpoint_balancer.h"
 #include "event_rate.h"
+#include "first_event_delay.h"
 #include "forward_metrics.h"
 #include "forward_type.h"
 #include "http_drain.h"
@@ -22,6 +23,7 @@
 #include "random.h"
 #include "retry_budget.h"
 #include "route_match.h"
+#include "spare_capacity.h"
 #include "wait_queue.h"
 
 namespace plantain {
@@ -88,6 +90,8 @@
     WaitQueue wait_queue;
     std::unique_ptr<RetryBudget> budget;
     EventRate demand{kDemandWindow};
+    FirstEventDelay first_event_delay;
+    SpareCapacity spare_capacity;
   };
 
   void Refuse(const ForwardRequest& request, const std::shared_ptr<HttpResponder>& responder, ForwardFailure failure,
@@ -98,10 +102,16 @@
   // Refuses queued requests that no endpoint may run any more.
   void RefuseUnservable();
   bool HasMissedGoal(const ActiveRequest& active) const;
+  // Whether the answer can no longer begin within its latency target. Events of an interrupted stream are never late.
+  bool IsLate(const ActiveRequest& active) const;
   WaitingRequest MakeLateEntry(WaitingRequest entry, const ActiveRequest& active) const;
-  Duration GetMaxWait(const ActiveRequest& active) const;
+  Duration GetMaxWait(const ActiveRequest& active);
+  // Returns how long after its arrival a request may be sent and still be answered in time.
+  Duration GetMaxTimelyWait(const ActiveRequest& active);
+  bool HasWaitedTooLong(const ActiveRequest& active);
   bool CanServeInTime(const WaitingRequest& entry, const PoolName& pool);
   EndpointQuery MakeQuery(const ActiveRequest& active) const;
+  // Sends a request to an endpoint if one takes it; a late one only if other requests do not need the slot.
   bool TryDispatch(ActiveRequest& active, NoEndpointReason& why);
   void RefuseQueued(ActiveRequest& active, ForwardFailure failure);
   std::vector<ContentKey> GetContentKeys(const ActiveRequest& active) const;
--- /dev/null
+++ b/src/spare_capacity.cpp
@@ -0,0 +1,27 @@
+#include "spare_capacity.h"
+
+#include <cmath>
+
+namespace plantain {
+namespace {
+
+// The mean time that a request holds a slot follows a change within about this many answers.
+constexpr double kSmoothing = 32;
+// Slots in reserve, as a multiple of the square root of the slots: the number of new requests at one time varies by
+// about that much.
+constexpr double kReserveFactor = 0.5;
+
+}  // namespace
+
+void SpareCapacity::OnAnswered(Duration held) {
+  const double held_s = ToSeconds(held);
+  m_held_s = m_held_s == 0 ? held_s : m_held_s + (held_s - m_held_s) / kSmoothing;
+}
+
+bool SpareCapacity::AllowsLate(uint32_t slots, TimePoint now) const {
+  const double needed = m_new_requests.Get(now).value_or(0) * m_held_s;
+  const double reserve = kReserveFactor * std::sqrt(slots);
+  return static_cast<double>(m_late.size()) + 1 <= slots - needed - reserve;
+}
+
+}  // namespace plantain
--- a/src/wait_queue.cpp
+++ b/src/wait_queue.cpp
@@ -57,6 +57,11 @@
   m_requests.remove_if([&](const WaitingRequest& request) { return request.ticket == ticket; });
 }
 
+bool WaitQueue::IsLate(WaitTicket ticket) const {
+  return std::any_of(m_requests.begin(), m_requests.end(),
+                     [&](const WaitingRequest& request) { return request.ticket == ticket && request.is_late; });
+}
+
 std::vector<WaitTicket> WaitQueue::GetNext(size_t count) const {
   std::vector<WaitTicket> next;
   if (m_served % kFairPickInterval == kFairPickInterval - 1 && !m_requests.empty()) {
--- a/src/wait_queue.h
+++ b/src/wait_queue.h
@@ -43,6 +43,9 @@
   void Add(const WaitingRequest& request);
   void Remove(WaitTicket ticket);
 
+  // Whether a waiting request was added as late. A request that is not in the queue is not.
+  bool IsLate(WaitTicket ticket) const;
+
   // Returns up to `count` tickets in the order in which they should be served.
   std::vector<WaitTicket> GetNext(size_t count) const;
 
