--- a/tests/version_pick_test.cpp
+++ b/tests/version_pick_test.cpp
@@ -33,6 +33,18 @@
     CHECK(PickVersion(published, one, times, kStart + Milliseconds(5500)) == WeightVersion(2));
     CHECK(PickVersion(published, WeightVersion(2), times, kStart + seconds(6)) == WeightVersion(3));
   }
+  SECTION("a fetch that is late is still finished first, because that of the newer version has not begun") {
+    const VersionTimes long_limit{seconds(10), Milliseconds(4300), Milliseconds(2800), Milliseconds(1300)};
+    const std::vector<WantedWeights> published = {MakePublished(2, {}), MakePublished(3, seconds(4))};
+    CHECK(PickVersion(published, one, long_limit, kStart + Milliseconds(6900)) == WeightVersion(2));
+    CHECK(PickVersion(published, one, long_limit, kStart + Milliseconds(8500)) == WeightVersion(2));
+  }
+  SECTION("the choice does not return to a version that was given up") {
+    const std::vector<WantedWeights> published = {MakePublished(2, {}), MakePublished(3, Milliseconds(1500))};
+    for (int ms = 1500; ms < 9000; ms += 100) {
+      REQUIRE(PickVersion(published, one, times, kStart + Milliseconds(ms)) == WeightVersion(3));
+    }
+  }
   SECTION("an overdue version is skipped") {
     CHECK(PickVersion({MakePublished(2, {}), MakePublished(3, seconds(4))}, one, times, kStart + seconds(20)) ==
           WeightVersion(3));
