Count only endpoints with usable weights as capacity of a zone

Cause: the shares of slots counted endpoints with superseded weights, or that load others, as slots of their zone. During a change of weights the zones get the new version at different times; the entries of a zone without it then owned slots that they could not use, and almost none elsewhere.

Change: a zone's slots are those of endpoints whose weights may start a request and that are not loading others.

Measured: large_fleet_test covers it and fails before.

--- a/src/endpoint_balancer.cpp
+++ b/src/endpoint_balancer.cpp
@@ -114,13 +114,21 @@
 std::map<ZoneName, double> EndpointBalancer::GetUsableSlots(const std::vector<State*>& states) const {
   std::map<ZoneName, double> slots;
   for (const State* state : states) {
-    const bool has_weights = !state->engine.has_value() || !state->loaded.empty();
     double& count = slots[state->info.zone];
-    if (IsInService(state->info) && has_weights) count += GetSlots(*state);
+    if (IsInService(state->info) && HasUsableWeights(*state)) count += GetSlots(*state);
   }
   return slots;
 }
 
+bool EndpointBalancer::HasUsableWeights(const State& state) const {
+  if (!state.engine.has_value()) return true;
+  if (state.is_switching && HasFreshReport(state, m_clock.GetNow())) return false;
+  const auto loaded = state.loaded.find(state.engine->model);
+  if (loaded == state.loaded.end()) return false;
+  const auto min_version = m_min_versions.find(state.engine->model);
+  return min_version == m_min_versions.end() || loaded->second >= min_version->second;
+}
+
 void EndpointBalancer::AssignSlots() {
   for (const auto& [pool, states] : m_pools) {
     const SlotShares shares(m_entries, GetUsableSlots(states), m_options.self, pool);
--- a/src/endpoint_balancer.h
+++ b/src/endpoint_balancer.h
@@ -111,6 +111,9 @@
   void SetFleet(std::shared_ptr<const FleetView> fleet);
   // Sets the entries that share the endpoints, including this one.
   void SetEntries(std::vector<EntryDemand> entries);
+  // Sets the oldest version of each model that may start a request; models that are not listed have none. Takes effect
+  // with the next SetEntries or SetFleet.
+  void SetMinVersions(std::map<ModelName, WeightVersion> versions) { m_min_versions = std::move(versions); }
   void OnLoad(const EndpointLoad& load);
   const ZoneName& GetZone() const { return m_options.zone; }
 
@@ -228,6 +231,8 @@
   void AssignSlots();
   // Returns the slots of a pool in each zone that requests can use.
   std::map<ZoneName, double> GetUsableSlots(const std::vector<State*>& states) const;
+  // Whether the endpoint has weights that may start a request, and is not loading others.
+  bool HasUsableWeights(const State& state) const;
   uint32_t ComputeQuota(const State& state, uint32_t total);
   bool HasFreshReport(const State& state, TimePoint now) const;
   void RefillRateTokens(State& state, TimePoint now) const;
@@ -243,6 +248,7 @@
   std::map<EndpointId, State> m_states;
   std::map<PoolName, std::vector<State*>> m_pools;
   std::vector<EntryDemand> m_entries;
+  std::map<ModelName, WeightVersion> m_min_versions;
   EndpointStatements m_statements;
 };
 
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -100,6 +100,7 @@
   for (auto& [pool, state] : m_pools) {
     if (state.budget != nullptr) state.budget->SetReserve(GetRetryReserve());
   }
+  m_balancer.SetMinVersions(GetMinVersions());
   m_balancer.SetEntries(view.entries);
   m_balancer.GetStatements().SetEntries(std::move(view));
 }
@@ -240,6 +241,18 @@
   return weights;
 }
 
+std::optional<WeightVersion> ForwardTraffic::GetMinVersion(const ModelName& model) const {
+  return GetMinStartVersion(m_fleet->wanted, model, m_options.version_change_limit - kVersionMargin, m_clock.GetNow());
+}
+
+std::map<ModelName, WeightVersion> ForwardTraffic::GetMinVersions() const {
+  std::map<ModelName, WeightVersion> versions;
+  for (const WantedWeights& wanted : m_fleet->wanted) {
+    if (const auto version = GetMinVersion(wanted.model)) versions[wanted.model] = *version;
+  }
+  return versions;
+}
+
 EndpointQuery ForwardTraffic::MakeQuery(const ActiveRequest& active) const {
   EndpointQuery query;
   query.pool = active.GetPool();
@@ -249,8 +262,7 @@
   if (!active.GetModel().IsEmpty()) {
     query.model = active.GetModel();
     query.prompt_tokens = active.GetRequest().prompt_tokens;
-    query.min_version = GetMinStartVersion(m_fleet->wanted, query.model,
-                                           m_options.version_change_limit - kVersionMargin, m_clock.GetNow());
+    query.min_version = GetMinVersion(query.model);
     query.exact_version = active.GetWeightVersion();
   }
   return query;
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -110,6 +111,9 @@
   Duration GetMaxTimelyWait(const ActiveRequest& active);
   bool HasWaitedTooLong(const ActiveRequest& active);
   bool CanServeInTime(const WaitingRequest& entry, const PoolName& pool);
+  // Returns the oldest version of a model that may start a request now, or nothing if every version may.
+  std::optional<WeightVersion> GetMinVersion(const ModelName& model) const;
+  std::map<ModelName, WeightVersion> GetMinVersions() const;
   EndpointQuery MakeQuery(const ActiveRequest& active) const;
   // Sends a request to an endpoint if one takes it; a late one only if other requests do not need the slot.
   bool TryDispatch(ActiveRequest& active, NoEndpointReason& why);
--- a/tests/large_fleet_test.cpp
+++ b/tests/large_fleet_test.cpp
@@ -45,16 +45,21 @@
     }
   }
 
-  void FillEndpoints() {
-    for (const auto& balancer : m_balancers) m_sent.push_back(Fill(*balancer));
+  // Lets the endpoints of a zone serve version 2, and requires it everywhere.
+  void RequireVersionOf(size_t zone) {
+    auto fleet = std::make_shared<FleetView>(*m_fleet);
+    for (EndpointInfo& endpoint : fleet->endpoints) {
+      if (endpoint.zone == MakeZone(zone)) endpoint.loaded[kVeilModel] = WeightVersion(2);
+    }
+    m_min_version = WeightVersion(2);
+    for (const auto& balancer : m_balancers) {
+      balancer->SetMinVersions({{kVeilModel, *m_min_version}});
+      balancer->SetFleet(fleet);
+    }
   }
 
-  // What all agents report at one moment.
-  void ReportLoads() {
-    for (const auto& [id, running] : m_running) {
-      const uint32_t in_slots = std::min(running, kSlots);
-      for (const auto& balancer : m_balancers) balancer->OnLoad({id, in_slots, running - in_slots, false, 1, {}});
-    }
+  void FillEndpoints() {
+    for (const auto& balancer : m_balancers) m_sent.push_back(Fill(*balancer));
   }
 
   uint32_t GetMostRunning() const {
@@ -82,6 +87,7 @@
     query.pool = kEnginePool;
     query.rule = &rule;
     query.model = kVeilModel;
+    query.min_version = m_min_version;
     uint32_t sent = 0;
     while (const EndpointInfo* endpoint = balancer.Choose(query).endpoint) {
       balancer.OnSent(endpoint->id, 0);
@@ -98,6 +104,7 @@
   std::vector<std::unique_ptr<EndpointBalancer>> m_balancers;
   std::map<EndpointId, uint32_t> m_running;
   std::vector<uint32_t> m_sent;
+  std::optional<WeightVersion> m_min_version;
   uint32_t m_remote = 0;
 };
 
@@ -117,6 +124,18 @@
   CHECK(fleet.CountRemote() <= fleet.CountRunning() / 5);
 }
 
+// Guards against zones that are refused while another zone serves its own callers only: during a change of weights the
+// zones get the new version at different times, and endpoints with the old one are no capacity any more.
+TEST_CASE("Entries of zones whose endpoints lack the required weights share the endpoints that have them") {
+  LargeFleet fleet(3, 4, 17);
+  fleet.RequireVersionOf(1);
+  fleet.FillEndpoints();
+  CHECK(fleet.CountRunning() >= 17 * kSlots * 9 / 10);
+  CHECK(fleet.GetMostRunning() <= 2 * kSlots);
+  // An equal part is 11 requests.
+  CHECK(fleet.GetFewestSent() >= 6);
+}
+
 // Relays the beacons of processes that all know a few seeds at first.
 class BeaconFleet {
  public:
