Let each HTTP call state how long its answer may be

Cause: the limit of a body was 64 MiB unless a call set its own. Uploads, reads of staged chunks before an order, reports and orders did not, and four of the first two are open at once.

Change: HttpCallOptions has no default, so that a call without a limit does not compile.

--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -83,14 +83,13 @@
 }
 
 HttpCallOptions ActiveRequest::MakeOptions(TimePoint now) const {
-  HttpCallOptions options;
+  // A stream is passed on event by event, so that only an event needs a limit.
+  HttpCallOptions options(IsStream() ? std::numeric_limits<size_t>::max() : kMaxBodyBytes);
   options.timeout = std::max<Duration>(m_deadline - now, kMinAttemptTime);
   options.connect_timeout = kConnectTimeout;
   // The server may close a keep-alive connection while the request is being sent. It is then unknown whether the
   // request ran, so that requests that must not be repeated use a new connection.
   options.max_idle = m_match.rule->IsRepeatable() ? kMaxIdleTime : Duration::zero();
-  // A stream is passed on event by event, so that only an event needs a limit.
-  options.max_body_bytes = IsStream() ? std::numeric_limits<size_t>::max() : kMaxBodyBytes;
   return options;
 }
 
--- a/src/attempt_run_call.cpp
+++ b/src/attempt_run_call.cpp
@@ -1,6 +1,7 @@
 // Calls from AttemptRunner to the engine or the plain service.
 
 #include <openssl/sha.h>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 #include "attempt_runner.h"
@@ -61,7 +62,8 @@
   callbacks.on_head = [this, attempt](int status, const HttpHeaders&) { OnCompletionHead(attempt, status); };
   callbacks.on_data = [this, attempt](std::string_view data) { OnCompletionData(attempt, data); };
   callbacks.on_done = [this, attempt](const absl::Status& status) { OnCompletionDone(attempt, status); };
-  HttpCallOptions options;
+  // The answer is passed on event by event, so that only an event needs a limit.
+  HttpCallOptions options(std::numeric_limits<size_t>::max());
   options.timeout = attempt->deadline - m_deps.clock.GetNow();
   m_deps.admission.OnDispatched(*attempt->slot);
   attempt->call =
@@ -170,9 +172,8 @@
   request.target = "/calls/" + call.call();
   request.headers.Add("X-Call-Key", call.idempotency_key().empty() ? attempt->start.request() : call.idempotency_key());
   request.body = call.body();
-  HttpCallOptions options;
+  HttpCallOptions options(kMaxServiceAnswerBytes);
   options.timeout = attempt->deadline - m_deps.clock.GetNow();
-  options.max_body_bytes = kMaxServiceAnswerBytes;
   // Answers of a plain service carry no id, so that only the first one on a new connection is sure to be this call's.
   options.max_idle = Duration::zero();
   options.is_kept = false;
--- a/src/attempt_services.cpp
+++ b/src/attempt_services.cpp
@@ -59,7 +59,7 @@
     HttpRequest request;
     request.method = "GET";
     request.target = "/status";
-    HttpCallOptions options;
+    HttpCallOptions options(kMaxEngineStatusBytes);
     options.timeout = kProbeTimeout;
     http.Fetch(target, request, options, [on_done = std::move(on_done)](const absl::StatusOr<HttpResponse>& response) {
       if (!response.ok() || response->status != kStatusOk) return on_done(std::nullopt);
--- a/src/chunk_downloader.cpp
+++ b/src/chunk_downloader.cpp
@@ -275,7 +275,7 @@
   HttpCallbacks callbacks;
   callbacks.on_head = [status_code](int status, const HttpHeaders&) { *status_code = status; };
   callbacks.on_data = [this, content, id = fetch.id](std::string_view data) {
-    if (content->size() + data.size() <= kMaxChunkBytes) content->append(data);
+    content->append(data);
     m_plan.OnBytesReceived(id);
   };
   callbacks.on_done = [this, content, status_code, fetch](const absl::Status& status) {
@@ -285,7 +285,7 @@
       OnOriginChunk(fetch, HttpResponse{*status_code, {}, std::move(*content)});
     }
   };
-  m_origin_calls[fetch.id] = m_origin.FetchChunk(fetch.chunk, std::move(callbacks));
+  m_origin_calls[fetch.id] = m_origin.FetchChunk(fetch.chunk, Bytes(fetch.size), std::move(callbacks));
 }
 
 void ChunkDownloader::OnOriginChunk(const Fetch& fetch, absl::StatusOr<HttpResponse> response) {
--- a/src/ctl_http_platform.cpp
+++ b/src/ctl_http_platform.cpp
@@ -21,6 +21,7 @@
 constexpr char kConfigStream[] = "config";
 constexpr size_t kReadRecords = 1000;
 constexpr Port kAdminPort{8081};
+constexpr size_t kMaxStatusBytes = 4 * 1024 * 1024;
 
 absl::StatusOr<HttpTarget> ParseTarget(const std::string& option, const std::string& text) {
   const size_t colon = text.rfind(':');
@@ -71,9 +72,11 @@
     std::vector<absl::StatusOr<std::string>> responses(vms.size(), MakeFailure(FailureCode::kTimeout, "no response"));
     size_t pending = vms.size();
     if (pending == 0) return responses;
+    HttpCallOptions options(kMaxStatusBytes);
+    options.timeout = m_timeout;
     for (size_t i = 0; i < vms.size(); ++i) {
       const HttpRequest request{"GET", path, {}, ""};
-      m_http.Fetch({vms[i].address, kAdminPort}, request, HttpCallOptions{m_timeout},
+      m_http.Fetch({vms[i].address, kAdminPort}, request, options,
                    [&, i](const absl::StatusOr<HttpResponse>& response) {
                      responses[i] = response.ok() ? absl::StatusOr<std::string>(response->body)
                                                   : absl::StatusOr<std::string>(response.status());
--- a/src/engine_client.cpp
+++ b/src/engine_client.cpp
@@ -14,7 +14,6 @@
 constexpr int kHttpUnavailable = 503;
 // Timeout of a status request, after which the engine is considered unreachable.
 constexpr Duration kStatusTimeout = std::chrono::seconds(2);
-constexpr size_t kMaxStatusBytes = 1024 * 1024;
 
 OrderResult ClassifyOrderResponse(const absl::StatusOr<HttpResponse>& response) {
   if (!response.ok()) {
@@ -72,9 +71,8 @@
   m_orders.Increment();
   HttpRequest request{"POST", "/orders", {}, FormatEngineOrder(order)};
   request.headers.Add("Content-Type", "application/json");
-  HttpCallOptions options;
+  HttpCallOptions options(kMaxEngineStatusBytes);
   options.timeout = m_options.order_timeout;
-  options.max_body_bytes = kMaxStatusBytes;
   m_client->Fetch(m_options.target, request, options,
                   [on_done = std::move(on_done)](const absl::StatusOr<HttpResponse>& response) {
                     on_done(ClassifyOrderResponse(response));
@@ -94,9 +92,8 @@
   if (m_is_polling || m_client == nullptr) return;
   m_is_polling = true;
   ++m_sequence;
-  HttpCallOptions options;
+  HttpCallOptions options(kMaxEngineStatusBytes);
   options.timeout = kStatusTimeout;
-  options.max_body_bytes = kMaxStatusBytes;
   m_poll = m_client->Fetch(m_options.target, HttpRequest{"GET", "/status", {}, ""}, options,
                            [this](const absl::StatusOr<HttpResponse>& response) { OnStatus(response); });
 }
--- a/src/engine_report.h
+++ b/src/engine_report.h
@@ -11,6 +11,9 @@
 
 namespace plantain {
 
+// Maximum length of an engine's status, and of its answer to an order, in JSON.
+inline constexpr size_t kMaxEngineStatusBytes = 1024 * 1024;
+
 // Engine status and contents of its staging area.
 struct EngineReport {
   // Sequence number of the status read, in the order in which the reads were started.
--- a/src/fleet_relay.cpp
+++ b/src/fleet_relay.cpp
@@ -225,9 +225,8 @@
 
 void FleetRelay::FetchContent(const VmId& peer, const std::string& target,
                               std::function<void(absl::StatusOr<HttpResponse>)> on_done) {
-  HttpCallOptions options;
+  HttpCallOptions options(kMaxBatchBytes);
   options.timeout = kPullTimeout;
-  options.max_body_bytes = kMaxBatchBytes;
   m_client->Fetch({IpAddress(peer.Get()), m_options.port}, HttpRequest{"GET", target, {}, ""}, options,
                   std::move(on_done));
 }
@@ -275,9 +274,8 @@
   ++m_pulls_in_flight;
   const std::string known = FormatRevision(m_mirror.GetRecords(topic).GetRevision());
   const std::string path = topic == FleetTopic::kOperator ? kOperatorPath : kDirectoryPath;
-  HttpCallOptions options;
+  HttpCallOptions options(kMaxBatchBytes);
   options.timeout = kPullTimeout;
-  options.max_body_bytes = kMaxBatchBytes;
   m_client->Fetch({IpAddress(from.Get()), m_options.port}, HttpRequest{"GET", path + "?beyond=" + known, {}, ""},
                   options, [this, topic](const absl::StatusOr<HttpResponse>& response) {
                     --m_pulls_in_flight;
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -38,6 +38,9 @@
 
 // Limits of one call.
 struct HttpCallOptions {
+  // There is no usual limit of a body: what an answer may need differs from call to call.
+  explicit HttpCallOptions(size_t max_body_bytes_in) : max_body_bytes(max_body_bytes_in) {}
+
   // Time for the whole call.
   Duration timeout = std::chrono::seconds(10);
   // Time for a new connection; 0 for the time of the whole call.
@@ -47,7 +50,7 @@
   // Whether the connection is kept for later calls.
   bool is_kept = true;
   // Longest body. A longer one ends the call with kProtocol and closes the connection.
-  size_t max_body_bytes = 64 * 1024 * 1024;
+  size_t max_body_bytes;
 };
 
 // Sends requests. Used on the loop's thread only.
--- a/src/log_client.cpp
+++ b/src/log_client.cpp
@@ -14,6 +14,8 @@
 constexpr int kStatusTooManyRequests = 429;
 constexpr int kStatusUnavailable = 503;
 constexpr size_t kRecordHeaderBytes = 20;
+constexpr size_t kMaxAppendAnswerBytes = 64 * 1024;
+constexpr size_t kMaxBatchBytes = 16 * 1024 * 1024;
 // End of the year 9999. Larger values would overflow when converted to microseconds.
 constexpr uint64_t kMaxTimeMs = 253'402'300'799'999;
 
@@ -106,7 +108,7 @@
   request.target = "/streams/" + stream + "/records";
   request.headers.Add("Content-Type", "application/octet-stream");
   request.body = std::move(record);
-  HttpCallOptions options;
+  HttpCallOptions options(kMaxAppendAnswerBytes);
   options.timeout = m_timeout;
   m_http.Fetch(
       m_target, request, options,
@@ -120,7 +122,7 @@
   request.method = "GET";
   request.target = "/streams/" + stream + "/records?from=" + std::to_string(from.Get()) +
                    "&max=" + std::to_string(max_records) + "&wait_ms=" + std::to_string(wait_ms);
-  HttpCallOptions options;
+  HttpCallOptions options(kMaxBatchBytes);
   options.timeout = m_timeout + wait;
   m_http.Fetch(m_target, request, options,
                [from, on_done = std::move(on_done)](const absl::StatusOr<HttpResponse>& response) {
--- a/src/once_service.cpp
+++ b/src/once_service.cpp
@@ -105,9 +105,8 @@
   request.target = "/calls/" + call.call;
   request.headers.Add("X-Call-Key", call.caller_key);
   request.body = call.body;
-  HttpCallOptions options;
+  HttpCallOptions options(kMaxResponseBytes);
   options.timeout = kCallTimeout;
-  options.max_body_bytes = kMaxResponseBytes;
   // Answers of a plain service carry no id, so that only the first one on a new connection is sure to be this call's.
   options.max_idle = Duration::zero();
   options.is_kept = false;
--- a/src/plain_service.cpp
+++ b/src/plain_service.cpp
@@ -41,7 +41,7 @@
 void PlainServiceSource::Poll() {
   if (m_is_polling || m_client == nullptr) return;
   m_is_polling = true;
-  HttpCallOptions options;
+  HttpCallOptions options(0);
   options.timeout = kStatusTimeout;
   // The protocol has no health path. HEAD of any path shows that the service responds, and does not change its ledger.
   m_call = m_client->Fetch(m_target, HttpRequest{"HEAD", "/ledger", {}, ""}, options,
--- a/src/vm_list.cpp
+++ b/src/vm_list.cpp
@@ -12,6 +12,7 @@
 // Several times the size of the largest supported fleet.
 constexpr size_t kMaxRows = 50'000;
 constexpr size_t kMaxTextLength = 128;
+constexpr size_t kMaxListBytes = 16 * 1024 * 1024;
 
 // Returns a string field, or an empty string if it is missing, too long or not a string.
 std::string GetText(const nlohmann::json& row, const char* name) {
@@ -60,9 +61,8 @@
   request.method = "GET";
   request.target = "/vms?zone=" + m_zone.Get();
   if (!m_tag.empty()) request.headers.Add("If-None-Match", m_tag);
-  HttpCallOptions options;
+  HttpCallOptions options(kMaxListBytes);
   options.timeout = m_timeout;
-  options.max_body_bytes = 16 * 1024 * 1024;
   m_http.Fetch(m_target, request, options,
                [this, on_done = std::move(on_done)](const absl::StatusOr<HttpResponse>& response) {
                  on_done(ParseResponse(response));
--- a/src/weight_http.cpp
+++ b/src/weight_http.cpp
@@ -9,6 +9,7 @@
 // Frees the connection of an abandoned call. Stalls are detected earlier, by the chunk plan.
 constexpr Duration kOriginTimeout = std::chrono::minutes(5);
 constexpr Duration kPutTimeout = std::chrono::seconds(10);
+constexpr size_t kMaxPutAnswerBytes = 64 * 1024;
 constexpr int kHttpOkFirst = 200;
 constexpr int kHttpOkLast = 299;
 
@@ -20,23 +21,21 @@
 
 std::shared_ptr<HttpCall> HttpChunkOrigin::FetchManifest(const Digest& manifest, Duration timeout,
                                                          std::function<void(absl::StatusOr<HttpResponse>)> on_done) {
-  HttpCallOptions options;
+  HttpCallOptions options(kMaxManifestBytes);
   options.timeout = timeout;
-  options.max_body_bytes = kMaxManifestBytes;
   const HttpRequest request{"GET", "/manifests/" + FormatDigest(manifest), {}, ""};
   return m_http.Fetch(m_origin, request, options, std::move(on_done));
 }
 
-std::shared_ptr<HttpCall> HttpChunkOrigin::FetchChunk(const Digest& chunk, HttpCallbacks callbacks) {
-  HttpCallOptions options;
+std::shared_ptr<HttpCall> HttpChunkOrigin::FetchChunk(const Digest& chunk, Bytes size, HttpCallbacks callbacks) {
+  HttpCallOptions options(size.Get());
   options.timeout = kOriginTimeout;
-  options.max_body_bytes = kMaxChunkBytes;
   const HttpRequest request{"GET", "/chunks/" + FormatDigest(chunk), {}, ""};
   return m_http.Send(m_origin, request, options, std::move(callbacks));
 }
 
 void HttpStagingArea::Put(const std::string& path, const std::string& body, std::function<void(bool)> on_done) {
-  HttpCallOptions options;
+  HttpCallOptions options(kMaxPutAnswerBytes);
   options.timeout = kPutTimeout;
   m_http.Fetch(
       m_engine, HttpRequest{"PUT", path, {}, body}, options,
--- a/src/weight_http.h
+++ b/src/weight_http.h
@@ -14,7 +14,7 @@
 
   std::shared_ptr<HttpCall> FetchManifest(const Digest& manifest, Duration timeout,
                                           std::function<void(absl::StatusOr<HttpResponse>)> on_done) override;
-  std::shared_ptr<HttpCall> FetchChunk(const Digest& chunk, HttpCallbacks callbacks) override;
+  std::shared_ptr<HttpCall> FetchChunk(const Digest& chunk, Bytes size, HttpCallbacks callbacks) override;
 
  private:
   HttpClient m_http;
--- a/src/weight_port.h
+++ b/src/weight_port.h
@@ -22,8 +22,8 @@
   virtual std::shared_ptr<HttpCall> FetchManifest(const Digest& manifest, Duration timeout,
                                                   std::function<void(absl::StatusOr<HttpResponse>)> on_done) = 0;
 
-  // Fetches one chunk and streams its content to the callbacks.
-  virtual std::shared_ptr<HttpCall> FetchChunk(const Digest& chunk, HttpCallbacks callbacks) = 0;
+  // Fetches one chunk of the given size and streams its content to the callbacks. A larger answer fails.
+  virtual std::shared_ptr<HttpCall> FetchChunk(const Digest& chunk, Bytes size, HttpCallbacks callbacks) = 0;
 };
 
 // Client of the local engine's staging area. Used on the transfer thread.
--- a/standin/load_ledger.cpp
+++ b/standin/load_ledger.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr size_t kMaxExamples = 5;
+constexpr size_t kMaxLedgerBytes = 64 * 1024 * 1024;
 
 }  // namespace
 
@@ -64,7 +65,7 @@
   size_t pending = targets.size();
   if (pending == 0) return;
   for (const HttpTarget& target : targets) {
-    client.Fetch(target, HttpRequest{"GET", "/ledger", {}, ""}, HttpCallOptions{},
+    client.Fetch(target, HttpRequest{"GET", "/ledger", {}, ""}, HttpCallOptions(kMaxLedgerBytes),
                  [&](const absl::StatusOr<HttpResponse>& response) {
                    const bool is_read = response.ok() && response->status == 200 && check.AddLedger(response->body);
                    if (!is_read) check.AddUnreadable();
--- a/standin/load_worker.cpp
+++ b/standin/load_worker.cpp
@@ -16,6 +16,7 @@
 // A request sent later than this after its arrival time counts as sent late, which shows that the load tool itself is
 // overloaded.
 constexpr Duration kMaxSendDelay = Milliseconds(50);
+constexpr size_t kMaxAnswerBytes = 64 * 1024 * 1024;
 
 }  // namespace
 
@@ -132,7 +133,7 @@
   pending->status = 0;
   pending->first_token = Duration(0);
   pending->retry_after = Duration(0);
-  HttpCallOptions options;
+  HttpCallOptions options(kMaxAnswerBytes);
   options.timeout = m_options.deadline > Duration(0)
                         ? pending->sent_at + m_options.deadline + kTimeoutMargin - m_clock.GetNow()
                         : kDefaultTimeout;
--- a/tests/forward_fake.h
+++ b/tests/forward_fake.h
@@ -93,7 +93,7 @@
  public:
   struct Sent : HttpCall {
     HttpRequest request;
-    HttpCallOptions options;
+    HttpCallOptions options{0};
     HttpCallbacks callbacks;
     bool is_cancelled = false;
     bool is_sent = true;
--- a/tests/forward_foreign_answer_test.cpp
+++ b/tests/forward_foreign_answer_test.cpp
@@ -104,7 +104,7 @@
     HttpCallbacks callbacks;
     callbacks.on_head = [&](int, const HttpHeaders&) { is_kept.push_back(call->IsOnKeptConnection()); };
     callbacks.on_done = [&](const absl::Status&) { loop.Stop(); };
-    call = client.Send(target, HttpRequest{"GET", "/", {}, ""}, HttpCallOptions(), std::move(callbacks));
+    call = client.Send(target, HttpRequest{"GET", "/", {}, ""}, HttpCallOptions(1024 * 1024), std::move(callbacks));
     loop.Run();
     loop.Restart();
   }
--- a/tests/hosted_engine_test.cpp
+++ b/tests/hosted_engine_test.cpp
@@ -10,6 +10,7 @@
 #include "http_server.h"
 #include "loopback_address.h"
 #include "manifest_func.h"
+#include "weight_clients.h"
 
 namespace plantain::hosted {
 namespace {
@@ -53,6 +54,12 @@
   // Handles the order with this number, counted from 0. Later orders without a handler of their own use the last one.
   void SetOrderHandler(size_t number, OrderHandler handler) { m_handlers[number] = std::move(handler); }
 
+  // Adds so many bytes to each answer to a target that begins so.
+  void SetPadding(std::string target, size_t bytes) {
+    m_padded_target = std::move(target);
+    m_padding.assign(bytes, ' ');
+  }
+
   void SetChunk(uint32_t index, std::string content) { m_chunks[index] = std::move(content); }
 
   // Starts to load the ordered weights, as they are staged now.
@@ -73,19 +80,24 @@
   std::vector<std::string> order_bodies;
 
  private:
+  void Send(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder, HttpResponse response) const {
+    if (request.target.starts_with(m_padded_target)) response.body += m_padding;
+    responder->Send(std::move(response));
+  }
+
   void Handle(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
     if (request.target == "/report") {
-      responder->Send(MakeJsonResponse(200, R"({"models":[{"name":"posudek","version":)" +
-                                                std::to_string(loaded_version) + R"(}],"busy":false,"seq":)" +
-                                                std::to_string(orders) + R"(,"queued":0,"active":0,"pace":1,"born":)" +
-                                                std::to_string(m_born) + "}"));
+      Send(request, responder,
+           MakeJsonResponse(200, R"({"models":[{"name":"posudek","version":)" + std::to_string(loaded_version) +
+                                     R"(}],"busy":false,"seq":)" + std::to_string(orders) +
+                                     R"(,"queued":0,"active":0,"pace":1,"born":)" + std::to_string(m_born) + "}"));
     } else if (request.target == "/order") {
       order_bodies.push_back(request.body);
       const auto handler = std::prev(m_handlers.upper_bound(order_bodies.size() - 1));
       handler->second(responder);
     } else {
       const auto index = static_cast<uint32_t>(std::stoul(GetQueryValue(request.target, "num")));
-      responder->Send(MakeTextResponse(200, m_chunks[index]));
+      Send(request, responder, MakeTextResponse(200, request.method == "PUT" ? "" : m_chunks[index]));
     }
   }
 
@@ -93,6 +105,8 @@
   std::map<size_t, OrderHandler> m_handlers;
   std::map<uint32_t, std::string> m_chunks;
   uint64_t m_born = 100;
+  std::string m_padded_target;
+  std::string m_padding;
 };
 
 struct EngineWorld {
@@ -270,5 +284,57 @@
   }
 }
 
+// Far more than any of these answers needs, and far less than the memory of an agent.
+constexpr size_t kExcess = 1024 * 1024;
+
+// Guards against answers without end that take an agent over the memory of its VM, since it has several calls open.
+TEST_CASE("Answers of the engine that are longer than their call needs are refused") {
+  static_assert(!std::is_default_constructible_v<HttpCallOptions>, "each call states how long its answer may be");
+  EngineWorld world;
+  world.Stage();
+  HostedStagingArea area(world.loop, kTarget, world.tracker);
+
+  SECTION("report") {
+    REQUIRE(world.RunUntil([&] { return world.client.GetHostedReport().has_value(); }));
+    world.engine.SetPadding("/report", kExcess);
+    CHECK(world.RunUntil([&] { return !world.client.GetHostedReport().has_value(); }));
+    world.engine.SetPadding("", 0);
+    CHECK(world.RunUntil([&] { return world.client.GetHostedReport().has_value(); }));
+  }
+  SECTION("staged chunk, read for the check before an order") {
+    world.engine.SetPadding("/stage-", kExcess);
+    world.SendOrder();
+    REQUIRE(world.RunUntil([&] { return world.result.has_value(); }));
+    CHECK(world.result->outcome == OrderOutcome::kNotSent);
+    CHECK(world.engine.order_bodies.empty());
+  }
+  SECTION("staged chunk, read for peers") {
+    world.engine.SetPadding("/stage-", kExcess);
+    std::optional<absl::StatusOr<std::string>> content;
+    area.ReadChunk(*world.manifest, 0, [&](absl::StatusOr<std::string> read) { content = std::move(read); });
+    REQUIRE(world.RunUntil([&] { return content.has_value(); }));
+    CHECK_FALSE(content->ok());
+  }
+  SECTION("answer to an upload") {
+    world.engine.SetPadding("/stage-", kExcess);
+    std::optional<bool> is_stored;
+    area.PutChunk(*world.manifest, 0, MakeChunk(0), [&](bool is_ok) { is_stored = is_ok; });
+    REQUIRE(world.RunUntil([&] { return is_stored.has_value(); }));
+    CHECK_FALSE(*is_stored);
+  }
+  SECTION("answer to an order, which is then sent again") {
+    world.engine.SetOrderHandler(
+        0, [&](const ResponderPtr& responder) { responder->Send(MakeJsonResponse(409, std::string(kExcess, ' '))); });
+    world.engine.SetOrderHandler(1, [&](const ResponderPtr& responder) {
+      world.engine.TakeOrder();
+      Accept(responder);
+    });
+    world.SendOrder();
+    REQUIRE(world.RunUntil([&] { return world.result.has_value(); }));
+    CHECK(world.result->outcome == OrderOutcome::kDone);
+    CHECK(world.engine.order_bodies.size() == 2);
+  }
+}
+
 }  // namespace
 }  // namespace plantain::hosted
--- a/tests/http_broken_head_test.cpp
+++ b/tests/http_broken_head_test.cpp
@@ -105,7 +105,7 @@
   HttpClient client(loop);
   const auto fetch = [&] {
     std::optional<absl::StatusOr<HttpResponse>> result;
-    client.Fetch(endpoint.GetTarget(), HttpRequest{"GET", "/", {}, ""}, HttpCallOptions(),
+    client.Fetch(endpoint.GetTarget(), HttpRequest{"GET", "/", {}, ""}, HttpCallOptions(1024 * 1024),
                  [&](absl::StatusOr<HttpResponse> response) {
                    result = std::move(response);
                    loop.Stop();
--- a/tests/http_close_delimited_test.cpp
+++ b/tests/http_close_delimited_test.cpp
@@ -55,7 +55,8 @@
                                     if (!is_reset) finish();
                                   });
   });
-  const auto call = client.Send(target, HttpRequest{"GET", "/", {}, ""}, HttpCallOptions(), std::move(callbacks));
+  const auto call =
+      client.Send(target, HttpRequest{"GET", "/", {}, ""}, HttpCallOptions(1024 * 1024), std::move(callbacks));
   loop.Run();
   return received;
 }
--- a/tests/http_unbounded_test.cpp
+++ b/tests/http_unbounded_test.cpp
@@ -134,9 +134,8 @@
   EndlessWorld() : server(loop), client(loop), watchdog(loop.RunAfter(kWatchdog, [this] { loop.Stop(); })) {}
 
   HttpCallOptions MakeOptions() const {
-    HttpCallOptions options;
+    HttpCallOptions options(64 * 1024);
     options.timeout = kCallTimeout;
-    options.max_body_bytes = 64 * 1024;
     return options;
   }
 
--- a/tests/standin_http_test.cpp
+++ b/tests/standin_http_test.cpp
@@ -15,7 +15,7 @@
 // Sends one request and runs the loop until it completes.
 absl::StatusOr<HttpResponse> FetchOnce(Loop& loop, HttpClient& client) {
   std::optional<absl::StatusOr<HttpResponse>> result;
-  HttpCallOptions options;
+  HttpCallOptions options(1024 * 1024);
   client.Fetch(kTarget, HttpRequest{"GET", "/x", {}, ""}, options, [&](absl::StatusOr<HttpResponse> response) {
     result = std::move(response);
     loop.Stop();
