Do not pass on a status that promises "not run" of a stream that ran

Cause: DeliverResponse asked whether the route has kind kOnce, where the question is whether the request may be repeated. A stream that cannot be resumed may not.

Change: it asks IsRepeatable; such a request ends with 502.

The fakes of the forwarding path get a route for such a stream.

--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -290,7 +290,9 @@
 
 void ActiveRequest::DeliverResponse(ForwardAttempt& attempt) {
   const int status = attempt.head->status;
-  if (GuaranteesNotRun(status) && m_match.rule->kind == RequestKind::kOnce) {
+  // The endpoint has run the request, and the caller of one that must run once would take the status for a promise that
+  // it has not. A stream that cannot be resumed is such a request too.
+  if (GuaranteesNotRun(status) && !m_match.rule->IsRepeatable()) {
     FailAttempt(attempt, AttemptEnd::kError,
                 "endpoint error with a status that would guarantee that the request has not run");
     return;
--- a/tests/forward_fake.h
+++ b/tests/forward_fake.h
@@ -19,8 +19,8 @@
 inline const PoolName kRegisterPool("register");
 inline const ModelName kVeilModel("veil-1");
 
-// Returns routes of host `h.example`: `/draft/` streams from engines, `/seal/` must run at most once, `/look/` is
-// idempotent.
+// Returns routes of host `h.example`: `/draft/` streams from engines, `/letter/` streams and cannot be resumed,
+// `/seal/` must run at most once, `/look/` is idempotent.
 inline std::shared_ptr<RoutingDocument> MakeForwardDocument() {
   auto document = std::make_shared<RoutingDocument>();
   document->version = ConfigVersion(7);
@@ -34,6 +34,11 @@
   draft.latency_target = Milliseconds(400);
   draft.attempts = 2;
   draft.targets = {{kEnginePool, 1}};
+  RouteRule letter = draft;
+  letter.name = "letter";
+  letter.path_prefix = "/letter/";
+  letter.is_resumable = false;
+  letter.targets = {{kRegisterPool, 1}};
   RouteRule seal = draft;
   seal.name = "seal";
   seal.path_prefix = "/seal/";
@@ -48,7 +53,7 @@
   look.path_prefix = "/look/";
   look.kind = RequestKind::kIdempotent;
   look.attempts = 2;
-  document->routes = {draft, seal, look};
+  document->routes = {draft, seal, look, letter};
   PoolSpec engines;
   engines.name = kEnginePool;
   engines.engine = EngineSpec{kVeilModel,
--- a/tests/forward_traffic_test.cpp
+++ b/tests/forward_traffic_test.cpp
@@ -410,5 +410,35 @@
   }
 }
 
+// Guards against a caller that is told that its request has not run, by a status that an endpoint sent after it had run
+// it, and that sends it again.
+TEST_CASE("An endpoint's own error does not promise that a request has not run") {
+  ForwardFixture fixture({MakeEndpoint("g1", kRegisterPool, "praha"), MakeEndpoint("g2", kRegisterPool, "brno")});
+  const int status = GENERATE(408, 429, 503);
+
+  SECTION("of a request that must run once") {
+    const auto caller = fixture.SendRequest("/seal/1", "1000");
+    fixture.sender.At(0).SendResponse(status, "failed");
+    CHECK(caller->status == 502);
+    CHECK(fixture.sender.GetCount() == 1);
+  }
+  SECTION("of a stream that cannot be resumed") {
+    const auto caller = fixture.SendRequest("/letter/1", "6000");
+    fixture.sender.At(0).SendResponse(status, "failed");
+    CHECK(caller->status == 502);
+    CHECK(fixture.sender.GetCount() == 1);
+  }
+  SECTION("unless the endpoint says that it has not run") {
+    const auto caller = fixture.SendRequest("/letter/1", "6000");
+    fixture.sender.At(0).SendHead(status, {{"Plantainmast-Not-Executed", "1"}});
+    fixture.sender.At(0).FinishResponse();
+    REQUIRE(fixture.sender.GetCount() == 2);
+    fixture.sender.At(1).BeginStream();
+    fixture.sender.At(1).SendData("id: 1\ndata: a\n\n");
+    fixture.sender.At(1).FinishResponse();
+    CHECK(caller->is_complete);
+  }
+}
+
 }  // namespace
 }  // namespace plantain
