Bound the memory that all answers being received hold together

A faulty engine sends bytes without end, in a head or a body, until its caller closes. The limits held for single calls: an entry could hold dozens of answers of 8 MiB, which is more than the memory of its VM.

Change: MemoryBudget (no I/O) gives all answers of a process an eighth of the VM's memory together, and each as much as is left free beside all of them. HttpClient takes it through its constructor, so that no client is without it; forwarded requests count their answers, unfinished events and what slow callers have not taken. New setting vm.memory_mb.

--- a/bench/_hosted_fleet.py
+++ b/bench/_hosted_fleet.py
@@ -34,6 +34,19 @@
 # Time for which an engine serves on after it has said that it leaves.
 DRAIN_S = 9.0
 EVENT = "id: {id}\ndata: token\n\n"
+# Beginnings and repeated parts of answers without end: in the head, in a body of each form, and in an event.
+FILLER = b"x" * 16384
+ENDLESS_ANSWERS = [
+    (b"HTTP/1.1 200 ", FILLER),
+    (b"HTTP/1.1 200 OK\r\nX: ", FILLER),
+    (b"HTTP/1.1 200 OK\r\n%b\r\n", FILLER),
+    (b"HTTP/1.1 200 OK\r\n%bContent-Length: 1000000000000\r\n\r\n", FILLER),
+    (b"HTTP/1.1 500 Failed\r\n%bContent-Length: 1000000000000\r\n\r\n", FILLER),
+    (b"HTTP/1.1 200 OK\r\n%bTransfer-Encoding: chunked\r\n\r\n", b"4000\r\n%b\r\n" % FILLER),
+    (b"HTTP/1.1 200 OK\r\n%bTransfer-Encoding: chunked\r\n\r\n1;", FILLER),
+    (b"HTTP/1.1 200 OK\r\n%bContent-Type: text/event-stream\r\n\r\ndata: ", FILLER),
+    (b"HTTP/1.1 200 OK\r\n%bContent-Type: text/event-stream\r\n\r\n", b":%b\n\n" % FILLER),
+]
 
 
 @dataclasses.dataclass
@@ -66,6 +79,11 @@
     # Number of engines, the next ones, that say in all answers that they leave, and serve on.
     leaving_engines: int = 0
     leaving_from_s: float = 0
+    # Number of engines, the first ones, that send answers without end, the share of their answers that do not end, and
+    # the rate of each in bytes/s.
+    endless_engines: int = 0
+    endless_share: float = 0
+    endless_rate: float = 4 * 1024 * 1024
 
 
 @dataclasses.dataclass
@@ -81,6 +99,8 @@
     path: str = ""
     # Whether its answer says that the engine leaves, and the Retry-After of a refusal, in seconds.
     is_leaving: bool = False
+    # Whether the engine sent an answer without end.
+    is_endless: bool = False
     retry_after_s: float = None
     # Whether the engine refused the request without running it because it was full.
     is_refused: bool = False
@@ -119,6 +139,7 @@
         self.has_limit = index < model.limited_engines
         self.does_pause = index < model.pausing_engines
         self.does_leave = 0 <= index - model.pausing_engines < model.leaving_engines
+        self.is_endless = index < model.endless_engines
         self.started_at = time.monotonic()
         self.server, self.writers, self.id, self.active = None, set(), "", 0
         # What the directory should hold of the engine, and the time at which it was told that the engine leaves.
@@ -192,7 +213,29 @@
                              "born": self.record["born"]})
         writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {len(report)}\r\n\r\n{report}".encode())
 
+    async def write_without_end(self, fields, writer):
+        request = fields.get("plantainmast-attempt-id", "")
+        prefix = f"Plantainmast-Attempt-Id: {request}\r\nPlantainmast-Server-Stamp: s\r\n".encode()
+        begin, part = self.fleet.random.choice(ENDLESS_ANSWERS)
+        writer.write(begin.replace(b"%b", prefix))
+        self.fleet.endless_open += 1
+        self.fleet.endless_peak = max(self.fleet.endless_peak, self.fleet.endless_open)
+        try:
+            while not writer.is_closing():
+                writer.write(part)
+                await writer.drain()
+                await asyncio.sleep(len(part) / self.model.endless_rate)
+        finally:
+            self.fleet.endless_open -= 1
+
     async def answer(self, path, fields, writer):
+        if self.is_endless and self.fleet.random.random() < self.model.endless_share:
+            if path != "/report":
+                self.fleet.arrivals.append(Arrival(time.monotonic(), self.id, self.address,
+                                                   fields.get("plantainmast-attempt-id", ""), [], path=path,
+                                                   is_endless=True))
+            await self.write_without_end(fields, writer)
+            return False
         if path == "/report" and self.record:
             self.write_report(writer)
             return True
@@ -277,6 +320,8 @@
     def __init__(self, seed, octet, engines, model, crash_times, make_scenario=None):
         self.random = random.Random(seed)
         self.store, self.arrivals, self.engines = None, [], []
+        # Answers without end that are open, and the most at once.
+        self.endless_open = self.endless_peak = 0
         # Time of the first answer with a limit, by engine address.
         self.stated_at = {}
         self.octet, self.count, self.model, self.crash_times = octet, engines, model, crash_times
@@ -462,8 +507,8 @@
 class HostedEntries:
     """Real entry processes, and the stand-ins and callers around them."""
 
-    def __init__(self, build, seed, count):
-        self.build, self.seed, self.count = build, seed, count
+    def __init__(self, build, seed, count, memory_mb=1024):
+        self.build, self.seed, self.count, self.memory_mb = build, seed, count, memory_mb
         self.octet, self.octet_holder = claim_octet()
         self.directory = tempfile.TemporaryDirectory(prefix="hosted-entries-")
         # Entries by index, and agents by the index of their engine.
@@ -505,7 +550,8 @@
         settings = os.path.join(self.directory.name, f"{name}.yaml")
         with open(settings, "w", encoding="utf-8") as out:
             out.write(f"vm:\n  id: {address}\n  name: {name}\n  zone: {zone}\n  region: {zone}\n"
-                      f"  address: {address}\n{vm_settings}admin:\n  port: {ADMIN_PORT}\nfleet:\n  zones: [{zones}]\n"
+                      f"  address: {address}\n  memory_mb: {self.memory_mb}\n{vm_settings}"
+                      f"admin:\n  port: {ADMIN_PORT}\nfleet:\n  zones: [{zones}]\n"
                       f"  seeds: [{seeds}]\nrelay:\n  port: {relay_port}\n"
                       f"store:\n  target: 127.{self.octet}.200.1:{STORE_PORT}\n{own_settings}")
         with open(os.path.join(self.directory.name, f"{name}.log"), "ab") as log:
--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -66,7 +66,8 @@
       m_responder(std::move(responder)),
       m_started_at(deps.clock.GetNow()),
       m_deadline(ComputeDeadline(m_request, *match.rule, m_started_at)),
-      m_last_event_id(m_request.last_event_id) {}
+      m_last_event_id(m_request.last_event_id),
+      m_memory(deps.answer_memory) {}
 
 void ActiveRequest::WatchForDisconnect() {
   m_responder->SetOnClosed([weak = weak_from_this()] {
@@ -99,7 +100,7 @@
   ++m_outcome.attempts;
   m_is_hedge_requested = false;
   m_last_number = m_last_number.Next();
-  auto attempt = std::make_unique<ForwardAttempt>();
+  auto attempt = std::make_unique<ForwardAttempt>(m_deps.answer_memory);
   attempt->number = m_last_number;
   attempt->choice = {choice.endpoint->id, choice.load,         choice.load_age, choice.expected,
                      weights.loaded,      weights.min_version, std::nullopt};
@@ -190,11 +191,17 @@
     OnEvents(attempt, std::move(events));
     return;
   }
-  if (attempt.body.size() + data.size() > kMaxBodyBytes) {
+  const size_t size = attempt.body.size() + data.size();
+  if (size > kMaxBodyBytes) {
     attempt.call->Cancel();
     FinishAttempt(attempt, MakeFailure(FailureCode::kProtocol, "response exceeds 8 MiB"));
     return;
   }
+  if (!attempt.memory.Resize(size)) {
+    attempt.call->Cancel();
+    FinishAttempt(attempt, MakeFailure(FailureCode::kMemoryLimit, "no memory for the response among others"));
+    return;
+  }
   attempt.body.append(data);
 }
 
@@ -209,6 +216,11 @@
     FailAttempt(attempt, AttemptEnd::kBroken, "event of the stream exceeds 1 MiB");
     return;
   }
+  if (!attempt.memory.Resize(attempt.events.GetHeldBytes())) {
+    attempt.call->Cancel();
+    FailAttempt(attempt, AttemptEnd::kBroken, "no memory for an event of the stream among other answers");
+    return;
+  }
   if (events.empty()) return;
   SelectAnswer(attempt);
   if (!attempt.is_prefill_done) m_deps.host.OnAnswerBegun(*this, attempt);
@@ -222,10 +234,11 @@
   m_last_event_id = attempt.events.GetLastId();
   m_outcome.events += 1;
   m_responder->SendChunk(std::move(events));
-  if (m_responder->GetUnsentBytes() <= kMaxUnsentBytes) return;
+  const size_t unsent = m_responder->GetUnsentBytes();
+  if (unsent <= kMaxUnsentBytes && m_memory.Resize(unsent)) return;
   CancelAttempt(attempt, AttemptEnd::kCancelled);
   AbortCaller();
-  FinishRequest(0, ForwardFailure::kCallerGone, "more than 1 MiB unsent to a slow caller");
+  FinishRequest(0, ForwardFailure::kCallerGone, "too many bytes unsent to a slow caller: " + std::to_string(unsent));
 }
 
 void ActiveRequest::SelectAnswer(ForwardAttempt& attempt) {
@@ -298,6 +311,7 @@
     return;
   }
   HttpResponse response{status, attempt.head->headers, std::move(attempt.body)};
+  MemoryReservation memory = std::move(attempt.memory);
   const bool is_error = status >= kFirstServerError;
   // An error of an attempt is not the answer while another one may still succeed.
   const bool is_answer = !m_has_events && !(is_error && m_match.rule->IsRepeatable());
@@ -316,6 +330,7 @@
     return;
   }
   m_error_response = std::move(response);
+  m_memory = std::move(memory);
   RetryOrFail(AttemptOutcome::kMayHaveRun, "endpoint returned HTTP status " + std::to_string(status));
 }
 
@@ -459,6 +474,7 @@
 
 void ActiveRequest::CheckDue(TimePoint now) {
   if (m_is_ended) return;
+  if (m_has_events) m_memory.ShrinkTo(m_responder->GetUnsentBytes());
   if (now >= m_deadline) {
     GiveUp(ForwardFailure::kNoEndpoint, "deadline");
     return;
--- a/src/active_request.h
+++ b/src/active_request.h
@@ -80,6 +80,8 @@
   ActiveRequestHost& host;
   // Time of the traffic loop, on which the silence of endpoints is measured.
   const LoopTime& loop_time;
+  // Bounds what the answers of all requests hold together.
+  MemoryBudget& answer_memory;
 };
 
 // Result of a forwarded request, for logs and metrics.
@@ -234,6 +236,8 @@
   std::optional<WeightVersion> m_weight_version;
   // Error response of an endpoint, which is forwarded if no further attempt succeeds.
   std::optional<HttpResponse> m_error_response;
+  // Memory of that response, or of the part of a stream that the caller has not taken yet.
+  MemoryReservation m_memory;
   bool m_is_ended = false;
   ActiveRequestOutcome m_outcome;
   mutable std::optional<ContentKey> m_request_key;
--- a/src/attempt_services.cpp
+++ b/src/attempt_services.cpp
@@ -49,8 +49,8 @@
   options.batch_period = parts.settings.GetDuration("once.batch_ms");
   options.poll = parts.settings.GetDuration("once.poll_ms");
   options.drain_limit = parts.settings.GetDuration("drain.limit_ms");
-  return std::make_unique<OnceService>(parts.control_loop, parts.clock, parts.random.GetBits(), parts.metrics,
-                                       std::move(options));
+  return std::make_unique<OnceService>(parts.control_loop, parts.answer_memory, parts.clock, parts.random.GetBits(),
+                                       parts.metrics, std::move(options));
 }
 
 // Returns a probe that fetches the engine's status on the traffic loop.
@@ -82,7 +82,9 @@
 class AttemptsService : public Service, public Drainable, public Leavable {
  public:
   AttemptsService(Kernel& kernel, ProcessParts& parts)
-      : m_metrics(parts.metrics), m_http(GetTrafficLoop(parts)), m_server(MakeServer(kernel, parts)) {
+      : m_metrics(parts.metrics),
+        m_http(GetTrafficLoop(parts), parts.answer_memory),
+        m_server(MakeServer(kernel, parts)) {
     if (IsPlainService(parts)) return;
     Admission& admission = kernel.Get<AdmissionService>("admission").GetAdmissionControl();
     admission.SetProbe(MakeProbe(m_http, GetEngineTarget(parts)));
--- a/src/config_services.cpp
+++ b/src/config_services.cpp
@@ -12,7 +12,7 @@
 class PlatformClients : public Service {
  public:
   explicit PlatformClients(ProcessParts& parts)
-      : m_http(parts.control_loop),
+      : m_http(parts.control_loop, parts.answer_memory),
         m_log(m_http, {parts.settings.GetAddress("platform.log_address"), parts.settings.GetPort("platform.log_port")},
               parts.settings.GetDuration("platform.timeout_ms")),
         m_list(m_http, {parts.settings.GetAddress("platform.vms_address"), parts.settings.GetPort("platform.vms_port")},
--- a/src/ctl_http_platform.cpp
+++ b/src/ctl_http_platform.cpp
@@ -22,6 +22,8 @@
 constexpr size_t kReadRecords = 1000;
 constexpr Port kAdminPort{8081};
 constexpr size_t kMaxStatusBytes = 4 * 1024 * 1024;
+// Several times the largest batch, since an answer may hold half of it at most.
+constexpr Bytes kAnswerMemory{256 * 1024 * 1024};
 
 absl::StatusOr<HttpTarget> ParseTarget(const std::string& option, const std::string& text) {
   const size_t colon = text.rfind(':');
@@ -129,8 +131,9 @@
   ZoneName m_zone;
   Duration m_timeout;
   SystemClock m_clock;
+  MemoryBudget m_answer_memory{kAnswerMemory};
   Loop m_loop;
-  HttpClient m_http{m_loop};
+  HttpClient m_http{m_loop, m_answer_memory};
 };
 
 }  // namespace
--- a/src/engine_client.cpp
+++ b/src/engine_client.cpp
@@ -32,15 +32,16 @@
 
 }  // namespace
 
-EngineClient::EngineClient(Loop& loop, EngineClientOptions options, Metrics& metrics)
+EngineClient::EngineClient(Loop& loop, MemoryBudget& answer_memory, EngineClientOptions options, Metrics& metrics)
     : m_loop(loop),
+      m_answer_memory(answer_memory),
       m_options(std::move(options)),
       m_reachable(metrics.GetGauge("plantain_engine_reachable", "Whether the engine answered the last status read.")),
       m_orders(metrics.GetCounter("plantain_engine_orders_total", "Orders sent to the engine.")),
       m_report(std::make_shared<const EngineReport>()) {}
 
 absl::Status EngineClient::Start() {
-  m_client = std::make_unique<HttpClient>(m_loop);
+  m_client = std::make_unique<HttpClient>(m_loop, m_answer_memory);
   m_poll_timer = m_loop.RunEvery(m_options.poll_period, [this] { Poll(); });
   m_loop.Post([this] { Poll(); });
   return absl::OkStatus();
--- a/src/engine_client.h
+++ b/src/engine_client.h
@@ -45,7 +45,7 @@
 // EngineControl over HTTP. Runs on the control loop; only GetEngineStatus and GetReport are thread-safe.
 class EngineClient : public Service, public EngineControl {
  public:
-  EngineClient(Loop& loop, EngineClientOptions options, Metrics& metrics);
+  EngineClient(Loop& loop, MemoryBudget& answer_memory, EngineClientOptions options, Metrics& metrics);
 
   absl::Status Start() override;
   void Stop() override;
@@ -63,6 +63,7 @@
   void Publish(std::shared_ptr<const EngineReport> report);
 
   Loop& m_loop;
+  MemoryBudget& m_answer_memory;
   const EngineClientOptions m_options;
   prometheus::Gauge& m_reachable;
   prometheus::Counter& m_orders;
--- a/src/event_splitter.h
+++ b/src/event_splitter.h
@@ -34,6 +34,9 @@
   // Whether more bytes are kept back than one event may have. No more may be taken then.
   bool IsTooLong() const { return m_partial.size() > kMaxEventBytes; }
 
+  // Number of bytes that are kept back.
+  size_t GetHeldBytes() const { return m_partial.size(); }
+
   // Number of whole events, without repetitions of events that this answer has sent before.
   uint64_t GetProgress() const { return m_progress; }
 
--- a/src/fleet_relay.cpp
+++ b/src/fleet_relay.cpp
@@ -80,8 +80,10 @@
 
 }  // namespace
 
-FleetRelay::FleetRelay(Loop& loop, const Clock& clock, FleetMirror& mirror, RelayOptions options)
+FleetRelay::FleetRelay(Loop& loop, MemoryBudget& answer_memory, const Clock& clock, FleetMirror& mirror,
+                       RelayOptions options)
     : m_loop(loop),
+      m_answer_memory(answer_memory),
       m_clock(clock),
       m_mirror(mirror),
       m_options(std::move(options)),
@@ -109,7 +111,7 @@
                                             responder->Send(HandleRecordRequest(request));
                                           });
   if (absl::Status status = m_server->Start(); !status.ok()) return status;
-  m_client = std::make_unique<HttpClient>(m_loop);
+  m_client = std::make_unique<HttpClient>(m_loop, m_answer_memory);
   m_beacon_timer = m_loop.RunEvery(m_options.period, [this] { SendBeacons(); });
   m_pull_timer = m_loop.RunEvery(kPullInterval, [this] { PullIfBehind(); });
   m_loop.Post([this] { SendBeacons(); });
--- a/src/fleet_relay.h
+++ b/src/fleet_relay.h
@@ -41,7 +41,7 @@
 // Runs on the control thread.
 class FleetRelay : public Service {
  public:
-  FleetRelay(Loop& loop, const Clock& clock, FleetMirror& mirror, RelayOptions options);
+  FleetRelay(Loop& loop, MemoryBudget& answer_memory, const Clock& clock, FleetMirror& mirror, RelayOptions options);
 
   absl::Status Start() override;
   void Stop() override;
@@ -86,6 +86,7 @@
   void ApplyEraBounds(FleetTopic topic, const TopicState& state);
 
   Loop& m_loop;
+  MemoryBudget& m_answer_memory;
   const Clock& m_clock;
   FleetMirror& m_mirror;
   BeaconSource* m_beacon_source = nullptr;
--- a/src/forward_attempt.h
+++ b/src/forward_attempt.h
@@ -13,6 +13,7 @@
 #include "event_splitter.h"
 #include "forward_type.h"
 #include "http_client.h"
+#include "memory_budget.h"
 
 namespace plantain {
 
@@ -54,6 +55,8 @@
 };
 
 struct ForwardAttempt {
+  explicit ForwardAttempt(MemoryBudget& answer_memory) : memory(answer_memory) {}
+
   AnswerProgress GetProgress(bool is_stream) const {
     if (!head.has_value()) return AnswerProgress::kNone;
     const bool has_begun = is_stream ? events.GetProgress() > 0 : has_body;
@@ -68,6 +71,8 @@
   std::optional<ResponseHead> head;
   std::string body;
   EventSplitter events;
+  // Memory of the body, or of the event of a stream that is not whole yet.
+  MemoryReservation memory;
   // When the endpoint last sent its head, a new event of a stream, or bytes of another response, on the clock and in
   // the time of the loop.
   TimePoint received_at;
--- a/src/forward_service.cpp
+++ b/src/forward_service.cpp
@@ -51,7 +51,7 @@
 // Sends attempts with an HTTP client on the traffic loop.
 class ForwardService::HttpAttemptSender : public AttemptSender {
  public:
-  explicit HttpAttemptSender(Loop& loop) : m_http(loop) {}
+  HttpAttemptSender(Loop& loop, MemoryBudget& answer_memory) : m_http(loop, answer_memory) {}
 
   std::shared_ptr<HttpCall> Send(const HttpTarget& target, const HttpRequest& request, HttpCallOptions options,
                                  HttpCallbacks callbacks) override {
@@ -70,9 +70,9 @@
       m_loop(*parts.traffic_loops.front()),
       m_random(parts.random.GetBits()),
       m_metrics(parts.metrics),
-      m_sender(std::make_unique<HttpAttemptSender>(m_loop)),
-      m_traffic(
-          std::make_unique<ForwardTraffic>(parts.clock, m_random, protocol, *m_sender, m_metrics, ReadOptions(parts))) {
+      m_sender(std::make_unique<HttpAttemptSender>(m_loop, parts.answer_memory)),
+      m_traffic(std::make_unique<ForwardTraffic>(parts.clock, m_random, protocol, *m_sender, parts.answer_memory,
+                                                 m_metrics, ReadOptions(parts))) {
   const HttpTarget target = parts.settings.GetTarget("http.target");
   m_server = std::make_unique<HttpServer>(m_loop, target.address, target.port, CallerLimits().max_body_bytes,
                                           [this](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -68,13 +68,14 @@
 }  // namespace
 
 ForwardTraffic::ForwardTraffic(const Clock& clock, Random& random, const CallerProtocol& protocol,
-                               AttemptSender& sender, ForwardMetrics& metrics, ForwardOptions options)
+                               AttemptSender& sender, MemoryBudget& answer_memory, ForwardMetrics& metrics,
+                               ForwardOptions options)
     : m_clock(clock),
       m_random(random),
       m_protocol(protocol),
       m_metrics(metrics),
       m_options(std::move(options)),
-      m_request_deps{clock, protocol, sender, *this, m_loop_time},
+      m_request_deps{clock, protocol, sender, *this, m_loop_time, answer_memory},
       m_balancer(clock, random, m_options.balancer),
       m_quarantine(clock),
       m_fleet(std::make_shared<FleetView>()) {}
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -42,7 +42,7 @@
 class ForwardTraffic : public DrainableRequests, private ActiveRequestHost {
  public:
   ForwardTraffic(const Clock& clock, Random& random, const CallerProtocol& protocol, AttemptSender& sender,
-                 ForwardMetrics& metrics, ForwardOptions options);
+                 MemoryBudget& answer_memory, ForwardMetrics& metrics, ForwardOptions options);
   ~ForwardTraffic() override;
   ForwardTraffic(const ForwardTraffic&) = delete;
   ForwardTraffic& operator=(const ForwardTraffic&) = delete;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -82,7 +82,8 @@
 }  // namespace
 
 struct HttpClient::Impl {
-  explicit Impl(asio::io_context& context_in) : context(context_in) {}
+  Impl(asio::io_context& context_in, MemoryBudget& answer_memory_in)
+      : context(context_in), answer_memory(answer_memory_in) {}
 
   std::unique_ptr<Connection> TakeIdle(const HttpTarget& target, Duration max_idle) {
     const TimePoint now = GetMonotonicTime();
@@ -108,6 +109,7 @@
   }
 
   asio::io_context& context;
+  MemoryBudget& answer_memory;
   Pool pool;
 };
 
@@ -117,13 +119,16 @@
 template <typename Impl>
 class Call : public HttpCall, public std::enable_shared_from_this<Call<Impl>> {
  public:
+  // `is_collected` tells whether the callbacks collect the body in memory.
   Call(std::shared_ptr<Impl> client, HttpTarget target, const HttpRequest& request, const HttpCallOptions& options,
-       HttpCallbacks callbacks)
+       HttpCallbacks callbacks, bool is_collected)
       : m_client(std::move(client)),
         m_target(std::move(target)),
         m_options(options),
         m_callbacks(std::move(callbacks)),
-        m_timer(m_client->context) {
+        m_timer(m_client->context),
+        m_is_collected(is_collected),
+        m_memory(m_client->answer_memory) {
     m_request.version(11);
     m_request.method_string(request.method);
     m_request.target(request.target);
@@ -333,6 +338,10 @@
       FailBodyLimit();
       return;
     }
+    if (m_is_collected && !m_memory.Resize(m_body_bytes)) {
+      Finish(MakeFailure(FailureCode::kMemoryLimit, "no memory for the body among other answers"));
+      return;
+    }
     if (taken > 0 && m_callbacks.on_data) m_callbacks.on_data(std::string_view(m_read_buffer.data(), taken));
     if (!m_is_done && m_parser->is_done()) Finish(absl::OkStatus());
   }
@@ -371,6 +380,8 @@
   std::optional<Duration> m_idle_time;
   HttpCallbacks m_callbacks;
   asio::steady_timer m_timer;
+  const bool m_is_collected;
+  MemoryReservation m_memory;
   http::request<http::string_body> m_request;
   std::unique_ptr<Connection> m_connection;
   std::optional<http::response_parser<http::buffer_body>> m_parser;
@@ -378,7 +389,7 @@
   // Length of the current head as far as it is parsed.
   size_t m_head_bytes = 0;
   int m_informational_heads = 0;
-  uint64_t m_body_bytes = 0;
+  size_t m_body_bytes = 0;
   bool m_is_sent = false;
   bool m_is_on_kept_connection = false;
   bool m_is_done = false;
@@ -386,13 +397,14 @@
 
 }  // namespace
 
-HttpClient::HttpClient(Loop& loop) : m_impl(std::make_shared<Impl>(loop.GetImpl().context)) {}
+HttpClient::HttpClient(Loop& loop, MemoryBudget& answer_memory)
+    : m_impl(std::make_shared<Impl>(loop.GetImpl().context, answer_memory)) {}
 
 HttpClient::~HttpClient() = default;
 
 std::shared_ptr<HttpCall> HttpClient::Send(const HttpTarget& target, const HttpRequest& request,
                                            HttpCallOptions options, HttpCallbacks callbacks) {
-  auto call = std::make_shared<Call<Impl>>(m_impl, target, request, options, std::move(callbacks));
+  auto call = std::make_shared<Call<Impl>>(m_impl, target, request, options, std::move(callbacks), false);
   call->Begin();
   return call;
 }
@@ -414,7 +426,9 @@
       on_done(status);
     }
   };
-  return Send(target, request, options, std::move(callbacks));
+  auto call = std::make_shared<Call<Impl>>(m_impl, target, request, options, std::move(callbacks), true);
+  call->Begin();
+  return call;
 }
 
 void HttpClient::ForgetConnections(const HttpTarget& target) { m_impl->pool.erase(target); }
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -10,6 +10,7 @@
 #include "absl/status/statusor.h"
 #include "http_type.h"
 #include "loop.h"
+#include "memory_budget.h"
 
 namespace plantain {
 
@@ -56,14 +57,15 @@
 // Sends requests. Used on the loop's thread only.
 class HttpClient {
  public:
-  explicit HttpClient(Loop& loop);
+  // `answer_memory` bounds what the answers to Fetch hold together.
+  HttpClient(Loop& loop, MemoryBudget& answer_memory);
   ~HttpClient();
 
   // Sends a request and reports the answer piece by piece.
   std::shared_ptr<HttpCall> Send(const HttpTarget& target, const HttpRequest& request, HttpCallOptions options,
                                  HttpCallbacks callbacks);
 
-  // Sends a request and reports the whole answer.
+  // Sends a request and reports the whole answer. Fails with kMemoryLimit if there is no memory for it.
   std::shared_ptr<HttpCall> Fetch(const HttpTarget& target, const HttpRequest& request, HttpCallOptions options,
                                   std::function<void(absl::StatusOr<HttpResponse>)> on_done);
 
--- a/src/once_service.cpp
+++ b/src/once_service.cpp
@@ -21,13 +21,13 @@
 
 }  // namespace
 
-OnceService::OnceService(Loop& control_loop, const Clock& clock, uint64_t seed, Metrics& metrics,
-                         OnceServiceOptions options)
+OnceService::OnceService(Loop& control_loop, MemoryBudget& answer_memory, const Clock& clock, uint64_t seed,
+                         Metrics& metrics, OnceServiceOptions options)
     : m_control_loop(control_loop),
       m_clock(clock),
       m_random(seed),
       m_options(std::move(options)),
-      m_http(control_loop),
+      m_http(control_loop, answer_memory),
       m_log(m_http, m_options.log, m_options.log_timeout),
       m_core(clock, m_random, *this, m_options.core),
       m_claims(metrics.GetCounter("plantain_once_claims_total", "Claims made by this agent.")),
--- a/src/once_service.h
+++ b/src/once_service.h
@@ -30,7 +30,8 @@
 // Runs on the control loop.
 class OnceService : public Service, private OnceHost {
  public:
-  OnceService(Loop& control_loop, const Clock& clock, uint64_t seed, Metrics& metrics, OnceServiceOptions options);
+  OnceService(Loop& control_loop, MemoryBudget& answer_memory, const Clock& clock, uint64_t seed, Metrics& metrics,
+              OnceServiceOptions options);
 
   absl::Status Start() override;
   void Stop() override;
--- a/src/plain_service.cpp
+++ b/src/plain_service.cpp
@@ -9,14 +9,15 @@
 
 }  // namespace
 
-PlainServiceSource::PlainServiceSource(Loop& loop, HttpTarget target, Duration poll_period)
+PlainServiceSource::PlainServiceSource(Loop& loop, MemoryBudget& answer_memory, HttpTarget target, Duration poll_period)
     : m_loop(loop),
+      m_answer_memory(answer_memory),
       m_target(std::move(target)),
       m_poll_period(poll_period),
       m_status(std::make_shared<const EngineStatus>()) {}
 
 absl::Status PlainServiceSource::Start() {
-  m_client = std::make_unique<HttpClient>(m_loop);
+  m_client = std::make_unique<HttpClient>(m_loop, m_answer_memory);
   m_timer = m_loop.RunEvery(m_poll_period, [this] { Poll(); });
   m_loop.Post([this] { Poll(); });
   return absl::OkStatus();
--- a/src/plain_service.h
+++ b/src/plain_service.h
@@ -18,7 +18,7 @@
 // Polls whether the plain service responds. Any HTTP response counts.
 class PlainServiceSource : public Service, public EngineSource {
  public:
-  PlainServiceSource(Loop& loop, HttpTarget target, Duration poll_period);
+  PlainServiceSource(Loop& loop, MemoryBudget& answer_memory, HttpTarget target, Duration poll_period);
 
   absl::Status Start() override;
   void Stop() override;
@@ -34,6 +34,7 @@
   void OnAnswer(bool is_answering);
 
   Loop& m_loop;
+  MemoryBudget& m_answer_memory;
   const HttpTarget m_target;
   const Duration m_poll_period;
   std::unique_ptr<HttpClient> m_client;
--- a/src/process.cpp
+++ b/src/process.cpp
@@ -19,6 +19,9 @@
 constexpr int kExitFailed = 1;
 constexpr int kExitUsage = 2;
 constexpr size_t kMaxHistoryEvents = 20'000;
+constexpr uint64_t kBytesPerMb = 1024 * 1024;
+// Answers being received may hold this part of the VM's memory.
+constexpr uint64_t kAnswerMemoryPart = 8;
 
 struct CommandLine {
   std::string settings_path;
@@ -142,6 +145,8 @@
     : settings(std::move(settings_in)),
       random(MakeSystemSeed()),
       history(kMaxHistoryEvents),
+      answer_memory(
+          Bytes(static_cast<uint64_t>(settings.GetInteger("vm.memory_mb")) * kBytesPerMb / kAnswerMemoryPart)),
       vm(settings.GetText("vm.id")),
       zone(settings.GetText("vm.zone")),
       address(settings.GetAddress("vm.address")),
--- a/src/process.h
+++ b/src/process.h
@@ -14,6 +14,7 @@
 #include "event_log.h"
 #include "kernel.h"
 #include "loop.h"
+#include "memory_budget.h"
 #include "metrics.h"
 #include "random.h"
 #include "settings_type.h"
@@ -43,6 +44,8 @@
   SeededRandom random;
   Metrics metrics;
   RequestHistory history;
+  // Bounds what the answers being received hold together.
+  MemoryBudget answer_memory;
   ChannelContext channels;
   Loop control_loop;
   // One for each traffic thread.
--- a/src/weight_http.h
+++ b/src/weight_http.h
@@ -10,7 +10,8 @@
 
 class HttpChunkOrigin : public ChunkOrigin {
  public:
-  HttpChunkOrigin(Loop& loop, HttpTarget origin) : m_http(loop), m_origin(std::move(origin)) {}
+  HttpChunkOrigin(Loop& loop, MemoryBudget& answer_memory, HttpTarget origin)
+      : m_http(loop, answer_memory), m_origin(std::move(origin)) {}
 
   std::shared_ptr<HttpCall> FetchManifest(const Digest& manifest, Duration timeout,
                                           std::function<void(absl::StatusOr<HttpResponse>)> on_done) override;
@@ -23,7 +24,8 @@
 
 class HttpStagingArea : public StagingArea {
  public:
-  HttpStagingArea(Loop& loop, HttpTarget engine) : m_loop(loop), m_http(loop), m_engine(std::move(engine)) {}
+  HttpStagingArea(Loop& loop, MemoryBudget& answer_memory, HttpTarget engine)
+      : m_loop(loop), m_http(loop, answer_memory), m_engine(std::move(engine)) {}
 
   void PutManifest(const Manifest& manifest, std::function<void(bool)> on_done) override;
   void PutChunk(const Manifest& manifest, uint32_t index, const std::string& content,
--- a/src/weight_services.cpp
+++ b/src/weight_services.cpp
@@ -41,8 +41,8 @@
 TransferDeps MakePorts(ProcessParts& parts) {
   const Settings& settings = parts.settings;
   const HttpTarget origin{settings.GetAddress("platform.origin_address"), settings.GetPort("platform.origin_port")};
-  return {std::make_unique<HttpChunkOrigin>(parts.transfer_loop, origin),
-          std::make_unique<HttpStagingArea>(parts.transfer_loop, GetEngineTarget(settings))};
+  return {std::make_unique<HttpChunkOrigin>(parts.transfer_loop, parts.answer_memory, origin),
+          std::make_unique<HttpStagingArea>(parts.transfer_loop, parts.answer_memory, GetEngineTarget(settings))};
 }
 
 WeightControlOptions MakeControlOptions(const ProcessParts& parts) {
@@ -62,7 +62,8 @@
 
 void RegisterPlainService(Kernel& kernel, ProcessParts& parts) {
   kernel.Register("engine", [&parts](Kernel&) {
-    return std::make_unique<PlainServiceSource>(parts.control_loop, GetEngineTarget(parts.settings),
+    return std::make_unique<PlainServiceSource>(parts.control_loop, parts.answer_memory,
+                                                GetEngineTarget(parts.settings),
                                                 parts.settings.GetDuration("engine.poll_ms"));
   });
   kernel.Register("gate",
@@ -77,7 +78,7 @@
     options.target = GetEngineTarget(parts.settings);
     options.poll_period = parts.settings.GetDuration("engine.poll_ms");
     options.order_timeout = kOrderTimeout;
-    return std::make_unique<EngineClient>(parts.control_loop, options, parts.metrics);
+    return std::make_unique<EngineClient>(parts.control_loop, parts.answer_memory, options, parts.metrics);
   });
   RegisterWeightControl(
       kernel, parts, MakeTransferOptions(parts), [&parts] { return MakePorts(parts); }, MakeControlOptions(parts),
--- a/standin/load_ledger.cpp
+++ b/standin/load_ledger.cpp
@@ -60,8 +60,9 @@
 }
 
 void FetchLedgers(const std::vector<HttpTarget>& targets, LedgerCheck& check) {
+  MemoryBudget answer_memory(Bytes(2 * kMaxLedgerBytes * targets.size()));
   Loop loop;
-  HttpClient client(loop);
+  HttpClient client(loop, answer_memory);
   size_t pending = targets.size();
   if (pending == 0) return;
   for (const HttpTarget& target : targets) {
--- a/standin/load_worker.cpp
+++ b/standin/load_worker.cpp
@@ -17,6 +17,7 @@
 // overloaded.
 constexpr Duration kMaxSendDelay = Milliseconds(50);
 constexpr size_t kMaxAnswerBytes = 64 * 1024 * 1024;
+constexpr Bytes kAnswerMemory{1024 * 1024 * 1024};
 
 }  // namespace
 
@@ -45,7 +46,8 @@
 LoadWorker::LoadWorker(const LoadOptions& options, size_t thread, const Clock& clock)
     : m_options(options),
       m_clock(clock),
-      m_client(m_loop),
+      m_answer_memory(kAnswerMemory),
+      m_client(m_loop, m_answer_memory),
       m_plan(options, thread),
       m_report(options),
       m_next_target(thread) {}
--- a/standin/load_worker.h
+++ b/standin/load_worker.h
@@ -49,6 +49,7 @@
 
   const LoadOptions& m_options;
   const Clock& m_clock;
+  MemoryBudget m_answer_memory;
   Loop m_loop;
   HttpClient m_client;
   LoadPlan m_plan;
--- a/tests/attempt_runner_test.cpp
+++ b/tests/attempt_runner_test.cpp
@@ -47,13 +47,14 @@
 
 // Guards against attempts that run although they must be refused, are answered twice, or leak a slot or a gate entry.
 TEST_CASE("An attempt is validated before it runs and releases its slot and gate entry") {
+  MemoryBudget answer_memory{Bytes(64 * 1024 * 1024)};
   Loop loop;
   SystemClock clock;
   SeededRandom random(1);
   Metrics metrics;
   AttemptMetrics attempt_metrics(metrics);
   RequestHistory history(100);
-  HttpClient http(loop);
+  HttpClient http(loop, answer_memory);
   MockGate gate;
   MockConfig config;
   Admission admission(clock, random, AdmissionLimitOptions{1, 4, false, std::chrono::seconds(60)}, 2);
@@ -175,13 +176,14 @@
 
 // Guards against an engine that sends bytes without end after the end marker and so delays the end of the attempt.
 TEST_CASE("Bytes after the end marker end the attempt") {
+  MemoryBudget answer_memory{Bytes(64 * 1024 * 1024)};
   Loop loop;
   SystemClock clock;
   SeededRandom random(1);
   Metrics metrics;
   AttemptMetrics attempt_metrics(metrics);
   RequestHistory history(100);
-  HttpClient http(loop);
+  HttpClient http(loop, answer_memory);
   MockGate gate;
   MockConfig config;
   Admission admission(clock, random, AdmissionLimitOptions{1, 4, false, std::chrono::seconds(60)}, 2);
--- a/tests/attempt_server_test.cpp
+++ b/tests/attempt_server_test.cpp
@@ -20,7 +20,7 @@
 struct LeavingFixture {
   LeavingFixture()
       : admission(clock, random, AdmissionLimitOptions{1, 4, false, std::chrono::seconds(60)}, 2),
-        http(loop),
+        http(loop, answer_memory),
         attempt_metrics(metrics),
         history(100),
         server(std::make_unique<AttemptServer>(
@@ -70,6 +70,7 @@
     REQUIRE(entry->Send(message.SerializeAsString()));
   }
 
+  MemoryBudget answer_memory{Bytes(64 * 1024 * 1024)};
   Loop loop;
   ChannelContext channels;
   SystemClock clock;
--- a/tests/forward_fake.h
+++ b/tests/forward_fake.h
@@ -187,7 +187,8 @@
 struct ForwardFixture {
   explicit ForwardFixture(std::vector<EndpointInfo> endpoints, ForwardOptions options = MakeOptions())
       : random(20261204), forward_metrics(metrics), fleet(MakeFleet(std::move(endpoints))) {
-    traffic = std::make_unique<ForwardTraffic>(clock, random, protocol, sender, forward_metrics, options);
+    traffic =
+        std::make_unique<ForwardTraffic>(clock, random, protocol, sender, answer_memory, forward_metrics, options);
     traffic->SetFleet(fleet);
   }
 
@@ -241,6 +242,7 @@
   Metrics metrics;
   ForwardMetrics forward_metrics;
   std::shared_ptr<FleetView> fleet;
+  MemoryBudget answer_memory{Bytes(64 * 1024 * 1024)};
   std::unique_ptr<ForwardTraffic> traffic;
   int request_count = 0;
 };
--- a/tests/forward_foreign_answer_test.cpp
+++ b/tests/forward_foreign_answer_test.cpp
@@ -94,10 +94,11 @@
 
 TEST_CASE("A call knows whether its connection carried other requests") {
   const HttpTarget target{MakeLoopbackAddress(109), Port(29988)};
+  MemoryBudget answer_memory{Bytes(64 * 1024 * 1024)};
   Loop loop;
   const std::string answer = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
   ScriptedEndpoint endpoint(loop, target, {answer, answer});
-  HttpClient client(loop);
+  HttpClient client(loop, answer_memory);
   std::vector<bool> is_kept;
   for (int i = 0; i < 2; ++i) {
     std::shared_ptr<HttpCall> call;
--- a/tests/forward_traffic_test.cpp
+++ b/tests/forward_traffic_test.cpp
@@ -399,8 +399,8 @@
   SECTION("unknown key") { CHECK(fixture.SendRequest("/look/1", "1000", {{"X-Api-Key", "k2"}})->status == 401); }
   SECTION("unknown path") { CHECK(fixture.SendRequest("/none/1", "1000", {{"X-Api-Key", "k1"}})->status == 404); }
   SECTION("no configuration") {
-    ForwardTraffic fresh(fixture.clock, fixture.random, fixture.protocol, fixture.sender, fixture.forward_metrics,
-                         ForwardFixture::MakeOptions());
+    ForwardTraffic fresh(fixture.clock, fixture.random, fixture.protocol, fixture.sender, fixture.answer_memory,
+                         fixture.forward_metrics, ForwardFixture::MakeOptions());
     HttpRequest request{"GET", "/look/1", {}, ""};
     request.headers.Add("Host", "h.example");
     request.headers.Add("Plantainmast-Attempt-Id", "r");
--- a/tests/forward_unbounded_test.cpp
+++ b/tests/forward_unbounded_test.cpp
@@ -150,5 +150,39 @@
   }
 }
 
+// Guards against many answers without end that take the memory of an entry together, though each stays under its limit.
+TEST_CASE("The answers of all requests share the memory of an entry") {
+  constexpr int kRequests = 40;
+  const std::string piece(kPieceBytes, 'x');
+  std::vector<EndpointInfo> endpoints;
+  for (int i = 0; i < kRequests; ++i) {
+    endpoints.push_back(MakeEndpoint("e" + std::to_string(i), kEnginePool, "praha"));
+    endpoints.push_back(MakeEndpoint("g" + std::to_string(i), kRegisterPool, "praha"));
+  }
+  ForwardFixture fixture(endpoints);
+  const std::string path = GENERATE("/draft/", "/look/");
+  std::vector<std::shared_ptr<FakeForwardCaller>> callers;
+  for (int i = 0; i < kRequests; ++i) callers.push_back(fixture.SendRequest(path + std::to_string(i), "6000"));
+  REQUIRE(fixture.sender.GetCount() == kRequests);
+  for (size_t i = 0; i < kRequests; ++i) {
+    if (path == "/draft/") {
+      fixture.sender.At(i).BeginStream();
+    } else {
+      fixture.sender.At(i).SendHead(200, {{"Plantainmast-Server-Stamp", "s"}});
+    }
+  }
+  size_t sent = 0;
+  for (int round = 0; round < kManyPieces; ++round) {
+    for (size_t i = 0; i < kRequests; ++i) {
+      if (fixture.sender.At(i).is_cancelled) continue;
+      fixture.sender.At(i).SendData(piece);
+      sent += piece.size();
+      REQUIRE(fixture.answer_memory.GetUsed().Get() <= fixture.answer_memory.GetLimit().Get());
+    }
+  }
+  INFO(sent << " bytes sent");
+  for (size_t i = 0; i < kRequests; ++i) CHECK(fixture.sender.At(i).is_cancelled);
+}
+
 }  // namespace
 }  // namespace plantain
--- a/tests/hosted_engine_test.cpp
+++ b/tests/hosted_engine_test.cpp
@@ -112,7 +112,7 @@
 struct EngineWorld {
   EngineWorld()
       : engine(loop),
-        client(loop, clock, index, tracker, HostedEngineOptions{kTarget, kPollPeriod}),
+        client(loop, answer_memory, clock, index, tracker, HostedEngineOptions{kTarget, kPollPeriod}),
         watchdog(loop.RunAfter(kWatchdog, [this] { loop.Stop(); })) {
     index.Add(kVersionTwo, manifest);
     REQUIRE(client.Start().ok());
@@ -150,6 +150,7 @@
   // Whether chunks of another version may be written to the staging area now.
   bool MayStageOther() { return tracker.BeginManifest(kOtherManifest, kChunkCount); }
 
+  MemoryBudget answer_memory{Bytes(64 * 1024 * 1024)};
   Loop loop;
   SystemClock clock;
   HostedManifestIndex index;
@@ -292,7 +293,7 @@
   static_assert(!std::is_default_constructible_v<HttpCallOptions>, "each call states how long its answer may be");
   EngineWorld world;
   world.Stage();
-  HostedStagingArea area(world.loop, kTarget, world.tracker);
+  HostedStagingArea area(world.loop, world.answer_memory, kTarget, world.tracker);
 
   SECTION("report") {
     REQUIRE(world.RunUntil([&] { return world.client.GetHostedReport().has_value(); }));
--- a/tests/http_broken_head_test.cpp
+++ b/tests/http_broken_head_test.cpp
@@ -100,9 +100,10 @@
   const std::string answer = GENERATE(from_range(GetAnswers()));
   const End end = GENERATE(End::kClose, End::kReset);
   const bool is_kept = GENERATE(false, true);
+  MemoryBudget answer_memory{Bytes(64 * 1024 * 1024)};
   Loop loop;
   BreakingEndpoint endpoint(loop, answer);
-  HttpClient client(loop);
+  HttpClient client(loop, answer_memory);
   const auto fetch = [&] {
     std::optional<absl::StatusOr<HttpResponse>> result;
     client.Fetch(endpoint.GetTarget(), HttpRequest{"GET", "/", {}, ""}, HttpCallOptions(1024 * 1024),
@@ -132,7 +133,8 @@
 // Sends attempts to one endpoint over sockets.
 class SocketSender : public AttemptSender {
  public:
-  SocketSender(Loop& loop, HttpTarget target) : m_client(loop), m_target(std::move(target)) {}
+  SocketSender(Loop& loop, MemoryBudget& answer_memory, HttpTarget target)
+      : m_client(loop, answer_memory), m_target(std::move(target)) {}
 
   std::shared_ptr<HttpCall> Send(const HttpTarget&, const HttpRequest& request, HttpCallOptions options,
                                  HttpCallbacks callbacks) override {
@@ -171,17 +173,19 @@
   const std::string answer = GENERATE(from_range(GetAnswers()));
   const std::string path = GENERATE("/look/1", "/seal/1", "/draft/1");
   const End end = GENERATE(End::kClose, End::kReset);
+  MemoryBudget answer_memory{Bytes(64 * 1024 * 1024)};
   Loop loop;
   BreakingEndpoint endpoint(loop, answer);
   SystemClock clock;
   SeededRandom random(20261205);
   hosted::HostedCallerProtocol protocol;
-  SocketSender sender(loop, endpoint.GetTarget());
+  SocketSender sender(loop, answer_memory, endpoint.GetTarget());
   Metrics metrics;
   ForwardMetrics forward_metrics(metrics);
   for (size_t bytes = 0; bytes < answer.size(); ++bytes) {
     INFO("bytes " << bytes << " reset " << (end == End::kReset) << " path " << path);
-    ForwardTraffic traffic(clock, random, protocol, sender, forward_metrics, ForwardFixture::MakeOptions());
+    ForwardTraffic traffic(clock, random, protocol, sender, answer_memory, forward_metrics,
+                           ForwardFixture::MakeOptions());
     traffic.SetFleet(MakeFleet({MakeEndpoint("e1", kEnginePool, "praha"), MakeEndpoint("g1", kRegisterPool, "praha")}));
     endpoint.BreakAfter(bytes, end);
     HttpRequest request{"POST", path, {}, ""};
--- a/tests/http_close_delimited_test.cpp
+++ b/tests/http_close_delimited_test.cpp
@@ -25,11 +25,12 @@
 // Sends a request to a server that answers with these bytes and then closes or resets the connection.
 ReceivedAnswer FetchFrom(const std::string& answer, bool is_reset) {
   const HttpTarget target{MakeLoopbackAddress(103), Port(29992)};
+  MemoryBudget answer_memory{Bytes(64 * 1024 * 1024)};
   Loop loop;
   auto& context = loop.GetImpl().context;
   tcp::acceptor acceptor(context,
                          tcp::endpoint(boost::asio::ip::make_address(target.address.Get()), target.port.Get()));
-  HttpClient client(loop);
+  HttpClient client(loop, answer_memory);
   tcp::socket server(context);
   std::string request;
   ReceivedAnswer received;
--- a/tests/http_unbounded_test.cpp
+++ b/tests/http_unbounded_test.cpp
@@ -1,5 +1,6 @@
 #include "loop_asio.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read_until.hpp>
@@ -131,7 +132,8 @@
 
 // A client and a server on one loop.
 struct EndlessWorld {
-  EndlessWorld() : server(loop), client(loop), watchdog(loop.RunAfter(kWatchdog, [this] { loop.Stop(); })) {}
+  EndlessWorld()
+      : server(loop), client(loop, answer_memory), watchdog(loop.RunAfter(kWatchdog, [this] { loop.Stop(); })) {}
 
   HttpCallOptions MakeOptions() const {
     HttpCallOptions options(64 * 1024);
@@ -163,6 +165,7 @@
     loop.Restart();
   }
 
+  MemoryBudget answer_memory{Bytes(64 * 1024 * 1024)};
   Loop loop;
   EndlessServer server;
   HttpClient client;
@@ -277,5 +280,41 @@
   CHECK(world.server.GetConnections() == 2);
 }
 
+// Guards against many answers without end that take the memory of the process together.
+TEST_CASE("Answers that arrive at the same time share the memory for them") {
+  constexpr size_t kMemory = 1024 * 1024;
+  constexpr size_t kCalls = 40;
+  MemoryBudget memory{Bytes(kMemory)};
+  EndlessWorld world;
+  HttpClient client(world.loop, memory);
+  // Each call alone may have more than all of them may hold.
+  HttpCallOptions options(8 * kMemory);
+  options.timeout = kCallTimeout;
+  size_t ended = 0;
+  size_t used = 0;
+  const auto watch =
+      world.loop.RunEvery(Milliseconds(1), [&] { used = std::max<size_t>(used, memory.GetUsed().Get()); });
+  SECTION("without a length") { world.server.SetAnswer({"HTTP/1.1 200 OK\r\n\r\n", std::string(1000, 'b')}); }
+  SECTION("in chunks") { world.server.SetAnswer({kChunkedHead, "3e8\r\n" + std::string(1000, 'b') + "\r\n"}); }
+  SECTION("with a length") {
+    world.server.SetAnswer({"HTTP/1.1 200 OK\r\nContent-Length: 8000000\r\n\r\n", std::string(1000, 'b')});
+  }
+  for (size_t i = 0; i < kCalls; ++i) {
+    client.Fetch(world.server.GetTarget(), HttpRequest{"GET", "/x", {}, ""}, options,
+                 [&](const absl::StatusOr<HttpResponse>& response) {
+                   CHECK(GetFailureCode(response.status()) == FailureCode::kMemoryLimit);
+                   if (++ended == kCalls) world.loop.Stop();
+                 });
+  }
+  world.loop.Run();
+  world.loop.Restart();
+  CHECK(ended == kCalls);
+  CHECK(used <= kMemory);
+  CHECK(used > 0);
+  world.WaitUntilClosed(kCalls);
+  CHECK(memory.GetUsed().Get() == 0);
+  CHECK_FALSE(world.server.HasGivenUp());
+}
+
 }  // namespace
 }  // namespace plantain
--- a/tests/overload_sim.h
+++ b/tests/overload_sim.h
@@ -128,7 +128,8 @@
     Entry(OverloadSim& sim_in, size_t number)
         : sim(sim_in),
           forward_metrics(metrics),
-          traffic(sim.m_clock, sim.m_random, protocol, *this, forward_metrics, MakeOptions(number, sim)) {}
+          traffic(sim.m_clock, sim.m_random, protocol, *this, answer_memory, forward_metrics,
+                  MakeOptions(number, sim)) {}
 
     static ForwardOptions MakeOptions(size_t number, const OverloadSim& sim) {
       ForwardOptions options;
@@ -151,6 +152,7 @@
     hosted::HostedCallerProtocol protocol;
     Metrics metrics;
     ForwardMetrics forward_metrics;
+    MemoryBudget answer_memory{Bytes(64 * 1024 * 1024)};
     ForwardTraffic traffic;
   };
 
--- a/tests/service_answer_test.cpp
+++ b/tests/service_answer_test.cpp
@@ -132,6 +132,7 @@
 // Guards against a call that gets another call's answer, because answers of a plain service carry no id and the service
 // has written an earlier one once more.
 TEST_CASE("A call to a plain service gets its own answer") {
+  MemoryBudget answer_memory{Bytes(64 * 1024 * 1024)};
   Loop loop;
   SystemClock clock;
   Metrics metrics;
@@ -141,7 +142,7 @@
   SECTION("a repeatable one") {
     AttemptMetrics attempt_metrics(metrics);
     RequestHistory history(100);
-    HttpClient http(loop);
+    HttpClient http(loop, answer_memory);
     FixedConfig config;
     SeededRandom random(1);
     Admission admission(clock, random, AdmissionLimitOptions{1, 4, true, std::chrono::seconds(60)}, 2);
@@ -174,7 +175,7 @@
     options.service = kService;
     options.log_timeout = std::chrono::seconds(1);
     options.batch_period = Milliseconds(5);
-    OnceService once(loop, clock, 1, metrics, options);
+    OnceService once(loop, answer_memory, clock, 1, metrics, options);
     REQUIRE(once.Start().ok());
     const auto caught_up = loop.RunAfter(Milliseconds(200), [&] { loop.Stop(); });
     RunUntilStopped(loop);
--- a/tests/standin_http_test.cpp
+++ b/tests/standin_http_test.cpp
@@ -26,8 +26,9 @@
 
 // Guards against the client rejecting every answer with a Content-Length. Boost 1.74 does so if no body limit is set.
 TEST_CASE("The HTTP client reads answers with a Content-Length") {
+  MemoryBudget answer_memory{Bytes(64 * 1024 * 1024)};
   Loop loop;
-  HttpClient client(loop);
+  HttpClient client(loop, answer_memory);
   const std::string body(GENERATE(0, 1, 700, 100'000), 'b');
   HttpServer server(loop, kTarget.address, kTarget.port, kMaxBodyBytes,
                     [&](const HttpRequest&, const std::shared_ptr<HttpResponder>& responder) {
--- a/tests/store_follower_test.cpp
+++ b/tests/store_follower_test.cpp
@@ -27,7 +27,7 @@
                [this](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
                  HandleRead(request, responder);
                }),
-        follower(loop, clock, random, mirror, MakeOptions(address)) {}
+        follower(loop, answer_memory, clock, random, mirror, MakeOptions(address)) {}
 
   static hosted::StoreFollowerOptions MakeOptions(const IpAddress& address) {
     hosted::StoreFollowerOptions options;
@@ -84,6 +84,7 @@
     return R"({"key":")" + key + R"(","value":"e30=","offset":1})";
   }
 
+  MemoryBudget answer_memory{Bytes(64 * 1024 * 1024)};
   Loop loop;
   SystemClock clock;
   IpAddress address;
