Count no slots of endpoints that take no connections

Cause: until the directory drops a crashed endpoint, its slots counted as slots of its zone, though connections to it fail. SlotShares then gave nearly all slots of the endpoint that was left to the entries of its zone.

Change: slots of an endpoint whose last connection failed do not count until something comes from it. An endpoint that only stands still is not affected: it takes connections.

The new case of large_fleet_test fails before (an entry gets 0 of 8 and 2 of 136 requests) and passes now. 271 of 271 unit tests pass.

--- a/src/endpoint_balancer.cpp
+++ b/src/endpoint_balancer.cpp
@@ -115,7 +115,10 @@
   std::map<ZoneName, double> slots;
   for (const State* state : states) {
     double& count = slots[state->info.zone];
-    if (IsInService(state->info) && HasUsableWeights(*state)) count += GetSlots(*state);
+    // Slots of an endpoint that takes no connections would keep its zone from slots of other zones until the directory
+    // drops it.
+    const bool is_usable = IsInService(state->info) && !state->is_unreachable && HasUsableWeights(*state);
+    if (is_usable) count += GetSlots(*state);
   }
   return slots;
 }
@@ -404,6 +407,7 @@
 std::optional<Duration> EndpointBalancer::OnReceived(const EndpointId& id, Incarnation incarnation) {
   State* state = FindRun(id, incarnation);
   if (state == nullptr) return std::nullopt;
+  state->is_unreachable = false;
   const std::optional<Duration> pause = state->silence.OnReceived(m_clock.GetNow());
   if (!pause.has_value()) return std::nullopt;
   state->failures = 0;
@@ -451,6 +455,7 @@
     case AttemptEnd::kUnreachable:
       // It shows more than a pause.
       state.silence.EndPause();
+      state.is_unreachable = true;
       BackOff(state, sent_at, kUnreachableBackoff, kMaxUnreachableBackoff);
       break;
     case AttemptEnd::kSilent:
--- a/src/endpoint_balancer.h
+++ b/src/endpoint_balancer.h
@@ -193,6 +193,8 @@
     // too show nothing new.
     TimePoint backoff_until;
     TimePoint failure_found_at;
+    // Whether the last connection to the endpoint failed, and nothing has come from it since.
+    bool is_unreachable = false;
     // End of the pause after a refusal that does not indicate a failure.
     TimePoint pause_until;
     uint32_t failures = 0;
--- a/tests/large_fleet_test.cpp
+++ b/tests/large_fleet_test.cpp
@@ -37,6 +37,7 @@
       }
     }
     m_fleet = MakeFleet(std::move(endpoints));
+    m_entries = entries;
     for (const EntryDemand& entry : entries) {
       m_balancers.push_back(std::make_unique<EndpointBalancer>(
           m_clock, m_random, BalancerOptions{entry.entry, entry.zone, RegionName(entry.zone.Get())}));
@@ -58,6 +59,30 @@
     }
   }
 
+  // Lets each entry find that the endpoints of a zone take no connections.
+  void FailConnections(size_t zone) {
+    for (const auto& balancer : m_balancers) {
+      for (const EndpointInfo& endpoint : m_fleet->endpoints) {
+        if (endpoint.zone != MakeZone(zone)) continue;
+        balancer->OnSent(endpoint.id, 0);
+        balancer->OnEnded(endpoint.id, AttemptEnd::kUnreachable, m_clock.GetNow());
+      }
+      balancer->SetEntries(m_entries);
+    }
+  }
+
+  // Lets each entry hear from the endpoints of a zone.
+  void Answer(size_t zone) {
+    for (const auto& balancer : m_balancers) {
+      for (const EndpointInfo& endpoint : m_fleet->endpoints) {
+        if (endpoint.zone == MakeZone(zone)) balancer->OnReceived(endpoint.id, endpoint.incarnation);
+      }
+      balancer->SetEntries(m_entries);
+    }
+  }
+
+  void Advance(Duration step) { m_clock.Advance(step); }
+
   void FillEndpoints() {
     for (const auto& balancer : m_balancers) m_sent.push_back(Fill(*balancer));
   }
@@ -101,6 +126,7 @@
   VirtualClock m_clock;
   SeededRandom m_random;
   std::shared_ptr<FleetView> m_fleet;
+  std::vector<EntryDemand> m_entries;
   std::vector<std::unique_ptr<EndpointBalancer>> m_balancers;
   std::map<EndpointId, uint32_t> m_running;
   std::vector<uint32_t> m_sent;
@@ -136,6 +162,31 @@
   CHECK(fleet.GetFewestSent() >= 6);
 }
 
+// Guards against zones whose requests are refused beside idle endpoints of another zone: endpoints that have crashed stay
+// in the directory for seconds, and are no capacity meanwhile.
+TEST_CASE("Entries of zones whose endpoints take no connections share the endpoints that do") {
+  const size_t endpoints = GENERATE(1, 17);
+  LargeFleet fleet(3, 1, endpoints);
+  fleet.FailConnections(0);
+  fleet.FailConnections(2);
+
+  SECTION("while these are left") {
+    fleet.FillEndpoints();
+    CHECK(fleet.CountRunning() >= endpoints * kSlots * 9 / 10);
+    CHECK(fleet.GetMostRunning() <= 2 * kSlots);
+    // Half of an equal part.
+    CHECK(fleet.GetFewestSent() >= endpoints * kSlots / 6);
+  }
+  SECTION("until the others answer again") {
+    fleet.Answer(0);
+    fleet.Answer(2);
+    fleet.Advance(std::chrono::seconds(10));
+    fleet.FillEndpoints();
+    CHECK(fleet.CountRunning() >= 3 * endpoints * kSlots * 9 / 10);
+    CHECK(fleet.CountRemote() <= fleet.CountRunning() / 5);
+  }
+}
+
 // Relays the beacons of processes that all know a few seeds at first.
 class BeaconFleet {
  public:
