Close kept connections that no call may use any more

Cause: the client looked at the age of kept connections only when a call to the same server came. Servers that are replaced get none.

Change: each call closes, at most twice a second, the kept connections to all servers that are older than any call of the client may use.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -44,6 +44,7 @@
 // A kept connection is not used this close to the end of the server's idle time, which may have passed by the time that
 // the request arrives.
 constexpr Duration kIdleMargin = Milliseconds(500);
+constexpr Duration kSweepInterval = Milliseconds(500);
 
 // Returns the idle time that a `Keep-Alive: timeout=N` header grants, or nothing.
 std::optional<Duration> ParseKeepAlive(std::string_view value) {
@@ -87,6 +88,8 @@
 
   std::unique_ptr<Connection> TakeIdle(const HttpTarget& target, Duration max_idle) {
     const TimePoint now = GetMonotonicTime();
+    longest_idle = std::max(longest_idle, max_idle);
+    CloseUnusable(now);
     auto& idle = pool[target];
     while (!idle.empty()) {
       // The most recently used one comes first; if it has been idle for too long, so have the others.
@@ -98,6 +101,19 @@
     return nullptr;
   }
 
+  // Closes kept connections that no call may use any more. A server that was replaced gets no further call, so that
+  // nothing else would close those to it.
+  void CloseUnusable(TimePoint now) {
+    if (now < next_sweep_at) return;
+    next_sweep_at = now + kSweepInterval;
+    for (auto& [target, idle] : pool) {
+      std::erase_if(idle, [&](const std::unique_ptr<Connection>& connection) {
+        return now - connection->idle_since >= longest_idle || now >= connection->usable_until;
+      });
+    }
+    std::erase_if(pool, [](const auto& entry) { return entry.second.empty(); });
+  }
+
   void Keep(const HttpTarget& target, std::unique_ptr<Connection> connection, std::optional<Duration> idle_time) {
     // Bytes after a whole answer belong to no request.
     if (connection->buffer.size() > 0) return;
@@ -111,6 +127,9 @@
   asio::io_context& context;
   MemoryBudget& answer_memory;
   Pool pool;
+  // Longest idle time that any call has allowed.
+  Duration longest_idle{};
+  TimePoint next_sweep_at;
 };
 
 namespace {
--- a/tests/large_fleet_test.cpp
+++ b/tests/large_fleet_test.cpp
@@ -162,8 +162,8 @@
   CHECK(fleet.GetFewestSent() >= 6);
 }
 
-// Guards against zones whose requests are refused beside idle endpoints of another zone: endpoints that have crashed stay
-// in the directory for seconds, and are no capacity meanwhile.
+// Guards against zones whose requests are refused beside idle endpoints of another zone: endpoints that have crashed
+// stay in the directory for seconds, and are no capacity meanwhile.
 TEST_CASE("Entries of zones whose endpoints take no connections share the endpoints that do") {
   const size_t endpoints = GENERATE(1, 17);
   LargeFleet fleet(3, 1, endpoints);
