--- a/tests/memory_budget_test.cpp
+++ b/tests/memory_budget_test.cpp
@@ -53,6 +53,7 @@
   CHECK(Grow(sound) + kStep >= kLimit / (2 * (count + 1)));
 }
 
+// Guards against memory that is given back twice or never, which makes the budget useless after some time.
 TEST_CASE("A reservation holds what it was last given") {
   MemoryBudget budget{Bytes(kLimit)};
   MemoryReservation first(budget);
