Take a status outside 100 to 599 for no answer

Cause: nothing defined what a status is. The HTTP client accepted any three digits, and each user compared the number with the limits that it needed. An endpoint's 000 went to the caller as an answer, a service's 000 behind an agent became 200, such a number was logged as the outcome of a call that runs once, an order answered 000 counted as refused, and a plain service counted as working.

Change: IsHttpStatus (src/http_status.h) defines a status. HttpClient, which all calls over HTTP use, ends a call with kProtocol before its user sees the head; every user already takes that for a request that may have run. AttemptClient applies the same rule to the status in an agent's message, since agents of earlier versions pass on any number and the log may hold outcomes that they wrote. ServiceSink does not replace 0 by 200 any more. src/active_request.cpp is unchanged.

--- a/src/attempt_client.cpp
+++ b/src/attempt_client.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "http_status.h"
+
 namespace plantain {
 namespace {
 
@@ -157,6 +159,8 @@
   const AttemptId id(end.attempt());
   // A count that differs from the tokens received means that tokens were lost in transit.
   if (attempt->is_completion && end.tokens() != attempt->next_index) return ReportLost(id, AttemptLoss::kProtocol);
+  // Agents of earlier versions pass on whatever a service has sent. The end of a completion states no status.
+  if (!attempt->is_completion && !IsHttpStatus(end.status())) return ReportLost(id, AttemptLoss::kProtocol);
   AttemptListener* listener = attempt->listener;
   m_attempts.erase(id);
   listener->OnEnd(id, static_cast<int>(end.status()), std::move(*end.mutable_body()));
--- a/src/entry_answer.cpp
+++ b/src/entry_answer.cpp
@@ -108,7 +108,7 @@
 
   void OnComplete(const EntryAnswer& answer) override {
     HttpResponse response;
-    response.status = answer.status == 0 ? 200 : answer.status;
+    response.status = answer.status;
     response.headers.Add("Content-Type", "application/octet-stream");
     response.body = answer.body;
     m_responder->Send(std::move(response));
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -21,6 +21,7 @@
 
 #include "clock.h"
 #include "failure_type.h"
+#include "http_status.h"
 #include "socket_option.h"
 
 namespace plantain {
@@ -320,6 +321,11 @@
   }
 
   void OnHead() {
+    // The parser ends with an error unless the status has three digits.
+    if (!IsHttpStatus(m_parser->get().result_int())) {
+      FailProtocol("the status " + std::to_string(m_parser->get().result_int()) + " is not from 100 to 599");
+      return;
+    }
     if (http::to_status_class(m_parser->get().result_int()) == http::status_class::informational) {
       SkipInformationalHead();
       return;
--- a/tests/attempt_client_test.cpp
+++ b/tests/attempt_client_test.cpp
@@ -65,6 +65,18 @@
     client.HandleMessage(e1, MakeToken(id.Get(), 0, "a", kWeightsA));
   }
 
+  SECTION("an end of a service call without a valid status is no answer, as an agent of an earlier version sends it") {
+    proto::AttemptStart start;
+    start.mutable_service()->set_call("look");
+    const AttemptId id = client.Start(e1, std::move(start), listener);
+    proto::AttemptMessage message;
+    message.mutable_end()->set_attempt(id.Get());
+    message.mutable_end()->set_status(GENERATE(0U, 1U, 99U, 600U, 999U, 4'294'967'295U));
+    REQUIRE_CALL(listener, OnLost(id, AttemptLoss::kProtocol));
+    client.HandleMessage(e1, message.SerializeAsString());
+    CHECK(client.GetInFlight() == 0);
+  }
+
   SECTION("a first token without a manifest ends the attempt") {
     const AttemptId id = client.Start(e1, MakeStart(), listener);
     REQUIRE_CALL(listener, OnLost(id, AttemptLoss::kProtocol));
--- a/tests/service_answer_test.cpp
+++ b/tests/service_answer_test.cpp
@@ -8,10 +8,9 @@
 #include <vector>
 
 #include "attempt_runner.h"
-#include "http_server.h"
-#include "log_store.h"
 #include "loopback_address.h"
 #include "once_service.h"
+#include "service_fake.h"
 
 namespace plantain {
 namespace {
@@ -21,7 +20,6 @@
 
 const HttpTarget kService{MakeLoopbackAddress(110), Port(29987)};
 const HttpTarget kLog{MakeLoopbackAddress(110), Port(29986)};
-const ServiceName kName("register");
 const std::string kKeyField = "X-Call-Key: ";
 
 // A plain service that answers with the key of the call. Before each further answer on a connection it writes the first
@@ -75,60 +73,6 @@
   tcp::acceptor m_acceptor;
 };
 
-// A log that keeps one stream in memory.
-class MemoryLog {
- public:
-  explicit MemoryLog(Loop& loop)
-      : m_store(m_clock, Duration::zero()),
-        m_server(loop, kLog.address, kLog.port, 64 * 1024,
-                 [this](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
-                   responder->Send(Handle(request));
-                 }) {
-    REQUIRE(m_server.Start().ok());
-  }
-
- private:
-  HttpResponse Handle(const HttpRequest& request) {
-    if (request.method == "POST") {
-      return MakeJsonResponse(200, R"({"offset":)" + std::to_string(m_store.Append(request.body)) + "}");
-    }
-    uint64_t next = 0;
-    const uint64_t from = std::stoull(std::string(GetQueryValue(request.target, "from")));
-    HttpResponse response;
-    response.body = m_store.Read(from, 100, m_store.GetNextOffset(), next);
-    response.headers.Add("X-First-Offset", "0");
-    response.headers.Add("X-Next-Offset", std::to_string(m_store.GetNextOffset()));
-    return response;
-  }
-
-  SystemClock m_clock;
-  standin::LogStore m_store;
-  HttpServer m_server;
-};
-
-class FixedConfig : public ConfigSource {
- public:
-  FixedConfig() {
-    const auto view = std::make_shared<ConfigView>();
-    view->document.zones.push_back({ZoneName("praha"), RegionName("cechy"), true});
-    view->document.services.push_back({kName, PoolName("register"), {{"look", true}}});
-    m_view = view;
-  }
-  std::shared_ptr<const ConfigView> GetConfig() const override { return m_view; }
-  void AddConfigListener(std::function<void(const std::shared_ptr<const ConfigView>&)>) override {}
-  bool IsLogReachable() const override { return true; }
-
- private:
-  std::shared_ptr<const ConfigView> m_view;
-};
-
-// Runs the loop until it is stopped, or for a few seconds.
-void RunUntilStopped(Loop& loop) {
-  const auto watchdog = loop.RunAfter(std::chrono::seconds(3), [&] { loop.Stop(); });
-  loop.Run();
-  loop.Restart();
-}
-
 // Guards against a call that gets another call's answer, because answers of a plain service carry no id and the service
 // has written an earlier one once more.
 TEST_CASE("A call to a plain service gets its own answer") {
@@ -152,14 +96,14 @@
       return true;
     };
     AttemptRunner runner(RunnerDeps{clock, admission, config, nullptr, http, kService,
-                                    EndpointRole{ZoneName("praha"), true, kName}, SubmitOnce(), attempt_metrics,
-                                    history, send});
+                                    EndpointRole{ZoneName("praha"), true, kRegisterService}, SubmitOnce(),
+                                    attempt_metrics, history, send});
     for (uint64_t id = 1; id <= 2; ++id) {
       proto::AttemptStart start;
       start.set_attempt(id);
       start.set_request("r" + std::to_string(id));
       start.set_deadline_ms(10'000);
-      start.mutable_service()->set_service(kName.Get());
+      start.mutable_service()->set_service(kRegisterService.Get());
       start.mutable_service()->set_call("look");
       start.mutable_service()->set_repeatable(true);
       runner.Begin(ConnectionId("entry"), start);
@@ -168,7 +112,7 @@
     CHECK(bodies == std::vector<std::string>{"r1", "r2"});
   }
   SECTION("one that must run once") {
-    MemoryLog log(loop);
+    MemoryLog log(loop, kLog);
     OnceServiceOptions options;
     options.core.vm = VmId("127.0.0.1");
     options.log = kLog;
