Add plantainctl check, which finds faults that validate lets pass

Cause: a valid document may hold entries that nothing uses and limits that contradict each other, and an operator saw what a document changes only with access to the store.

Change: `plantainctl check FILE [--against FORCE] [--json]` reports errors, entries without effect and contradictions with their lines, and what differs from a copy of the document in force. Exit codes: 0 no findings, 1 findings, 2 a file cannot be read.

--- a/src/ctl_run.cpp
+++ b/src/ctl_run.cpp
@@ -30,8 +30,8 @@
 
 Commands MakeAllCommands() {
   Commands all;
-  for (Commands (*make)() :
-       {MakeDocumentCommands, MakePublishCommands, MakeStatusCommands, MakeBurnCommands, MakeSettingsCommands}) {
+  for (Commands (*make)() : {MakeDocumentCommands, MakeCheckCommands, MakePublishCommands, MakeStatusCommands,
+                             MakeBurnCommands, MakeSettingsCommands}) {
     for (auto& command : make()) all.push_back(std::move(command));
   }
   return all;
@@ -62,7 +62,7 @@
   out << "  completion                      Print a completion script for bash.\n\nOptions of all commands:\n";
   PrintOptions({std::begin(kCommonOptions), std::end(kCommonOptions)}, out);
   out << "\nExit codes: 0 done, 1 failed, 2 wrong command line or document, 3 conflict with another publish,\n"
-         "4 refused, 5 timed out, 6 outcome unknown.\n";
+         "4 refused, 5 timed out, 6 outcome unknown. Of `check`: 0 no findings, 1 findings, 2 unreadable.\n";
 }
 
 void PrintCommandHelp(const CtlCommand& command, std::ostream& out) {
--- a/src/ctl_type.h
+++ b/src/ctl_type.h
@@ -106,6 +106,7 @@
 
 // Create the commands of plantainctl, grouped by topic.
 std::vector<std::unique_ptr<CtlCommand>> MakeDocumentCommands();
+std::vector<std::unique_ptr<CtlCommand>> MakeCheckCommands();
 std::vector<std::unique_ptr<CtlCommand>> MakePublishCommands();
 std::vector<std::unique_ptr<CtlCommand>> MakeStatusCommands();
 std::vector<std::unique_ptr<CtlCommand>> MakeBurnCommands();
--- a/src/document_fault.cpp
+++ b/src/document_fault.cpp
@@ -11,23 +11,19 @@
 
 void DocumentFaults::Add(FailureCode code, int line, std::string_view field, std::string_view expected) {
   if (!m_code.has_value()) m_code = code;
-  if (m_lines.size() >= kMaxFaults) {
+  if (m_faults.size() >= kMaxFaults) {
     ++m_omitted;
     return;
   }
-  std::string text = m_file + ":" + std::to_string(line) + ": ";
-  text += field.substr(0, kMaxFieldLength);
-  text += ": expected ";
-  text += expected;
-  m_lines.push_back(std::move(text));
+  m_faults.push_back({line, std::string(field.substr(0, kMaxFieldLength)), std::string(expected)});
 }
 
 absl::Status DocumentFaults::GetStatus() const {
   if (!m_code.has_value()) return absl::OkStatus();
   std::string text;
-  for (const std::string& line : m_lines) {
+  for (const DocumentFault& fault : m_faults) {
     if (!text.empty()) text += "\n";
-    text += line;
+    text += m_file + ":" + std::to_string(fault.line) + ": " + fault.field + ": expected " + fault.expected;
   }
   if (m_omitted > 0) text += "\n" + m_file + ": " + std::to_string(m_omitted) + " further faults are not listed";
   return MakeFailure(*m_code, text);
--- a/src/document_fault.h
+++ b/src/document_fault.h
@@ -13,6 +13,13 @@
 
 namespace plantain {
 
+// One fault. Line 0 means that the line is not known.
+struct DocumentFault {
+  int line = 0;
+  std::string field;
+  std::string expected;
+};
+
 // A bounded list of faults in the form `file:line: field: expected ...`.
 class DocumentFaults {
  public:
@@ -23,12 +30,18 @@
 
   bool IsEmpty() const { return !m_code.has_value(); }
 
+  // Returns the faults in the order added, as many as the list holds.
+  const std::vector<DocumentFault>& GetFaults() const { return m_faults; }
+
+  // Returns the number of faults that the list does not hold.
+  size_t GetOmitted() const { return m_omitted; }
+
   // Returns OK if there is no fault, otherwise an error that lists them, one per line.
   absl::Status GetStatus() const;
 
  private:
   std::string m_file;
-  std::vector<std::string> m_lines;
+  std::vector<DocumentFault> m_faults;
   size_t m_omitted = 0;
   std::optional<FailureCode> m_code;
 };
--- a/src/document_parse.cpp
+++ b/src/document_parse.cpp
@@ -313,14 +313,22 @@
 
 }  // namespace
 
+Document ParseDocumentWithLines(std::string_view text, YamlNode& tree, DocumentLines& lines, DocumentFaults& faults) {
+  if (!ReadYamlTree(text, YamlLimits(), tree, faults)) {
+    tree = YamlNode();
+    return Document();
+  }
+  MapReader map(tree, "", {faults, lines});
+  Document document = ReadDocument(map);
+  CheckDocumentFields(document, lines, faults);
+  return document;
+}
+
 absl::StatusOr<Document> ParseDocument(std::string_view file, std::string_view text) {
   DocumentFaults faults(file);
   YamlNode root;
-  if (!ReadYamlTree(text, YamlLimits(), root, faults)) return faults.GetStatus();
   DocumentLines lines;
-  MapReader map(root, "", {faults, lines});
-  Document document = ReadDocument(map);
-  CheckDocumentFields(document, lines, faults);
+  Document document = ParseDocumentWithLines(text, root, lines, faults);
   if (!faults.IsEmpty()) return faults.GetStatus();
   return document;
 }
