--- a/bench/_hosted_fleet.py
+++ b/bench/_hosted_fleet.py
@@ -11,6 +11,7 @@
 import multiprocessing
 import os
 import random
+import resource
 import signal
 import socket
 import subprocess
@@ -64,6 +65,11 @@
     # Time of a request without a prompt, and paths at which such a request crashes the engine that begins it.
     service_s: float = 0.015
     bad_paths: tuple = ()
+    # Bytes of the answer to such a request, and its time limit.
+    answer_bytes: int = 2
+    plain_timeout_ms: int = 600
+    # Limits on callers that differ from the usual ones.
+    caller_limits: dict = dataclasses.field(default_factory=dict)
     # Time that an engine runs such a request before it ends.
     crash_after_s: float = 0.06
     # Requests/s that the first engines state in their answers from some time after their start, and their number.
@@ -286,7 +292,9 @@
         if writer.is_closing() or self.id != id_at_start:
             raise ConnectionResetError
         arrival.begun_at = time.monotonic()
-        writer.write(f"HTTP/1.1 200 OK\r\n{prefix}Plantainmast-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nok".encode())
+        body = "ok".ljust(self.model.answer_bytes)
+        writer.write((f"HTTP/1.1 200 OK\r\n{prefix}Plantainmast-Server-Stamp: s\r\n"
+                      f"Content-Length: {len(body)}\r\n\r\n{body}").encode())
 
     async def write_stream(self, arrival, prefix, first, writer):
         id_at_start = self.id
@@ -364,14 +372,15 @@
     engine = {"models": [{"name": MODEL}], "slots": model.slots, "step_ms": 6.7, "per_seq_ms": 0.02,
               "context_per_k": 0.01, "read_per_s": 30600, "usual": {"prompt": 900, "answer": 100}}
     # Requests without a prompt: some may be repeated, others must run once.
-    plain = [{"name": name, "host": HOST, "path_prefix": f"/{name}/", "service": POOL, "type": kind, "timeout_ms": 600,
+    plain = [{"name": name, "host": HOST, "path_prefix": f"/{name}/", "service": POOL, "type": kind,
+              "timeout_ms": model.plain_timeout_ms,
               "latency_target_ms": 100, "attempts": attempts, "priority": 0, "public": False}
              for name, kind, attempts in (("status", "idempotent", 2), ("confirm", "non_idempotent", 1))]
     tenants = [{"name": f"tenant-{number}", "api_keys": [key]} for number, key in enumerate(API_KEYS)]
     service = {"name": POOL, "max_conns": 400, "cold_start_s": 0, "cold_per_s": 0, "engine": engine}
     return {"version": 3, "routes": [route, *plain], "services": [service], "tenants": tenants,
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 1048576, "header_timeout_ms": 5000,
-                       "idle_timeout_ms": 30000}}
+                       "idle_timeout_ms": 30000, **model.caller_limits}}
 
 
 def run_standins(pipe, *arguments):
@@ -507,8 +516,10 @@
 class HostedEntries:
     """Real entry processes, and the stand-ins and callers around them."""
 
-    def __init__(self, build, seed, count, memory_mb=1024):
+    def __init__(self, build, seed, count, memory_mb=1024, descriptors=None):
         self.build, self.seed, self.count, self.memory_mb = build, seed, count, memory_mb
+        # Descriptors that a process may open; None leaves the limit as it is.
+        self.descriptors = descriptors
         self.octet, self.octet_holder = claim_octet()
         self.directory = tempfile.TemporaryDirectory(prefix="hosted-entries-")
         # Entries by index, and agents by the index of their engine.
@@ -557,7 +568,13 @@
         with open(os.path.join(self.directory.name, f"{name}.log"), "ab") as log:
             return subprocess.Popen(
                 [os.path.join(self.build, program), "--platform", "hosted", "--settings", settings],
-                stdout=log, stderr=subprocess.STDOUT, preexec_fn=die_with_parent)
+                stdout=log, stderr=subprocess.STDOUT, preexec_fn=self.prepare_process)
+
+    def prepare_process(self):
+        """Runs in a new process before its program."""
+        die_with_parent()
+        if self.descriptors is not None:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (self.descriptors, self.descriptors))
 
     def start_entries(self, indices, relay_ports=None):
         for index in indices:
