Bound the memory and the descriptors that callers make a process hold

Cause: each connection had limits of its own and their sum had none. Trailers had no limit, a session kept a read buffer of up to 64 KiB and the capacity of its last answer, and a process without descriptors kept its loop busy accepting.

Change: - CallerMemory and CallerAccount (no I/O) count heads, trailers, bodies, unparsed bytes, requests in progress with their copies, and unread answers. They are an argument of HttpServer, so that callers', admin, readiness and relay ports of both programs and platforms have one. When memory is short, the connection with the most bytes times time without progress is shed: 503 with Retry-After if its request has not been handled, else closed. A quarter is reserved for connections up to 64 KiB. A request that was handed on is not shed while it waits for its answer, and stays counted while its call goes on. - Connections are bounded by the descriptors that the process may open. - Trailers and unfinished chunk heads count as head bytes: 431. - Sessions read into a buffer of the server, grow chunked bodies to the body limit at most, write in parts, and free buffers of answers.

The limits derive from vm.memory_mb and the limit of descriptors; no setting is new.

--- a/bench/control_node_bench.cpp
+++ b/bench/control_node_bench.cpp
@@ -69,8 +69,9 @@
     return std::make_unique<ControlNode>(k.Get<ConfigSource>("config"), k.Get<MemberSource>("members"), pool);
   });
   kernel.Register("admin", [&parts](Kernel& k) {
-    return std::make_unique<AdminHttp>(parts.control_loop, parts.address, parts.settings.GetPort("admin.port"),
-                                       k.Get<ControlNode>("self"), parts.metrics, parts.history);
+    return std::make_unique<AdminHttp>(parts.control_loop, parts.control_caller_memory, parts.address,
+                                       parts.settings.GetPort("admin.port"), k.Get<ControlNode>("self"), parts.metrics,
+                                       parts.history);
   });
 }
 
--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -128,9 +128,10 @@
   return m_deps.protocol.MakeAttemptRequest(m_request, header);
 }
 
-// A cancelled call reports nothing, but callbacks that are already queued still run.
+// Queued callbacks run even after a cancel. They keep the responder, so that a request is counted while its call goes
+// on.
 HttpCallbacks ActiveRequest::MakeCallbacks(AttemptNumber number) {
-  const auto run = [weak = weak_from_this(), number](const auto& handle) {
+  const auto run = [weak = weak_from_this(), number, responder = m_responder](const auto& handle) {
     const auto self = weak.lock();
     if (self == nullptr) return;
     if (ForwardAttempt* attempt = self->FindAttempt(number); attempt != nullptr) handle(*self, *attempt);
--- a/src/admin_http.cpp
+++ b/src/admin_http.cpp
@@ -9,11 +9,11 @@
 
 }  // namespace
 
-AdminHttp::AdminHttp(Loop& loop, IpAddress address, Port port, const AdminSource& source, const Metrics& metrics,
-                     const RequestHistory& history)
+AdminHttp::AdminHttp(Loop& loop, std::shared_ptr<CallerMemory> memory, IpAddress address, Port port,
+                     const AdminSource& source, const Metrics& metrics, const RequestHistory& history)
     : m_source(source), m_metrics(metrics), m_history(history) {
   m_server =
-      std::make_unique<HttpServer>(loop, std::move(address), port, kMaxAdminBodyBytes,
+      std::make_unique<HttpServer>(loop, std::move(memory), std::move(address), port, kMaxAdminBodyBytes,
                                    [this](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
                                      responder->Send(Answer(request));
                                    });
--- a/src/admin_http.h
+++ b/src/admin_http.h
@@ -32,8 +32,8 @@
 // Serves `/healthz`, `/readyz`, `/metrics`, `/status` and `/events?request=ID` on the control loop.
 class AdminHttp : public Service {
  public:
-  AdminHttp(Loop& loop, IpAddress address, Port port, const AdminSource& source, const Metrics& metrics,
-            const RequestHistory& history);
+  AdminHttp(Loop& loop, std::shared_ptr<CallerMemory> memory, IpAddress address, Port port, const AdminSource& source,
+            const Metrics& metrics, const RequestHistory& history);
 
   absl::Status Start() override;
   void Stop() override;
--- a/src/entry_services.cpp
+++ b/src/entry_services.cpp
@@ -15,7 +15,10 @@
 
 EntryService::EntryService(ProcessParts& parts, ConfigSource& config, MemberSource& members)
     : m_parts(parts), m_config(config), m_members(members), m_slo(parts.metrics, config) {
-  for (const auto& loop : parts.traffic_loops) m_workers.push_back(std::make_shared<EntryWorker>(parts, *loop, m_slo));
+  for (size_t i = 0; i < parts.traffic_loops.size(); ++i) {
+    m_workers.push_back(
+        std::make_shared<EntryWorker>(parts, *parts.traffic_loops[i], parts.traffic_caller_memory[i], m_slo));
+  }
   config.AddConfigListener([this](const std::shared_ptr<const ConfigView>&) { PublishTable(); });
   members.AddMemberListener([this](const std::shared_ptr<const MemberView>&) { PublishTable(); });
 }
--- a/src/entry_worker.cpp
+++ b/src/entry_worker.cpp
@@ -42,7 +42,7 @@
 
 }  // namespace
 
-EntryWorker::EntryWorker(ProcessParts& parts, Loop& loop, SloCounter& slo)
+EntryWorker::EntryWorker(ProcessParts& parts, Loop& loop, std::shared_ptr<CallerMemory> caller_memory, SloCounter& slo)
     : m_loop(loop), m_clock(parts.clock), m_random(parts.random.GetBits()) {
   m_channels = std::make_unique<AttemptChannels>(
       loop, parts.channels, parts.settings.GetPort("attempt.port"), MakeChannelOptions(parts.settings),
@@ -51,11 +51,12 @@
       [this](const VmId& vm) { m_traffic->HandleEndpointSuspect(vm); });
   m_traffic = std::make_unique<EntryTraffic>(parts.clock, m_random, *m_channels, parts.metrics, parts.history, slo,
                                              ReadTrafficOptions(parts));
-  m_server = std::make_unique<HttpServer>(loop, parts.address, parts.settings.GetPort("http.port"),
-                                          parts.settings.GetBytes("http.max_body_bytes").Get(),
-                                          [this](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
-                                            m_traffic->HandleHttp(std::move(request), responder);
-                                          });
+  m_server =
+      std::make_unique<HttpServer>(loop, std::move(caller_memory), parts.address, parts.settings.GetPort("http.port"),
+                                   parts.settings.GetBytes("http.max_body_bytes").Get(),
+                                   [this](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
+                                     m_traffic->HandleHttp(std::move(request), responder);
+                                   });
 }
 
 EntryWorker::~EntryWorker() = default;
--- a/src/entry_worker.h
+++ b/src/entry_worker.h
@@ -19,7 +19,7 @@
 // Construct, start and stop it while no loop is running. Use it on its loop otherwise, unless stated differently.
 class EntryWorker {
  public:
-  EntryWorker(ProcessParts& parts, Loop& loop, SloCounter& slo);
+  EntryWorker(ProcessParts& parts, Loop& loop, std::shared_ptr<CallerMemory> caller_memory, SloCounter& slo);
   ~EntryWorker();
   EntryWorker(const EntryWorker&) = delete;
   EntryWorker& operator=(const EntryWorker&) = delete;
--- a/src/fleet_relay.cpp
+++ b/src/fleet_relay.cpp
@@ -80,10 +80,11 @@
 
 }  // namespace
 
-FleetRelay::FleetRelay(Loop& loop, MemoryBudget& answer_memory, const Clock& clock, FleetMirror& mirror,
-                       RelayOptions options)
+FleetRelay::FleetRelay(Loop& loop, MemoryBudget& answer_memory, std::shared_ptr<CallerMemory> caller_memory,
+                       const Clock& clock, FleetMirror& mirror, RelayOptions options)
     : m_loop(loop),
       m_answer_memory(answer_memory),
+      m_caller_memory(std::move(caller_memory)),
       m_clock(clock),
       m_mirror(mirror),
       m_options(std::move(options)),
@@ -106,7 +107,7 @@
   m_socket =
       std::make_unique<UdpSocket>(m_loop, address, m_options.port, [this](std::string_view data) { OnDatagram(data); });
   if (absl::Status status = m_socket->Start(); !status.ok()) return status;
-  m_server = std::make_unique<HttpServer>(m_loop, address, m_options.port, 0,
+  m_server = std::make_unique<HttpServer>(m_loop, m_caller_memory, address, m_options.port, 0,
                                           [this](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
                                             responder->Send(HandleRecordRequest(request));
                                           });
--- a/src/fleet_relay.h
+++ b/src/fleet_relay.h
@@ -41,7 +41,8 @@
 // Runs on the control thread.
 class FleetRelay : public Service {
  public:
-  FleetRelay(Loop& loop, MemoryBudget& answer_memory, const Clock& clock, FleetMirror& mirror, RelayOptions options);
+  FleetRelay(Loop& loop, MemoryBudget& answer_memory, std::shared_ptr<CallerMemory> caller_memory, const Clock& clock,
+             FleetMirror& mirror, RelayOptions options);
 
   absl::Status Start() override;
   void Stop() override;
@@ -87,6 +88,7 @@
 
   Loop& m_loop;
   MemoryBudget& m_answer_memory;
+  const std::shared_ptr<CallerMemory> m_caller_memory;
   const Clock& m_clock;
   FleetMirror& m_mirror;
   BeaconSource* m_beacon_source = nullptr;
--- a/src/forward_service.cpp
+++ b/src/forward_service.cpp
@@ -74,7 +74,8 @@
       m_traffic(std::make_unique<ForwardTraffic>(parts.clock, m_random, protocol, *m_sender, parts.answer_memory,
                                                  m_metrics, ReadOptions(parts))) {
   const HttpTarget target = parts.settings.GetTarget("http.target");
-  m_server = std::make_unique<HttpServer>(m_loop, target.address, target.port, CallerLimits().max_body_bytes,
+  m_server = std::make_unique<HttpServer>(m_loop, parts.traffic_caller_memory.front(), target.address, target.port,
+                                          CallerLimits().max_body_bytes,
                                           [this](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
                                             m_traffic->HandleHttp(std::move(request), responder);
                                           });
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -22,6 +22,13 @@
 constexpr int kListenBacklog = 1024;
 // Resolution of the time limits on connections.
 constexpr Duration kSweepPeriod = Milliseconds(250);
+// Time until connections are accepted again after the process had no descriptor left for one. Waiting for the socket
+// that listens would return at once.
+constexpr Duration kAcceptRetryDelay = Milliseconds(50);
+
+bool IsOutOfDescriptors(const ErrorCode& error) {
+  return error == asio::error::no_descriptors || error == boost::system::errc::too_many_files_open_in_system;
+}
 
 bool HasTimeLimits(const HttpLimits& limits) {
   return limits.header_timeout > Duration::zero() || limits.idle_timeout > Duration::zero();
@@ -63,32 +70,65 @@
 void HttpServer::Impl::WaitForConnections() {
   acceptor.async_wait(tcp::acceptor::wait_read, [self = shared_from_this()](const ErrorCode& error) {
     if (error || !self->acceptor.is_open()) return;
-    self->AcceptWaiting();
+    if (self->AcceptWaiting()) {
+      self->WaitForConnections();
+    } else {
+      self->AcceptLater();
+    }
+  });
+}
+
+void HttpServer::Impl::AcceptLater() {
+  accept_timer.expires_after(kAcceptRetryDelay);
+  accept_timer.async_wait([weak = weak_from_this()](const ErrorCode& error) {
+    const auto self = weak.lock();
+    if (error || self == nullptr || !self->acceptor.is_open()) return;
     self->WaitForConnections();
   });
 }
 
-void HttpServer::Impl::AcceptWaiting() {
+bool HttpServer::Impl::AcceptWaiting() {
   while (acceptor.is_open()) {
     ErrorCode error;
     tcp::socket socket = acceptor.accept(error);
     if (error == asio::error::connection_aborted) continue;
-    if (error) return;
+    if (error == asio::error::would_block) return true;
+    if (error) {
+      if (IsOutOfDescriptors(error) && memory->ShedConnection()) continue;
+      return false;
+    }
+    // Closes the new connection if there is no room for it.
+    if (!memory->AdmitConnection()) continue;
     ErrorCode ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     socket.non_blocking(true, ignored);
     SetDeadPeerTimeout(socket.native_handle());
     std::make_shared<HttpSession>(std::move(socket), shared_from_this())->Start();
   }
+  return true;
+}
+
+void HttpServer::Impl::ShedExcessSoon() {
+  if (is_shed_posted || !memory->IsOver()) return;
+  is_shed_posted = true;
+  asio::post(context, [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self == nullptr) return;
+    self->is_shed_posted = false;
+    self->memory->ShedExcess();
+  });
 }
 
-HttpServer::HttpServer(Loop& loop, IpAddress address, Port port, size_t max_body_bytes, HttpHandler handler)
-    : m_impl(std::make_shared<Impl>(loop, std::move(address), port, max_body_bytes, std::move(handler))) {}
+HttpServer::HttpServer(Loop& loop, std::shared_ptr<CallerMemory> memory, IpAddress address, Port port,
+                       size_t max_body_bytes, HttpHandler handler)
+    : m_impl(std::make_shared<Impl>(loop, std::move(memory), std::move(address), port, max_body_bytes,
+                                    std::move(handler))) {}
 
 HttpServer::~HttpServer() {
   ErrorCode ignored;
   m_impl->acceptor.close(ignored);
   m_impl->sweep_timer.cancel();
+  m_impl->accept_timer.cancel();
 }
 
 absl::Status HttpServer::Start() {
@@ -112,6 +152,7 @@
 
 void HttpServer::SetLimits(const HttpLimits& limits) {
   m_impl->limits = limits;
+  m_impl->memory->SetLargestRequest(limits.max_header_bytes, limits.max_body_bytes);
   if (m_impl->acceptor.is_open() && HasTimeLimits(limits)) m_impl->StartSweep();
 }
 
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "absl/status/status.h"
+#include "caller_memory.h"
 #include "http_type.h"
 #include "loop.h"
 
@@ -39,6 +40,7 @@
 
 // What a server bears from a connection. A time of 0 means no limit.
 struct HttpLimits {
+  // Of the head and the trailers of a request together.
   size_t max_header_bytes = 16 * 1024;
   size_t max_body_bytes = 1024 * 1024;
   // Longest time from the first byte of a request to the end of its header, and as long again for its body.
@@ -54,13 +56,16 @@
 // (SO_REUSEPORT), so that each traffic thread has its own.
 class HttpServer {
  public:
-  HttpServer(Loop& loop, IpAddress address, Port port, size_t max_body_bytes, HttpHandler handler);
+  // `memory` counts what the connections hold, and belongs to the same loop.
+  HttpServer(Loop& loop, std::shared_ptr<CallerMemory> memory, IpAddress address, Port port, size_t max_body_bytes,
+             HttpHandler handler);
   ~HttpServer();
 
   // Binds and begins to accept.
   absl::Status Start();
 
-  // Sets what new requests may do. A request beyond it is answered with 408, 413 or 431 and its connection closed.
+  // Sets what new requests may do. A request beyond it is answered with 408, 413 or 431 and its connection closed. One
+  // for which there is no memory is answered with 503.
   // Call on the loop's thread, or before Start.
   void SetLimits(const HttpLimits& limits);
 
--- a/src/http_session.cpp
+++ b/src/http_session.cpp
@@ -1,10 +1,11 @@
 #include "http_session_asio.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
-#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/serializer.hpp>
@@ -25,8 +26,19 @@
 // How long a new connection is left open for its first request while the server closes idle ones. The caller has just
 // connected to send one, and it is on its way.
 constexpr Duration kFirstRequestTime = Milliseconds(200);
-constexpr size_t kMaxReadBytes = 64 * 1024;
 constexpr size_t kDiscardBytes = 4096;
+// Reads in one step of the loop of a connection whose bytes are dropped. A caller that sends faster than the bytes are
+// dropped would hold up all others.
+constexpr int kMaxDiscards = 16;
+// Longest size and line ends of a chunk that are not counted as trailers.
+constexpr size_t kChunkHeadBytes = 64;
+// A buffer for answers that is larger is freed when it is empty.
+constexpr size_t kMaxKeptBytes = 4096;
+// Names, separators and ends of lines of a field.
+constexpr size_t kFieldOverhead = 4;
+// Copies of a request's body besides the one that was read: the request of an attempt, and the client's message.
+constexpr size_t kBodyCopies = 2;
+constexpr const char* kNoMemoryRetryAfter = "1";
 
 // Returns the status for a request that cannot be read.
 int GetFaultStatus(const ErrorCode& error) {
@@ -43,15 +55,20 @@
       return "body_too_large";
     case 431:
       return "header_too_large";
+    case 503:
+      return "memory_short";
     default:
       return "malformed_request";
   }
 }
 
+// Assigning an empty string would keep the capacity.
+void Free(std::string& text) { std::string().swap(text); }
+
 }  // namespace
 
 HttpSession::HttpSession(tcp::socket socket, std::shared_ptr<HttpServer::Impl> server)
-    : m_socket(std::move(socket)), m_server(std::move(server)) {
+    : m_socket(std::move(socket)), m_server(std::move(server)), m_account(m_server->memory, *this) {
   m_server->sessions.insert(this);
 }
 
@@ -108,8 +125,13 @@
   for (const auto& [name, value] : response.headers.GetFields()) message.insert(name, value);
   message.keep_alive(DecideKeepAlive());
   message.prepare_payload();
+  // Appending would double the capacity.
+  if (message.body().size() > kMaxKeptBytes)
+    m_pending.reserve(m_pending.size() + message.body().size() + kMaxKeptBytes);
   AppendMessage(message);
   m_is_last = true;
+  m_request_bytes = 0;
+  OnAnswerGrown();
   Flush();
 }
 
@@ -126,12 +148,14 @@
     m_pending += boost::beast::buffers_to_string(buffers);
     serializer.consume(asio::buffer_size(buffers));
   });
+  OnAnswerGrown();
   FlushSoon();
 }
 
 void HttpSession::SendChunk(std::string data) {
   if (m_state != State::kAnswering || data.empty()) return;
   m_pending += boost::beast::buffers_to_string(http::make_chunk(asio::buffer(data)));
+  OnAnswerGrown();
   FlushSoon();
 }
 
@@ -139,6 +163,8 @@
   if (m_state != State::kAnswering) return;
   m_pending += boost::beast::buffers_to_string(http::make_chunk_last());
   m_is_last = true;
+  m_request_bytes = 0;
+  OnAnswerGrown();
   FlushSoon();
 }
 
@@ -148,7 +174,9 @@
   ErrorCode error;
   while (!serializer.is_done()) {
     serializer.next(error, [&](ErrorCode&, const auto& buffers) {
-      m_pending += boost::beast::buffers_to_string(buffers);
+      for (const asio::const_buffer buffer : boost::beast::buffers_range_ref(buffers)) {
+        m_pending.append(static_cast<const char*>(buffer.data()), buffer.size());
+      }
       serializer.consume(asio::buffer_size(buffers));
     });
     if (error) return;
@@ -158,12 +186,15 @@
 void HttpSession::BeginRead() {
   m_state = State::kReading;
   m_parser.emplace();
-  m_parser->eager(true);
+  m_max_header_bytes = m_server->limits.max_header_bytes;
+  m_head_bytes = 0;
   m_parser->header_limit(static_cast<uint32_t>(m_server->limits.max_header_bytes));
   m_parser->body_limit(m_server->limits.max_body_bytes);
   m_read_since = GetMonotonicTime();
   m_idle_limit.Begin(m_server->limits.idle_timeout, m_read_since);
   m_has_begun = false;
+  m_account.SetState(m_buffer.size() > 0 ? CallerState::kReading : CallerState::kIdle);
+  UpdateHeld();
 }
 
 void HttpSession::WaitUntilReadable() {
@@ -192,12 +223,19 @@
 
 void HttpSession::Receive() {
   ErrorCode error;
-  const size_t count = m_socket.read_some(m_buffer.prepare(boost::beast::read_size(m_buffer, kMaxReadBytes)), error);
+  const size_t count = m_socket.read_some(asio::buffer(m_server->received), error);
   if (error == asio::error::would_block) {
     WaitUntilReadable();
   } else if (error) {
     Close();
   } else {
+    m_account.SetState(CallerState::kReading);
+    m_account.RecordProgress(count);
+    if (!m_account.Reserve(GetHeldBytes() + count)) {
+      RefuseRequest(503);
+      return;
+    }
+    asio::buffer_copy(m_buffer.prepare(count), asio::buffer(m_server->received, count));
     m_buffer.commit(count);
     Parse();
   }
@@ -205,24 +243,124 @@
 
 void HttpSession::Parse() {
   while (m_buffer.size() > 0 && !m_parser->is_done()) {
-    ErrorCode error;
-    m_buffer.consume(m_parser->put(m_buffer.cdata(), error));
-    if (error == http::error::need_more) break;
-    if (error) {
-      RefuseRequest(GetFaultStatus(error));
-      return;
-    }
+    if (!ParseSome()) break;
   }
+  if (m_state != State::kReading) return;
+  if (m_buffer.size() == 0) m_buffer.shrink_to_fit();
   if (m_parser->is_done()) {
     HandleRequest();
+    return;
+  }
+  if (IsTrailerTooLong()) {
+    RefuseRequest(431);
+    return;
+  }
+  UpdateHeld();
+  WaitUntilReadable();
+}
+
+bool HttpSession::ParseSome() {
+  const bool is_in_head = !m_parser->is_header_done();
+  if (!is_in_head && !GrowBody()) {
+    RefuseRequest(503);
+    return false;
+  }
+  ErrorCode error;
+  const size_t count = m_parser->put(m_buffer.cdata(), error);
+  m_buffer.consume(count);
+  if (is_in_head) m_head_bytes += count;
+  if (error == http::error::need_more) return false;
+  if (error) {
+    RefuseRequest(GetFaultStatus(error));
+    return false;
+  }
+  if (!is_in_head || !m_parser->is_header_done()) return true;
+  if (OnHeadParsed()) return true;
+  RefuseRequest(503);
+  return false;
+}
+
+bool HttpSession::OnHeadParsed() {
+  // The head is parsed by itself, so that its bytes are known; from here on as much as possible is parsed at once.
+  m_parser->eager(true);
+  m_field_bytes = GetFieldBytes();
+  // The parser allocates a body of known length at once.
+  return m_account.Reserve(GetHeldBytes() + m_parser->content_length().value_or(0));
+}
+
+// The string would double its capacity, also beyond the largest body.
+bool HttpSession::GrowBody() {
+  std::string& body = m_parser->get().body();
+  if (!m_parser->chunked() || m_buffer.size() <= body.capacity() - body.size()) return true;
+  const size_t wanted = std::max(body.size() + m_buffer.size(), 2 * body.size());
+  const size_t capacity = std::max(body.size(), std::min<size_t>(wanted, m_server->limits.max_body_bytes));
+  if (capacity <= body.capacity()) return true;
+  if (!m_account.Reserve(GetHeldBytes() + capacity)) return false;
+  std::string grown;
+  grown.reserve(capacity);
+  grown.append(body);
+  body.swap(grown);
+  return true;
+}
+
+bool HttpSession::IsTrailerTooLong() const {
+  return m_parser->is_header_done() && m_head_bytes + m_buffer.size() > m_max_header_bytes + kChunkHeadBytes;
+}
+
+size_t HttpSession::GetFieldBytes() const {
+  size_t bytes = 0;
+  for (const auto& field : m_parser->get()) bytes += field.name_string().size() + field.value().size() + kFieldOverhead;
+  return bytes;
+}
+
+size_t HttpSession::GetTrailerBytes() const { return GetFieldBytes() - m_field_bytes; }
+
+size_t HttpSession::GetHeldBytes() const {
+  size_t bytes = kConnectionBytes + m_buffer.capacity() + m_request_bytes + m_pending.capacity();
+  // The write of a closed connection has been cancelled, and the callback that frees its buffer is queued. Counting the
+  // buffer until then would refuse others for whom this connection was shed.
+  if (m_state != State::kClosed) bytes += m_writing.capacity();
+  if (m_parser.has_value()) bytes += m_head_bytes + m_parser->get().body().capacity();
+  return bytes;
+}
+
+void HttpSession::OnAnswerGrown() {
+  m_account.SetState(m_is_refused ? CallerState::kClosing : CallerState::kWriting);
+  UpdateHeld();
+  m_server->ShedExcessSoon();
+}
+
+void HttpSession::DropRequest() {
+  m_parser.reset();
+  m_buffer.clear();
+  m_buffer.shrink_to_fit();
+}
+
+void HttpSession::Shed(ShedCause cause) {
+  const auto self = shared_from_this();
+  const bool may_refuse = m_state == State::kReading && HasBegunRequest() && cause == ShedCause::kMemory;
+  if (may_refuse) {
+    RefuseRequest(503);
   } else {
-    WaitUntilReadable();
+    Close();
   }
 }
 
 void HttpSession::HandleRequest() {
+  if (m_head_bytes + GetTrailerBytes() > m_max_header_bytes) {
+    RefuseRequest(431);
+    return;
+  }
+  const std::string& body = m_parser->get().body();
+  const size_t request_bytes = m_head_bytes + GetTrailerBytes() + body.capacity() + kBodyCopies * body.size();
+  if (!m_account.Reserve(GetHeldBytes() + request_bytes)) {
+    RefuseRequest(503);
+    return;
+  }
   HttpRequest request;
   auto message = m_parser->release();
+  m_parser.reset();
+  m_request_bytes = request_bytes;
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
   for (const auto& field : message) {
@@ -234,18 +372,23 @@
   m_has_carried_request = true;
   m_is_last = false;
   ++m_server->in_flight;
+  m_account.SetState(CallerState::kHandled);
+  UpdateHeld();
   WaitUntilReadable();
   m_server->handler(std::move(request), shared_from_this());
 }
 
 void HttpSession::RefuseRequest(int status) {
   m_is_refused = true;
+  DropRequest();
   m_state = State::kAnswering;
   m_is_last = false;
   ++m_server->in_flight;
   m_keep_alive = false;
   const std::string type(GetFaultType(status));
-  Send(MakeJsonResponse(status, R"({"error":{"type":")" + type + R"("}})"));
+  HttpResponse response = MakeJsonResponse(status, R"({"error":{"type":")" + type + R"("}})");
+  if (status == 503) response.headers.Add("Retry-After", kNoMemoryRetryAfter);
+  Send(std::move(response));
 }
 
 // Closes the session if the caller has gone away while its answer is being made.
@@ -266,7 +409,9 @@
   ++m_server->lingering;
   m_server->StartSweep();
   m_read_since = GetMonotonicTime();
-  m_buffer.clear();
+  DropRequest();
+  m_account.SetState(CallerState::kClosing);
+  UpdateHeld();
   ErrorCode ignored;
   m_socket.shutdown(tcp::socket::shutdown_send, ignored);
   Discard();
@@ -275,8 +420,8 @@
 void HttpSession::Discard() {
   std::array<char, kDiscardBytes> bytes;
   ErrorCode error;
-  while (!error) m_socket.read_some(asio::buffer(bytes), error);
-  if (error == asio::error::would_block) {
+  for (int i = 0; i < kMaxDiscards && !error; ++i) m_socket.read_some(asio::buffer(bytes), error);
+  if (!error || error == asio::error::would_block) {
     WaitUntilReadable();
   } else {
     Close();
@@ -296,19 +441,39 @@
   if (!m_writing.empty()) return;
   if (m_pending.empty()) return;
   std::swap(m_writing, m_pending);
-  asio::async_write(m_socket, asio::buffer(m_writing),
-                    [self = shared_from_this()](const ErrorCode& error, size_t) { self->OnWritten(error); });
+  m_written = 0;
+  WriteSome();
+}
+
+// Writes in parts, so that it shows whether the caller takes them.
+void HttpSession::WriteSome() {
+  m_socket.async_write_some(asio::const_buffer(asio::buffer(m_writing)) + m_written,
+                            [self = shared_from_this()](const ErrorCode& error, size_t count) {
+                              self->m_written += count;
+                              self->m_account.RecordProgress(count);
+                              const bool is_open = !error && self->m_state != State::kClosed;
+                              if (is_open && self->m_written < self->m_writing.size()) {
+                                self->WriteSome();
+                              } else {
+                                self->OnWritten(error);
+                              }
+                            });
 }
 
 void HttpSession::OnWritten(const ErrorCode& error) {
   m_writing.clear();
+  m_written = 0;
+  if (m_writing.capacity() > kMaxKeptBytes) Free(m_writing);
   if (error) {
     Close();
   } else if (!m_pending.empty()) {
     Flush();
   } else if (m_is_last && m_state == State::kAnswering) {
     OnAnswered();
+  } else if (m_state == State::kAnswering && !m_is_refused) {
+    m_account.SetState(CallerState::kHandled);
   }
+  UpdateHeld();
 }
 
 void HttpSession::OnAnswered() {
@@ -338,6 +503,7 @@
   if (m_state == State::kLingering) --m_server->lingering;
   m_state = State::kClosed;
   m_server->sessions.erase(this);
+  m_account.Leave();
 }
 
 void HttpSession::Close() {
@@ -347,6 +513,9 @@
   Leave();
   ErrorCode ignored;
   m_socket.close(ignored);
+  DropRequest();
+  Free(m_pending);
+  UpdateHeld();
   if (on_closed) on_closed();
 }
 
--- a/src/http_session_asio.h
+++ b/src/http_session_asio.h
@@ -17,42 +17,58 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace plantain {
 
 class HttpSession;
 
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
-  Impl(Loop& loop, IpAddress address_in, Port port_in, size_t max_body, HttpHandler handler_in)
+  // Most bytes that one read takes from a connection.
+  static constexpr size_t kMaxReadBytes = 64 * 1024;
+
+  Impl(Loop& loop, std::shared_ptr<CallerMemory> memory_in, IpAddress address_in, Port port_in, size_t max_body,
+       HttpHandler handler_in)
       : context(loop.GetImpl().context),
+        memory(std::move(memory_in)),
         acceptor(context),
         address(std::move(address_in)),
         port(port_in),
         handler(std::move(handler_in)),
-        sweep_timer(context) {
+        sweep_timer(context),
+        accept_timer(context),
+        received(kMaxReadBytes) {
     limits.max_body_bytes = max_body;
   }
 
   void WaitForConnections();
-  // Accepts all connections that are waiting.
-  void AcceptWaiting();
+  // Accepts all connections that are waiting. Returns false if that cannot be done now.
+  bool AcceptWaiting();
+  void AcceptLater();
+  // Sheds connections, once the callback in progress is over, if answers hold more than is allowed.
+  void ShedExcessSoon();
   // Closes connections that are over their time limits, as long as there are such limits or lingering connections.
   void StartSweep();
   void SweepLater();
   void Sweep();
 
   boost::asio::io_context& context;
+  const std::shared_ptr<CallerMemory> memory;
   boost::asio::ip::tcp::acceptor acceptor;
   IpAddress address;
   Port port;
   HttpLimits limits;
   HttpHandler handler;
   boost::asio::steady_timer sweep_timer;
+  boost::asio::steady_timer accept_timer;
+  // Takes what is read from a connection until the session has reserved memory for it.
+  std::vector<char> received;
   // Sessions whose connections are open.
   std::set<HttpSession*> sessions;
   size_t in_flight = 0;
   size_t lingering = 0;
   bool is_sweeping = false;
+  bool is_shed_posted = false;
   // Whether connections may stay open after an answer.
   bool is_keeping_alive = true;
 };
@@ -61,7 +77,7 @@
 //
 // The socket is read only when it is readable and in the same step of the loop, so that between two steps each byte is
 // either in the socket or in the session's buffer. A stop can thus tell whether a request has been read.
-class HttpSession : public HttpResponder, public std::enable_shared_from_this<HttpSession> {
+class HttpSession : public HttpResponder, public CallerConnection, public std::enable_shared_from_this<HttpSession> {
  public:
   HttpSession(boost::asio::ip::tcp::socket socket, std::shared_ptr<HttpServer::Impl> server);
   ~HttpSession() override;
@@ -87,7 +103,9 @@
   void EndStream() override;
   void Abort() override { Close(); }
   void SetOnClosed(std::function<void()> callback) override { m_on_closed = std::move(callback); }
-  size_t GetUnsentBytes() const override { return m_pending.size() + m_writing.size(); }
+  size_t GetUnsentBytes() const override { return m_pending.size() + m_writing.size() - m_written; }
+
+  void Shed(ShedCause cause) override;
 
  private:
   using ErrorCode = boost::system::error_code;
@@ -117,7 +135,23 @@
   void OnReadable();
   void Receive();
   void Parse();
+  // Parses one part of the request. Returns false if more bytes are needed or the request was refused.
+  bool ParseSome();
+  // Makes room in a chunked body for what the buffer holds. Returns false if there is no memory.
+  bool GrowBody();
+  // Called when the head has been parsed. Returns false if there is no memory for the body.
+  bool OnHeadParsed();
+  // Whether bytes that are not parsed yet, of trailers or of a chunk's head, exceed the limit together with the head.
+  bool IsTrailerTooLong() const;
+  size_t GetTrailerBytes() const;
+  size_t GetFieldBytes() const;
   void HandleRequest();
+  // Frees what has been read of a request.
+  void DropRequest();
+  size_t GetHeldBytes() const;
+  void UpdateHeld() { m_account.Set(GetHeldBytes()); }
+  // Counts an answer that has grown.
+  void OnAnswerGrown();
   // Answers a request that cannot be read or is not allowed. It has not been handled, and what follows it on the
   // connection is not looked at.
   void RefuseRequest(int status);
@@ -129,6 +163,7 @@
   // that are made in one callback share a system call here and at the receiver.
   void FlushSoon();
   void Flush();
+  void WriteSome();
   void OnWritten(const ErrorCode& error);
   void OnAnswered();
   void FinishRequest();
@@ -143,6 +178,8 @@
   std::optional<RequestParser> m_parser;
   std::string m_pending;
   std::string m_writing;
+  // Bytes of m_writing that the caller has taken.
+  size_t m_written = 0;
   std::function<void()> m_on_closed;
   bool m_is_waiting = false;
   bool m_is_last = false;
@@ -159,6 +196,14 @@
   // When the server, while it closes idle connections, first found this one without any request.
   std::optional<TimePoint> m_found_unused_at;
   bool m_has_begun = false;
+  // Largest head with trailers of the request that is being read, the bytes of its head, and those of its fields.
+  size_t m_max_header_bytes = 0;
+  size_t m_head_bytes = 0;
+  size_t m_field_bytes = 0;
+  // What a request that is being handled takes with its copies. Stays counted after the connection is closed for as
+  // long as an attempt keeps the session, because the attempt goes on.
+  size_t m_request_bytes = 0;
+  CallerAccount m_account;
 };
 
 }  // namespace plantain
--- a/src/plantain_agent_main.cpp
+++ b/src/plantain_agent_main.cpp
@@ -27,8 +27,9 @@
         parts.control_loop, parts.metrics, k.Get<ConfigSource>("config"), &k.Get<HoldingSource>("holdings"));
   });
   kernel.Register("admin", [&parts](Kernel& k) {
-    return std::make_unique<AdminHttp>(parts.control_loop, parts.address, parts.settings.GetPort("admin.port"),
-                                       k.Get<AgentSelf>("self"), parts.metrics, parts.history);
+    return std::make_unique<AdminHttp>(parts.control_loop, parts.control_caller_memory, parts.address,
+                                       parts.settings.GetPort("admin.port"), k.Get<AgentSelf>("self"), parts.metrics,
+                                       parts.history);
   });
 }
 
--- a/src/process.cpp
+++ b/src/process.cpp
@@ -1,5 +1,7 @@
 #include "process.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <boost/program_options.hpp>
 #include <cstdlib>
@@ -7,6 +9,7 @@
 #include <iostream>
 #include <optional>
 
+#include "caller_memory_report.h"
 #include "failure_type.h"
 #include "settings_func.h"
 
@@ -22,6 +25,12 @@
 constexpr uint64_t kBytesPerMb = 1024 * 1024;
 // Answers being received may hold this part of the VM's memory.
 constexpr uint64_t kAnswerMemoryPart = 8;
+// So may callers' connections, and those of peers, operators and the load balancer. The largest body of the users'
+// configurations, 4 MiB, takes 12 MiB with its copies, which must fit on a VM of 112 MB beside what is reserved.
+constexpr size_t kCallerMemoryPart = 4;
+constexpr size_t kControlMemoryPart = 8;
+// Part of the descriptors of which connections to the control loop's ports get a share.
+constexpr size_t kControlDescriptorPart = 4;
 
 struct CommandLine {
   std::string settings_path;
@@ -58,6 +67,16 @@
   return std::nullopt;
 }
 
+Bytes GetVmMemory(const Settings& settings) {
+  return Bytes(static_cast<uint64_t>(settings.GetInteger("vm.memory_mb")) * kBytesPerMb);
+}
+
+size_t GetDescriptorLimit() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return 0;
+  return limit.rlim_cur;
+}
+
 LogLevel ParseLogLevel(const std::string& text) {
   if (text == "debug") return LogLevel::kDebug;
   if (text == "warn") return LogLevel::kWarn;
@@ -145,14 +164,23 @@
     : settings(std::move(settings_in)),
       random(MakeSystemSeed()),
       history(kMaxHistoryEvents),
-      answer_memory(
-          Bytes(static_cast<uint64_t>(settings.GetInteger("vm.memory_mb")) * kBytesPerMb / kAnswerMemoryPart)),
+      answer_memory(Bytes(GetVmMemory(settings).Get() / kAnswerMemoryPart)),
       vm(settings.GetText("vm.id")),
       zone(settings.GetText("vm.zone")),
       address(settings.GetAddress("vm.address")),
       incarnation(static_cast<uint64_t>(clock.GetWallTime().time_since_epoch().count())) {
-  const int64_t count = settings.GetInteger("traffic.threads");
-  for (int64_t i = 0; i < count; ++i) traffic_loops.push_back(std::make_unique<Loop>());
+  const auto count = static_cast<size_t>(settings.GetInteger("traffic.threads"));
+  const Bytes memory = GetVmMemory(settings);
+  const size_t descriptors = GetDescriptorLimit();
+  for (size_t i = 0; i < count; ++i) {
+    traffic_loops.push_back(std::make_unique<Loop>());
+    traffic_caller_memory.push_back(
+        std::make_shared<CallerMemory>(clock, ComputeCallerMemoryLimits(memory, kCallerMemoryPart, descriptors, count),
+                                       std::make_unique<CallerMemoryReport>(clock, metrics, "callers")));
+  }
+  control_caller_memory = std::make_shared<CallerMemory>(
+      clock, ComputeCallerMemoryLimits(memory, kControlMemoryPart, descriptors / kControlDescriptorPart, 1),
+      std::make_unique<CallerMemoryReport>(clock, metrics, "control"));
 }
 
 int RunProcess(int argc, char** argv, const std::string& program, const std::vector<ProgramVariant>& variants) {
--- a/src/process.h
+++ b/src/process.h
@@ -9,6 +9,7 @@
 #include <thread>
 #include <vector>
 
+#include "caller_memory.h"
 #include "channel.h"
 #include "clock.h"
 #include "event_log.h"
@@ -46,6 +47,10 @@
   RequestHistory history;
   // Bounds what the answers being received hold together.
   MemoryBudget answer_memory;
+  // Bound what connections to the ports on each traffic loop, and on the control loop, make this process hold. The
+  // parts are fixed, so that no loop needs to shed connections of another.
+  std::vector<std::shared_ptr<CallerMemory>> traffic_caller_memory;
+  std::shared_ptr<CallerMemory> control_caller_memory;
   ChannelContext channels;
   Loop control_loop;
   // One for each traffic thread.
--- a/src/settings_table.cpp
+++ b/src/settings_table.cpp
@@ -20,7 +20,8 @@
     {"vm.zone", kText, "", 0, 0, "", "Availability zone of this VM."},
     {"vm.address", kAddress, "", 0, 0, "", "IP address that this process listens on."},
     {"vm.memory_mb", kInteger, "1024", 16, 1e6, "MB",
-     "Memory that this process may use. Answers being received hold at most an eighth of it together."},
+     "Memory that this process may use. Answers being received hold at most an eighth of it together, callers' "
+     "connections a quarter, and connections to the other HTTP ports an eighth."},
     {"log.level", kText, "info", 0, 0, "", "Lowest log level written: debug, info, warn or error."},
     {"traffic.threads", kInteger, "1", 1, 64, "threads", "Threads that process requests."},
     {"admin.port", kInteger, "8081", 1, kMaxPort, "port", "Port of health, metrics and status over HTTP."},
@@ -123,7 +124,8 @@
     {"vm.region", kText, "", 0, 0, "", "Region of this VM."},
     {"vm.address", kAddress, "", 0, 0, "", "IP address that this process listens on."},
     {"vm.memory_mb", kInteger, "1024", 16, 1e6, "MB",
-     "Memory that this process may use. Answers being received hold at most an eighth of it together."},
+     "Memory that this process may use. Answers being received hold at most an eighth of it together, callers' "
+     "connections a quarter, and connections to the other HTTP ports an eighth."},
     {"log.level", kText, "info", 0, 0, "", "Lowest log level written: debug, info, warn or error."},
     {"traffic.threads", kInteger, "1", 1, 1, "threads", "Threads that process requests."},
     {"admin.port", kInteger, "8081", 1, kMaxPort, "port", "Port of health, metrics and status over HTTP."},
--- a/standin/standin_base.cpp
+++ b/standin/standin_base.cpp
@@ -2,6 +2,8 @@
 
 #include <iostream>
 
+#include "caller_memory.h"
+#include "clock.h"
 #include "failure_type.h"
 
 namespace plantain::standin {
@@ -73,7 +75,10 @@
 
 absl::Status HttpStandin::Listen(const IpAddress& address, Port port, size_t max_body_bytes, HttpHandler handler) {
   m_handler = std::move(handler);
-  m_server = std::make_unique<HttpServer>(m_loop, address, port, max_body_bytes,
+  // Stand-ins hold what tests make them hold.
+  static const SystemClock clock;
+  const auto memory = std::make_shared<CallerMemory>(clock, CallerMemoryLimits());
+  m_server = std::make_unique<HttpServer>(m_loop, memory, address, port, max_body_bytes,
                                           [this](HttpRequest request, std::shared_ptr<HttpResponder> responder) {
                                             Handle(std::move(request), std::move(responder));
                                           });
--- a/tests/attempt_runner_test.cpp
+++ b/tests/attempt_runner_test.cpp
@@ -6,6 +6,7 @@
 #include "http_server.h"
 #include "loopback_address.h"
 #include "process.h"
+#include "unlimited_caller_memory.h"
 
 namespace plantain {
 namespace {
@@ -189,7 +190,7 @@
   Admission admission(clock, random, AdmissionLimitOptions{1, 4, false, std::chrono::seconds(60)}, 2);
   const HttpTarget target{MakeLoopbackAddress(104), Port(29993)};
   std::shared_ptr<HttpResponder> response;
-  HttpServer engine(loop, target.address, target.port, 1024,
+  HttpServer engine(loop, MakeUnlimitedCallerMemory(), target.address, target.port, 1024,
                     [&](const HttpRequest&, const std::shared_ptr<HttpResponder>& responder) {
                       response = responder;
                       responder->StartStream(200, {});
--- a/tests/hosted_engine_test.cpp
+++ b/tests/hosted_engine_test.cpp
@@ -10,6 +10,7 @@
 #include "http_server.h"
 #include "loopback_address.h"
 #include "manifest_func.h"
+#include "unlimited_caller_memory.h"
 #include "weight_clients.h"
 
 namespace plantain::hosted {
@@ -44,7 +45,7 @@
   using OrderHandler = std::function<void(const std::shared_ptr<HttpResponder>&)>;
 
   explicit FakeHostedEngine(Loop& loop)
-      : m_server(loop, kTarget.address, kTarget.port, kMaxBodyBytes,
+      : m_server(loop, MakeUnlimitedCallerMemory(), kTarget.address, kTarget.port, kMaxBodyBytes,
                  [this](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
                    Handle(request, responder);
                  }) {
--- a/tests/http_drain_test.cpp
+++ b/tests/http_drain_test.cpp
@@ -9,6 +9,7 @@
 #include "http_drain.h"
 #include "http_server.h"
 #include "loopback_address.h"
+#include "unlimited_caller_memory.h"
 
 namespace plantain {
 namespace {
@@ -47,7 +48,7 @@
 // A server that stops, on a virtual clock, and callers that write and read raw bytes.
 struct DrainFixture {
   DrainFixture()
-      : server(loop, kTarget.address, kTarget.port, 64,
+      : server(loop, MakeUnlimitedCallerMemory(), kTarget.address, kTarget.port, 64,
                [this](const HttpRequest&, const std::shared_ptr<HttpResponder>& responder) {
                  requests.Handle(responder);
                }),
--- a/tests/http_idle_test.cpp
+++ b/tests/http_idle_test.cpp
@@ -7,6 +7,7 @@
 #include "http_client.h"
 #include "http_server.h"
 #include "loopback_address.h"
+#include "unlimited_caller_memory.h"
 
 namespace plantain {
 namespace {
@@ -23,7 +24,7 @@
       const HttpTarget target{MakeLoopbackAddress(110 + i), Port(29994)};
       targets.push_back(target);
       servers.push_back(
-          std::make_unique<HttpServer>(loop, target.address, target.port, kMaxBodyBytes,
+          std::make_unique<HttpServer>(loop, MakeUnlimitedCallerMemory(), target.address, target.port, kMaxBodyBytes,
                                        [](const HttpRequest&, const std::shared_ptr<HttpResponder>& responder) {
                                          responder->Send(MakeTextResponse(200, "ok"));
                                        }));
--- a/tests/http_limits_test.cpp
+++ b/tests/http_limits_test.cpp
@@ -16,6 +16,7 @@
 #include "idle_limit.h"
 #include "log_writer.h"
 #include "loopback_address.h"
+#include "unlimited_caller_memory.h"
 
 namespace plantain {
 namespace {
@@ -28,7 +29,7 @@
 // A loopback server that records the requests it handled, and clients that send raw bytes.
 struct RawHttpFixture {
   RawHttpFixture()
-      : server(loop, kTarget.address, kTarget.port, 0,
+      : server(loop, MakeUnlimitedCallerMemory(), kTarget.address, kTarget.port, 0,
                [this](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
                  handled.push_back(request.target + " " + request.body);
                  responder->Send(MakeTextResponse(200, "ok"));
--- a/tests/service_answer_test.cpp
+++ b/tests/service_answer_test.cpp
@@ -12,6 +12,7 @@
 #include "log_store.h"
 #include "loopback_address.h"
 #include "once_service.h"
+#include "unlimited_caller_memory.h"
 
 namespace plantain {
 namespace {
@@ -80,7 +81,7 @@
  public:
   explicit MemoryLog(Loop& loop)
       : m_store(m_clock, Duration::zero()),
-        m_server(loop, kLog.address, kLog.port, 64 * 1024,
+        m_server(loop, MakeUnlimitedCallerMemory(), kLog.address, kLog.port, 64 * 1024,
                  [this](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
                    responder->Send(Handle(request));
                  }) {
--- a/tests/standin_http_test.cpp
+++ b/tests/standin_http_test.cpp
@@ -5,6 +5,7 @@
 #include "http_client.h"
 #include "http_server.h"
 #include "loopback_address.h"
+#include "unlimited_caller_memory.h"
 
 namespace plantain {
 namespace {
@@ -30,7 +31,7 @@
   Loop loop;
   HttpClient client(loop, answer_memory);
   const std::string body(GENERATE(0, 1, 700, 100'000), 'b');
-  HttpServer server(loop, kTarget.address, kTarget.port, kMaxBodyBytes,
+  HttpServer server(loop, MakeUnlimitedCallerMemory(), kTarget.address, kTarget.port, kMaxBodyBytes,
                     [&](const HttpRequest&, const std::shared_ptr<HttpResponder>& responder) {
                       responder->Send(MakeTextResponse(200, body));
                     });
--- a/tests/store_follower_test.cpp
+++ b/tests/store_follower_test.cpp
@@ -9,6 +9,7 @@
 #include "http_server.h"
 #include "loopback_address.h"
 #include "random.h"
+#include "unlimited_caller_memory.h"
 
 namespace plantain {
 namespace {
@@ -23,7 +24,7 @@
         random(1),
         decoder({}),
         mirror(loop, clock, decoder, std::chrono::seconds(8)),
-        server(loop, address, kStorePort, 0,
+        server(loop, MakeUnlimitedCallerMemory(), address, kStorePort, 0,
                [this](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
                  HandleRead(request, responder);
                }),
