Count the memory that parsed fields of a request take

Cause: a head of 16 KiB may have 3,000 fields of 5 bytes, each of which takes about 100 bytes when parsed, so that the head was counted with a small part of what it takes. Many such requests that stop in their body would exceed the bound.

Change: each field counts 128 bytes besides its own, and three times that while the request is in progress, since its attempt and the client's message copy the fields.

--- a/src/http_session.cpp
+++ b/src/http_session.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/serializer.hpp>
+#include <iterator>
 
 #include "clock.h"
 
@@ -36,7 +37,9 @@
 constexpr size_t kMaxKeptBytes = 4096;
 // Names, separators and ends of lines of a field.
 constexpr size_t kFieldOverhead = 4;
-// Copies of a request's body besides the one that was read: the request of an attempt, and the client's message.
+// What a parsed field takes besides its bytes. A head of 16 KiB may have 3,000 fields of 5 bytes each.
+constexpr size_t kFieldMemory = 128;
+// Copies of a request besides the one that was read: the request of an attempt, and the client's message.
 constexpr size_t kBodyCopies = 2;
 constexpr const char* kNoMemoryRetryAfter = "1";
 
@@ -188,6 +191,7 @@
   m_parser.emplace();
   m_max_header_bytes = m_server->limits.max_header_bytes;
   m_head_bytes = 0;
+  m_field_memory = 0;
   m_parser->header_limit(static_cast<uint32_t>(m_server->limits.max_header_bytes));
   m_parser->body_limit(m_server->limits.max_body_bytes);
   m_read_since = GetMonotonicTime();
@@ -284,6 +288,7 @@
   // The head is parsed by itself, so that its bytes are known; from here on as much as possible is parsed at once.
   m_parser->eager(true);
   m_field_bytes = GetFieldBytes();
+  m_field_memory = GetFieldMemory();
   // The parser allocates a body of known length at once.
   return m_account.Reserve(GetHeldBytes() + m_parser->content_length().value_or(0));
 }
@@ -313,6 +318,11 @@
   return bytes;
 }
 
+size_t HttpSession::GetFieldMemory() const {
+  const auto& fields = m_parser->get();
+  return static_cast<size_t>(std::distance(fields.begin(), fields.end())) * kFieldMemory;
+}
+
 size_t HttpSession::GetTrailerBytes() const { return GetFieldBytes() - m_field_bytes; }
 
 size_t HttpSession::GetHeldBytes() const {
@@ -320,7 +330,7 @@
   // The write of a closed connection has been cancelled, and the callback that frees its buffer is queued. Counting the
   // buffer until then would refuse others for whom this connection was shed.
   if (m_state != State::kClosed) bytes += m_writing.capacity();
-  if (m_parser.has_value()) bytes += m_head_bytes + m_parser->get().body().capacity();
+  if (m_parser.has_value()) bytes += m_head_bytes + m_field_memory + m_parser->get().body().capacity();
   return bytes;
 }
 
@@ -352,7 +362,8 @@
     return;
   }
   const std::string& body = m_parser->get().body();
-  const size_t request_bytes = m_head_bytes + GetTrailerBytes() + body.capacity() + kBodyCopies * body.size();
+  const size_t head_bytes = m_head_bytes + GetTrailerBytes() + GetFieldMemory();
+  const size_t request_bytes = (1 + kBodyCopies) * head_bytes + body.capacity() + kBodyCopies * body.size();
   if (!m_account.Reserve(GetHeldBytes() + request_bytes)) {
     RefuseRequest(503);
     return;
--- a/src/http_session_asio.h
+++ b/src/http_session_asio.h
@@ -145,6 +145,7 @@
   bool IsTrailerTooLong() const;
   size_t GetTrailerBytes() const;
   size_t GetFieldBytes() const;
+  size_t GetFieldMemory() const;
   void HandleRequest();
   // Frees what has been read of a request.
   void DropRequest();
@@ -200,6 +201,8 @@
   size_t m_max_header_bytes = 0;
   size_t m_head_bytes = 0;
   size_t m_field_bytes = 0;
+  // What the parser takes for the fields of the head besides their bytes.
+  size_t m_field_memory = 0;
   // What a request that is being handled takes with its copies. Stays counted after the connection is closed for as
   // long as an attempt keeps the session, because the attempt goes on.
   size_t m_request_bytes = 0;
--- a/tests/http_caller_memory_test.cpp
+++ b/tests/http_caller_memory_test.cpp
@@ -193,6 +193,17 @@
   CHECK(fixture.IsOrdinaryRequestAnswered());
 }
 
+// Guards against heads of many small fields, which take many times their bytes in memory.
+TEST_CASE("Small fields are counted with the memory that they take") {
+  constexpr size_t kFields = 150;
+  CallerFixture fixture;
+  std::string bytes = "POST /a HTTP/1.1\r\nContent-Length: 2\r\n";
+  for (size_t i = 0; i < kFields; ++i) bytes += "a:b\r\n";
+  fixture.Send(fixture.Connect(), bytes + "\r\n");
+  CHECK(fixture.RunUntil([&] { return fixture.memory->GetUsed() >= 100 * kFields; }));
+  CHECK(fixture.handled == 0);
+}
+
 // Guards against answers that callers do not read, and against what is kept for callers that did read theirs.
 TEST_CASE("Answers that are not read are cut off") {
   CallerFixture fixture;
