--- a/tests/service_fake.h
+++ b/tests/service_fake.h
@@ -12,6 +12,7 @@
 #include "http_server.h"
 #include "log_store.h"
 #include "loop.h"
+#include "unlimited_caller_memory.h"
 
 namespace plantain {
 
@@ -22,7 +23,7 @@
  public:
   MemoryLog(Loop& loop, const HttpTarget& target)
       : m_store(m_clock, Duration::zero()),
-        m_server(loop, target.address, target.port, 64 * 1024,
+        m_server(loop, MakeUnlimitedCallerMemory(), target.address, target.port, 64 * 1024,
                  [this](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
                    responder->Send(Handle(request));
                  }) {
