Let one entry of a large zone read the store

Change: in a zone with more than store.direct_readers entries (default 8) one entry reads, elected by the statements in beacons (fields 21 to 23); the others stand by and get records from peers. A standby entry knows outages from the reader's statement, lets records lapse as the reader does, confirms up to when operators' requests are known, and reads the store itself once for each new era. After a batch with superseded records the reader of a large zone lists the topic.

--- a/src/beacon_table.cpp
+++ b/src/beacon_table.cpp
@@ -107,6 +107,22 @@
          content.companions_size() <= kMaxContentListSize;
 }
 
+void EncodeStore(const StoreStatement& store, proto::Beacon& out) {
+  out.set_store_reading(static_cast<uint32_t>(store.reading));
+  out.set_store_reading_age_ms(EncodeAge(store.reading_age));
+  out.set_operator_read_age_ms(EncodeAge(store.operator_age));
+}
+
+StoreStatement DecodeStore(const proto::Beacon& in) {
+  StoreStatement store;
+  if (in.store_reading() <= static_cast<uint32_t>(StoreReading::kFollowing)) {
+    store.reading = static_cast<StoreReading>(in.store_reading());
+  }
+  store.reading_age = DecodeAge(in.store_reading_age_ms());
+  store.operator_age = DecodeAge(in.operator_read_age_ms());
+  return store;
+}
+
 void EncodeStatements(const StatementReport& report, proto::Beacon& out) {
   for (const EndpointStatement& statement : report.statements) {
     proto::EndpointStatement* added = out.add_statements();
@@ -271,6 +287,7 @@
   }
   for (const ContentReport& report : beacon.content_reports) EncodeContent(report, *message.add_content_evidence());
   EncodeStatements(beacon.statements, message);
+  EncodeStore(beacon.store, message);
   return message.SerializeAsString();
 }
 
@@ -311,6 +328,7 @@
   for (const proto::ContentEvidence& content : message.content_evidence())
     beacon.content_reports.push_back(DecodeContent(content));
   beacon.statements = DecodeStatements(message);
+  beacon.store = DecodeStore(message);
   return beacon;
 }
 
@@ -342,6 +360,16 @@
   return entries;
 }
 
+std::vector<ZoneEntry> BeaconTable::GetZoneEntries() const {
+  std::vector<ZoneEntry> entries;
+  for (const auto& [vm, received] : m_received) {
+    const BeaconInfo& beacon = received.beacon;
+    if (!beacon.is_entry || beacon.zone != m_options.zone || !IsLive(received)) continue;
+    entries.push_back({vm, beacon.store, received.at, beacon.own_zone_interval});
+  }
+  return entries;
+}
+
 std::vector<const BeaconInfo*> BeaconTable::GetLiveBeacons() const {
   std::vector<const BeaconInfo*> all;
   for (const auto& [vm, received] : m_received) {
--- a/src/beacon_table.h
+++ b/src/beacon_table.h
@@ -17,6 +17,7 @@
 #include "era_table.h"
 #include "log_position.h"
 #include "member_type.h"
+#include "store_statement.h"
 
 namespace plantain::proto {
 class TopicState;
@@ -58,6 +59,8 @@
   std::vector<ContentReport> content_reports;
   // What endpoints state in their answers, and what the sender grants to entries.
   StatementReport statements;
+  // Whether the sender, an entry, reads the store.
+  StoreStatement store;
 };
 
 // Encode and decode beacons. Decoding returns nothing if the bytes are not a valid beacon. Lists that are longer than
@@ -89,6 +92,9 @@
   // Returns the live entries, without this process.
   std::vector<VmId> GetEntries() const;
 
+  // Returns the other live entries of the own zone.
+  std::vector<ZoneEntry> GetZoneEntries() const;
+
   // Returns the latest beacons of all live processes.
   std::vector<const BeaconInfo*> GetLiveBeacons() const;
 
--- a/src/fleet_mirror.cpp
+++ b/src/fleet_mirror.cpp
@@ -245,11 +245,37 @@
 }
 
 void FleetMirror::ConfirmOperatorRead(TimePoint as_of) {
-  m_last_run_at = m_clock.GetNow();
+  RecordRun();
   m_operator_as_of = std::max(m_operator_as_of, as_of);
   m_is_operator_followed = m_last_run_at - m_operator_as_of <= kMaxReadDelay;
 }
 
+void FleetMirror::RecordRun() {
+  const TimePoint now = m_clock.GetNow();
+  if (now - m_last_run_at > kMaxTickGap) m_resumed_at = now;
+  m_last_run_at = now;
+}
+
+// A beacon may have waited in the socket while the process stood still, so that its age counts from an unknown time.
+// Beacons that are read shortly after a standstill confirm nothing, and the others at most up to the longest gap that
+// does not count as one.
+void FleetMirror::ConfirmPeerRead(Duration age, const LogRevision& revision) {
+  if (!m_operator.records.GetRevision().Covers(revision)) return;
+  const TimePoint now = m_clock.GetNow();
+  const bool has_resumed = m_resumed_at.has_value() && now - *m_resumed_at <= kMaxTickGap;
+  if (has_resumed || now - m_last_run_at > kMaxTickGap) return;
+  m_operator_as_of = std::max(m_operator_as_of, now - age - kMaxTickGap);
+}
+
+bool FleetMirror::HasUnreadEra() const {
+  const auto is_unread = [](const TopicMirror& topic) {
+    const auto& bounds = topic.records.GetEras().GetBounds();
+    const StoreEra read = topic.records.GetCompleteTo().era;
+    return std::any_of(bounds.begin(), bounds.end(), [&](const EraBound& bound) { return bound.view > read; });
+  };
+  return is_unread(m_operator) || is_unread(m_directory);
+}
+
 void FleetMirror::InterruptOperatorRead() { m_is_operator_followed = false; }
 
 bool FleetMirror::IsFollowingOperator() const {
@@ -293,10 +319,10 @@
   return ages;
 }
 
-// Whether a removed record may return because its endpoint could not renew it during an outage. A removal received from
-// a peer is final, since the peer has read it from the store.
+// Whether a removed record may return because its endpoint could not renew it during an outage. To a process that reads
+// the store itself a removal received from a peer is final, since the peer has read it from the store.
 bool FleetMirror::MayHaveLapsed(RecordOrigin origin) const {
-  if (origin == RecordOrigin::kPeer || !m_had_store_outage) return false;
+  if ((origin == RecordOrigin::kPeer && !m_is_standby) || !m_had_store_outage) return false;
   return m_clock.GetNow() < m_store_recovered_at + kRelistTimeout || !m_is_store_reachable;
 }
 
@@ -390,7 +416,7 @@
 
 void FleetMirror::Tick() {
   if (!IsFollowingOperator()) m_is_operator_followed = false;
-  m_last_run_at = m_clock.GetNow();
+  RecordRun();
   if (EvictLapsed() > 0) Publish();
   ExpireLost();
 }
--- a/src/fleet_mirror.h
+++ b/src/fleet_mirror.h
@@ -104,6 +104,19 @@
   // Records that requests may be made from now on without being received at once, because a read failed or was held up.
   void InterruptOperatorRead();
 
+  // Records that a peer has received all operator requests made before `age` ago, as it stated in a beacon with its
+  // revision of the topic. Used by a process that gets its records from peers.
+  void ConfirmPeerRead(Duration age, const LogRevision& revision);
+  // Returns the time since which operator requests may have been made without being received.
+  Duration GetOperatorReadAge() const { return m_clock.GetNow() - m_operator_as_of; }
+
+  // Sets whether this entry gets its records from an entry that reads the store. Removals that peers send may then be
+  // those of endpoints whose records lapsed, as removals read from the store may be.
+  void SetStandby(bool is_standby) { m_is_standby = is_standby; }
+  // Whether peers have read the store in a later era than this process. What the store has lost and what expires
+  // therefore only shows in a read of its own.
+  bool HasUnreadEra() const;
+
   // Applies the ages that a peer has sent. A peer may have received a request for a version earlier than this process,
   // or one that this process never receives because a newer request has replaced it in the store.
   void ApplyWantedAges(const std::vector<WantedAge>& ages);
@@ -144,6 +157,7 @@
   void AddWanted(const WantedWeights& wanted, std::string_view source);
   bool ApplyWantedAge(const WantedAge& age);
   bool IsFollowingOperator() const;
+  void RecordRun();
   void Publish();
   void Tick();
   // Removes lapsed endpoints that were not listed again in time. Returns their number.
@@ -166,12 +180,14 @@
   // interruption since.
   TimePoint m_operator_as_of;
   bool m_is_operator_followed = false;
-  // Last time at which the process is known to have run.
+  // Last time at which the process is known to have run, and the end of its last standstill.
   TimePoint m_last_run_at;
+  std::optional<TimePoint> m_resumed_at;
   // All requested versions, each model's oldest first; each one has its own deadline.
   std::vector<WantedWeights> m_wanted;
   bool m_is_store_reachable = false;
   bool m_had_store_outage = false;
+  bool m_is_standby = false;
   TimePoint m_store_recovered_at;
   Snapshot<FleetView> m_view;
   std::vector<std::function<void(const std::shared_ptr<const FleetView>&)>> m_listeners;
--- a/src/fleet_relay.cpp
+++ b/src/fleet_relay.cpp
@@ -169,6 +169,8 @@
   SendToAll(m_urgent_targets.GetNext(targets.other), data);
 }
 
+void FleetRelay::SendNowToZone() { SendNowTo(m_beacons.GetTargets().own_zone); }
+
 void FleetRelay::SendNowTo(const std::vector<VmId>& targets) {
   if (m_socket == nullptr) return;
   const std::string data = MakeBeacon();
@@ -195,6 +197,7 @@
   beacon.own_zone_interval = m_options.period * m_own_zone_targets.CountTurns(targets.own_zone.size());
   beacon.other_interval = m_options.period * kRemoteZoneDivisor * m_other_targets.CountTurns(targets.other.size());
   beacon.wanted = m_mirror.GetWantedAges();
+  if (m_get_store_statement) beacon.store = m_get_store_statement();
   if (m_beacon_source != nullptr) m_beacon_source->FillBeacon(beacon);
   return EncodeBeacon(beacon);
 }
--- a/src/fleet_relay.h
+++ b/src/fleet_relay.h
@@ -63,12 +63,18 @@
   // Sends a beacon to all targets now.
   void SendNow();
 
+  // Sends a beacon to all live entries of the own zone now.
+  void SendNowToZone();
+
   // Sends a beacon to processes that may not know this one yet.
   void SendNowTo(const std::vector<VmId>& targets);
 
   // Sets the source that adds fields to each beacon. Call before Start.
   void SetBeaconSource(BeaconSource& source) { m_beacon_source = &source; }
 
+  // Sets what entries state about their reading of the store. Call before Start.
+  void SetStoreStatement(std::function<StoreStatement()> get) { m_get_store_statement = std::move(get); }
+
  private:
   void OnDatagram(std::string_view data);
   void SendBeacons();
@@ -90,6 +96,7 @@
   const Clock& m_clock;
   FleetMirror& m_mirror;
   BeaconSource* m_beacon_source = nullptr;
+  std::function<StoreStatement()> m_get_store_statement;
   const RelayOptions m_options;
   BeaconTable m_beacons;
   std::vector<std::function<void(const BeaconInfo&)>> m_listeners;
--- a/src/settings_table.cpp
+++ b/src/settings_table.cpp
@@ -136,6 +136,9 @@
      "Time allowed for one call to the store, besides the wait that it is asked for."},
     {"store.operator_wait_ms", kDuration, "2500", 0, kHourMs, "ms", "Longest wait of one read of operators' records."},
     {"store.directory_period_ms", kDuration, "500", 10, kHourMs, "ms", "Time between two reads of the directory."},
+    {"store.direct_readers", kInteger, "8", 1, 1e6, "entries",
+     "Most entries of a zone that all read the store. In a larger zone one reads it and gives the records to the "
+     "others."},
     {"version.limit_ms", kDuration, "8000", 100, kHourMs, "ms",
      "Time after which no request may begin on weights that are no longer wanted."},
     {"drain.grace_ms", kDuration, "8000", 100, kHourMs, "ms", "Time from SIGTERM until the process is killed."},
--- a/tests/fleet_mirror_test.cpp
+++ b/tests/fleet_mirror_test.cpp
@@ -130,6 +130,85 @@
   }
 }
 
+// Guards against callers that are refused after an outage of the store because an entry that gets its records from the
+// zone's reader takes each removal for final.
+TEST_CASE("At a standby entry records lapse and return after an outage as at the reader") {
+  FleetFixture reader;
+  FleetFixture standby;
+  standby.mirror.SetStandby(true);
+  const auto advance = [&](Duration step) {
+    reader.clock.Advance(step);
+    standby.clock.Advance(step);
+  };
+  // Passes on what the reader states and knows.
+  const auto deliver = [&] {
+    standby.mirror.SetStoreReachable(reader.mirror.GetFleet()->is_store_reachable);
+    const LogRevision known = standby.mirror.GetRecords(FleetTopic::kDirectory).GetRevision();
+    const RecordMirror& theirs = reader.mirror.GetRecords(FleetTopic::kDirectory);
+    standby.mirror.ApplyRecords(FleetTopic::kDirectory, theirs.GetChangesAfter(known), LogPosition(),
+                                RecordOrigin::kPeer);
+    standby.mirror.RaiseRevision(FleetTopic::kDirectory, theirs.GetRevision());
+  };
+  reader.mirror.SetStoreReachable(true);
+  reader.ApplyEndpoint(10, "i-1", MakeEndpointRecord("10.0.0.1:80"));
+  deliver();
+  REQUIRE(standby.GetEndpointCount() == 1);
+
+  SECTION("without an outage a removal is final") {
+    reader.ApplyEndpoint(11, "i-1", std::nullopt);
+    deliver();
+    CHECK(standby.GetEndpointCount() == 0);
+  }
+  SECTION("after an outage") {
+    reader.mirror.SetStoreReachable(false);
+    deliver();
+    advance(std::chrono::seconds(5));
+    reader.mirror.SetStoreReachable(true);
+    reader.ApplyEndpoint(11, "i-1", std::nullopt);
+    deliver();
+    CHECK(reader.GetEndpointCount() == 1);
+    CHECK(standby.GetEndpointCount() == 1);
+
+    SECTION("an endpoint that is listed again stays") {
+      reader.ApplyEndpoint(12, "i-1", MakeEndpointRecord("10.0.0.1:80"));
+      deliver();
+      advance(std::chrono::seconds(3));
+      reader.ApplyEndpoint(13, "i-2", MakeEndpointRecord("10.0.0.2:80"));
+      deliver();
+      CHECK(reader.GetEndpointCount() == 2);
+      CHECK(standby.GetEndpointCount() == 2);
+    }
+    SECTION("one that is not listed again ends at the same time") {
+      advance(Milliseconds(2300));
+      reader.ApplyEndpoint(12, "i-2", MakeEndpointRecord("10.0.0.2:80"));
+      deliver();
+      CHECK(reader.GetEndpointCount() == 1);
+      CHECK(standby.GetEndpointCount() == 1);
+    }
+    SECTION("an endpoint that leaves ends at once") {
+      reader.ApplyEndpoint(12, "i-2", MakeEndpointRecord("10.0.0.2:80", "draining"));
+      deliver();
+      reader.ApplyEndpoint(13, "i-2", std::nullopt);
+      deliver();
+      CHECK(standby.GetEndpointCount() == 1);
+    }
+  }
+}
+
+// Guards against keys that a restored store has lost and that an entry keeps for ever because it does not read the
+// store.
+TEST_CASE("A process knows that peers have read a later era") {
+  FleetFixture fixture;
+  CHECK_FALSE(fixture.mirror.HasUnreadEra());
+  fixture.mirror.ApplyListing(FleetTopic::kOperator, {}, {StoreEra(1), LogOffset(4)});
+  fixture.mirror.ApplyListing(FleetTopic::kDirectory, {}, {StoreEra(1), LogOffset(4)});
+  CHECK_FALSE(fixture.mirror.HasUnreadEra());
+  fixture.mirror.AddEraBound(FleetTopic::kDirectory, {StoreEra(2), StoreEra(2), LogOffset(3)});
+  CHECK(fixture.mirror.HasUnreadEra());
+  fixture.mirror.ApplyListing(FleetTopic::kDirectory, {}, {StoreEra(2), LogOffset(3)});
+  CHECK_FALSE(fixture.mirror.HasUnreadEra());
+}
+
 // Guards against a rollback to an older configuration, and against losing a requested weight version when a newer one
 // is requested.
 TEST_CASE("Operator state is never rolled back") {
@@ -285,6 +364,44 @@
   }
 }
 
+// Guards against requests that are refused for seconds after a takeover: the new reader cannot tell when operators
+// asked for a weight version that it finds, and takes the earliest possible time.
+TEST_CASE("A standby entry knows up to when its reader has received all operators' requests") {
+  FleetFixture fixture;
+  fixture.mirror.SetStandby(true);
+  fixture.ApplyOperator(1, "config", MakeConfig(7));
+  const LogRevision known = fixture.mirror.GetRecords(FleetTopic::kOperator).GetRevision();
+  fixture.clock.Advance(std::chrono::seconds(6));
+  // Without regular ticks the process would count as having stood still.
+  fixture.mirror.ConfirmOperatorRead(fixture.clock.GetNow() - std::chrono::seconds(6));
+  const Duration age = fixture.mirror.GetOperatorReadAge();
+  REQUIRE(age == std::chrono::seconds(6));
+
+  SECTION("not shortly after a standstill, when a beacon may be old") {
+    fixture.mirror.ConfirmPeerRead(Milliseconds(100), known);
+    CHECK(fixture.mirror.GetOperatorReadAge() == age);
+  }
+  SECTION("while it runs") {
+    for (int i = 0; i < 2; ++i) {
+      fixture.clock.Advance(Milliseconds(500));
+      fixture.mirror.ConfirmOperatorRead(TimePoint());
+    }
+    SECTION("if it knows what the reader knows") {
+      fixture.mirror.ConfirmPeerRead(Milliseconds(100), known);
+      CHECK(fixture.mirror.GetOperatorReadAge() == Milliseconds(800));
+      fixture.mirror.InterruptOperatorRead();
+      fixture.ApplyOperator(2, "version/m", R"({"model":"m","version":2})");
+      CHECK(fixture.clock.GetNow() - fixture.mirror.GetFleet()->wanted.at(0).since == Milliseconds(800));
+    }
+    SECTION("but not if the reader knows more") {
+      LogRevision newer = known;
+      newer.Raise(StoreEra(), LogOffset(9));
+      fixture.mirror.ConfirmPeerRead(Milliseconds(100), newer);
+      CHECK(fixture.mirror.GetOperatorReadAge() > age);
+    }
+  }
+}
+
 // Guards against a configuration that is received seconds late after a store outage, because a long poll sent during
 // the outage is still pending.
 TEST_CASE("No long poll is sent to a store whose last read failed") {
--- a/tests/store_follower_test.cpp
+++ b/tests/store_follower_test.cpp
@@ -27,10 +27,12 @@
                [this](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
                  HandleRead(request, responder);
                }),
-        follower(loop, answer_memory, clock, random, mirror, MakeOptions(address)) {}
+        follower(loop, answer_memory, clock, random, mirror, MakeOptions()) {}
 
-  static hosted::StoreFollowerOptions MakeOptions(const IpAddress& address) {
+  hosted::StoreFollowerOptions MakeOptions() {
     hosted::StoreFollowerOptions options;
+    options.is_needed = [this] { return is_needed; };
+    options.lists_when_behind = [this] { return lists_when_behind; };
     options.store = {address, kStorePort};
     options.timeout = std::chrono::seconds(5);
     options.operator_wait = std::chrono::seconds(20);
@@ -98,6 +100,8 @@
   std::vector<std::shared_ptr<HttpResponder>> held;
   int reads = 0;
   int listings = 0;
+  bool is_needed = true;
+  bool lists_when_behind = false;
   HttpServer server;
   hosted::StoreFollower follower;
 };
@@ -136,5 +140,55 @@
   CHECK(fixture.listings == 1);
 }
 
+// Returns one record of a read, as the store sends it.
+std::string MakeLogRecord(const std::string& key, const std::string& value) {
+  const std::string content = std::string(1, static_cast<char>(key.size())) + key + value;
+  return std::string("\0\0\0", 3) + static_cast<char>(content.size()) + content;
+}
+
+// Guards against superseded configurations that cross the link between two regions one after the other.
+TEST_CASE("A topic is listed after a batch with superseded records") {
+  FollowerFixture fixture;
+  fixture.lists_when_behind = GENERATE(true, false);
+  fixture.Start();
+  REQUIRE(fixture.RunUntil([&] { return fixture.held.size() == 1; }));
+  REQUIRE(fixture.listings == 1);
+  HttpResponse response;
+  response.headers.Add(kEraField, fixture.era);
+  response.body = std::string(16, '\0');
+
+  SECTION("not after one with different keys") {
+    response.body += MakeLogRecord("evacuate/b", "{}") + MakeLogRecord("evacuate/c", "{}");
+    fixture.held.front()->Send(response);
+    REQUIRE(fixture.RunUntil([&] { return fixture.held.size() == 2; }));
+    CHECK(fixture.listings == 1);
+  }
+  SECTION("after one with a key that occurs twice, once") {
+    response.body += MakeLogRecord("evacuate/b", "{}") + MakeLogRecord("evacuate/b", "");
+    fixture.held.front()->Send(response);
+    REQUIRE(fixture.RunUntil([&] { return fixture.held.size() == 2; }));
+    CHECK(fixture.listings == (fixture.lists_when_behind ? 2 : 1));
+  }
+}
+
+// Guards against a long poll of an entry that stands by, which brings the next configuration over the link once more,
+// and against a takeover that waits for a timer.
+TEST_CASE("Reading ends and begins at once when it is needed no longer, or again") {
+  FollowerFixture fixture;
+  fixture.Start();
+  REQUIRE(fixture.RunUntil([&] { return fixture.held.size() == 1; }));
+  bool is_closed = false;
+  fixture.held.front()->SetOnClosed([&] { is_closed = true; });
+  fixture.is_needed = false;
+  fixture.follower.OnNeedChanged();
+  REQUIRE(fixture.RunUntil([&] { return is_closed; }));
+  fixture.is_needed = true;
+  fixture.follower.OnNeedChanged();
+  REQUIRE(fixture.RunUntil([&] { return fixture.held.size() == 2; }));
+  CHECK(fixture.listings == 2);
+  // The store was never away, and a call that the follower ends itself does not count as a failure.
+  CHECK(fixture.mirror.GetFleet()->is_store_reachable);
+}
+
 }  // namespace
 }  // namespace plantain
