Order waiting requests by priority in pools with several priorities

Cause: WaitQueue puts every request that can still be in time before every late one and gives one pick in four to the longest waiting request, so that a request with a longer target overtakes an urgent one under overload.

Change: PriorityWaitQueue orders the requests of pools whose routes or workspaces differ in priority: in time by priority, then late by priority, one slot in eight for each waiting priority, and start-time fair queueing (FlowQueue) among workspaces and routes. Waiting requests that an urgent arrival makes too late are refused at once. Retry-After has a span for each priority (ComputeRetryAfter). All other pools keep WaitQueue unchanged behind the interface RequestQueue. Counts by priority are metrics.

--- a/src/forward_metrics.cpp
+++ b/src/forward_metrics.cpp
@@ -66,6 +66,18 @@
   return "unknown";
 }
 
+std::string_view GetPriorityEventName(PriorityEvent event) {
+  switch (event) {
+    case PriorityEvent::kDispatched:
+      return "dispatched";
+    case PriorityEvent::kRefused:
+      return "refused";
+    case PriorityEvent::kShed:
+      return "shed";
+  }
+  return "unknown";
+}
+
 ForwardMetrics::ForwardMetrics(Metrics& metrics) : m_metrics(metrics) {}
 
 void ForwardMetrics::CountFinishedRequest(const RequestKind& kind, const ActiveRequestOutcome& outcome) {
@@ -103,6 +115,23 @@
       .Increment();
 }
 
+void ForwardMetrics::CountPriority(const PoolName& pool, uint32_t priority, PriorityEvent event) {
+  m_metrics
+      .GetCounter("plantain_forward_priority_total",
+                  "Requests of pools with several priorities, by what became of them.",
+                  {{"pool", pool.Get()},
+                   {"priority", std::to_string(priority)},
+                   {"event", std::string(GetPriorityEventName(event))}})
+      .Increment();
+}
+
+void ForwardMetrics::SetWaiting(const PoolName& pool, uint32_t priority, size_t count) {
+  m_metrics
+      .GetGauge("plantain_forward_priority_waiting", "Requests that wait for a slot, in pools with several priorities.",
+                {{"pool", pool.Get()}, {"priority", std::to_string(priority)}})
+      .Set(static_cast<double>(count));
+}
+
 void ForwardMetrics::SetInFlight(size_t count) {
   m_metrics.GetGauge("plantain_forward_in_flight", "Requests without a final answer.").Set(static_cast<double>(count));
 }
--- a/src/forward_metrics.h
+++ b/src/forward_metrics.h
@@ -8,6 +8,10 @@
 
 namespace plantain {
 
+// What becomes of a request in a pool that shares its slots by priority. Shed means that it waited and was refused for
+// more urgent requests.
+enum class PriorityEvent { kDispatched, kRefused, kShed };
+
 // Records outcomes and latencies of forwarded requests. Thread-safe.
 class ForwardMetrics {
  public:
@@ -18,6 +22,8 @@
   void CountRefusedRequest(ForwardFailure failure);
   void CountAttempt(AttemptEnd end);
   void SetInFlight(size_t count);
+  void CountPriority(const PoolName& pool, uint32_t priority, PriorityEvent event);
+  void SetWaiting(const PoolName& pool, uint32_t priority, size_t count);
   void SetBlockedContents(size_t count);
   void SetLimitedEndpoints(size_t count);
 
@@ -29,6 +35,7 @@
 std::string_view GetRequestKindName(RequestKind kind);
 std::string_view GetAttemptEndName(AttemptEnd end);
 std::string_view GetAnswerProgressName(AnswerProgress progress);
+std::string_view GetPriorityEventName(PriorityEvent event);
 
 }  // namespace plantain
 
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -1,12 +1,17 @@
 #include "forward_traffic.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "crash_log.h"
 #include "event_log.h"
 #include "failure_type.h"
+#include "forward_log.h"
+#include "priority_wait_queue.h"
 #include "rendezvous.h"
+#include "retry_after.h"
+#include "wait_queue.h"
 #include "weight_limit.h"
 #include "weight_time.h"
 
@@ -17,6 +22,8 @@
 // as long as the endpoint's time to the first event leaves. A short wait does no harm, and keeps slots from idling.
 constexpr double kMinWaitGoalShare = 0.05;
 constexpr double kMaxWaitGoalShare = 0.45;
+// The same maximum in pools with several priorities, where the slots of an entry are few for its urgent requests alone.
+constexpr double kMaxPriorityWaitGoalShare = 0.75;
 // Maximum queue wait of a request that has missed its latency goal, and the divisor that limits the wait to a fraction
 // of the time until its deadline.
 constexpr Duration kMaxLateWait = Milliseconds(800);
@@ -32,18 +39,13 @@
 constexpr double kRetryShareFraction = 0.75;
 constexpr double kRetrySlackFraction = 0.5;
 constexpr size_t kMinEntries = 4;
-// Values of Retry-After.
-constexpr Duration kMinRetryAfter = Milliseconds(250);
-constexpr Duration kMaxRetryAfter = std::chrono::seconds(3);
+// Values of Retry-After of requests that took no route.
 constexpr Duration kNoConfigRetryAfter = std::chrono::seconds(1);
 constexpr Duration kDrainingRetryAfter = Milliseconds(20);
-constexpr Duration kMaxPausedRetryAfter = std::chrono::seconds(30);
-// About the duration of a weight switch or a restart, during which few endpoints serve.
-constexpr Duration kNoEndpointRetryAfter = Milliseconds(1800);
 
-// Returns the number that logs show for a weight version, 0 if there is none.
-uint64_t GetVersionNumber(const std::optional<WeightVersion>& version) {
-  return version.value_or(WeightVersion()).Get();
+FlowId GetFlow(const RouteMatch& match) {
+  const std::string workspace = match.workspace == nullptr ? std::string() : match.workspace->name.Get();
+  return FlowId(HashName(workspace + '/' + match.rule->name));
 }
 
 EndpointRun GetRun(const EndpointId& endpoint, Incarnation incarnation) {
@@ -56,15 +58,6 @@
 
 bool IsStream(const ActiveRequest& active) { return active.GetMatch().rule->kind == RequestKind::kStream; }
 
-std::string FormatParts(const std::vector<ContentKey>& parts) {
-  std::string text;
-  for (const ContentKey& part : parts) {
-    if (!text.empty()) text += ',';
-    text += part.id;
-  }
-  return text;
-}
-
 }  // namespace
 
 ForwardTraffic::ForwardTraffic(const Clock& clock, Random& random, const CallerProtocol& protocol,
@@ -86,7 +79,10 @@
   const bool is_new_routing = fleet->routing != nullptr && fleet->routing != m_fleet->routing;
   m_fleet = fleet;
   m_balancer.SetFleet(fleet);
-  if (is_new_routing) m_matcher = std::make_shared<const RouteMatcher>(fleet->routing);
+  if (is_new_routing) {
+    m_matcher = std::make_shared<const RouteMatcher>(fleet->routing);
+    for (auto& [pool, state] : m_pools) SelectQueue(pool, state);
+  }
   RefuseUnservable();
   for (const auto& [pool, state] : m_pools) DispatchQueued(pool);
 }
@@ -117,6 +113,19 @@
   return demand;
 }
 
+std::map<PoolName, PriorityDemand> ForwardTraffic::GetPriorityDemand() const {
+  std::map<PoolName, PriorityDemand> demand;
+  for (const auto& [pool, state] : m_pools) {
+    if (!state.has_priorities) continue;
+    PriorityDemand& out = demand[pool];
+    out.held_s = state.spare_capacity.GetHeldSeconds();
+    for (const auto& [priority, rate] : state.priority_demand) {
+      out.requests_per_s[priority] = rate.Get(m_clock.GetNow()).value_or(0);
+    }
+  }
+  return demand;
+}
+
 void ForwardTraffic::OnLoad(const std::vector<EndpointLoad>& loads) {
   for (const EndpointLoad& load : loads) m_balancer.OnLoad(load);
   for (const auto& [pool, state] : m_pools) DispatchQueued(pool);
@@ -130,21 +139,34 @@
   PoolState& state = m_pools[pool];
   if (state.budget == nullptr) {
     state.budget = std::make_unique<RetryBudget>(m_options.retry_share * kRetryShareFraction, GetRetryReserve());
+    SelectQueue(pool, state);
   }
   return state;
 }
 
+// Gives a pool the queue that its requests need, which a new configuration may change while requests wait.
+void ForwardTraffic::SelectQueue(const PoolName& pool, PoolState& state) {
+  const bool has_priorities = m_matcher != nullptr && m_matcher->HasPriorities(pool);
+  if (state.wait_queue != nullptr && has_priorities == state.has_priorities) return;
+  std::unique_ptr<RequestQueue> queue;
+  if (has_priorities) {
+    queue = std::make_unique<PriorityWaitQueue>();
+  } else {
+    queue = std::make_unique<WaitQueue>();
+  }
+  if (state.wait_queue != nullptr) {
+    for (const WaitingRequest& request : state.wait_queue->GetRequests()) queue->Add(request);
+  }
+  state.wait_queue = std::move(queue);
+  state.has_priorities = has_priorities;
+  state.priority_demand.clear();
+}
+
 void ForwardTraffic::Refuse(const ForwardRequest& request, const std::shared_ptr<HttpResponder>& responder,
                             ForwardFailure failure, std::string_view reason) {
   m_metrics.CountRefusedRequest(failure);
   const uint64_t version = m_fleet->routing == nullptr ? 0 : m_fleet->routing->version.Get();
-  LogEvent(LogLevel::kInfo, "request_refused",
-           {{"request", request.id},
-            {"host", request.host},
-            {"path", request.path},
-            {"failure", GetForwardFailureName(failure)},
-            {"reason", reason},
-            {"config", version}});
+  LogRefusedRequest(request, failure, reason, version);
   Duration retry_after{};
   if (failure == ForwardFailure::kNoConfig) retry_after = kNoConfigRetryAfter;
   if (failure == ForwardFailure::kDraining) retry_after = kDrainingRetryAfter;
@@ -188,13 +210,17 @@
   m_next_ticket = m_next_ticket.Next();
   const WaitTicket ticket = m_next_ticket;
   const PoolName& pool = SelectPool(*match.rule, m_random);
+  PoolState& state = GetPool(pool);
   auto active =
       std::make_shared<ActiveRequest>(m_request_deps, std::move(request), match, m_matcher, pool, ticket, responder);
   m_active_requests.emplace(ticket, active);
   m_metrics.SetInFlight(m_active_requests.size());
-  GetPool(pool).budget->OnFirstAttempt();
-  GetPool(pool).demand.Count(m_clock.GetNow());
-  if (!IsLate(*active)) GetPool(pool).spare_capacity.OnNewRequest(m_clock.GetNow());
+  state.budget->OnFirstAttempt();
+  state.demand.Count(m_clock.GetNow());
+  if (state.has_priorities) {
+    state.priority_demand.try_emplace(match.priority, kDemandWindow).first->second.Count(m_clock.GetNow());
+  }
+  if (!IsLate(*active)) state.spare_capacity.OnNewRequest(m_clock.GetNow(), state.GetLevel(match.priority));
   active->WatchForDisconnect();
   Enqueue(*active);
 }
@@ -220,14 +246,15 @@
 }
 
 Duration ForwardTraffic::GetMaxTimelyWait(const ActiveRequest& active) {
-  const Duration delay = GetPool(active.GetPool()).first_event_delay.GetEstimate();
+  const PoolState& state = GetPool(active.GetPool());
+  const Duration delay = state.first_event_delay.GetEstimate();
   return std::clamp(active.GetMatch().rule->latency_target - delay, GetGoalShare(active, kMinWaitGoalShare),
-                    GetGoalShare(active, kMaxWaitGoalShare));
+                    GetGoalShare(active, state.has_priorities ? kMaxPriorityWaitGoalShare : kMaxWaitGoalShare));
 }
 
 // Whether a request that was queued as late has waited too long to be answered in time.
 bool ForwardTraffic::HasWaitedTooLong(const ActiveRequest& active) {
-  const bool is_late = GetPool(active.GetPool()).wait_queue.IsLate(active.GetTicket());
+  const bool is_late = GetPool(active.GetPool()).wait_queue->IsLate(active.GetTicket());
   return is_late && m_clock.GetNow() - active.GetStart() > GetMaxTimelyWait(active);
 }
 
@@ -305,19 +332,29 @@
   const EndpointChoice choice = m_balancer.Choose(query);
   why = choice.failure;
   if (choice.endpoint == nullptr) return false;
-  SpareCapacity& spare_capacity = GetPool(active.GetPool()).spare_capacity;
+  PoolState& state = GetPool(active.GetPool());
   const bool is_late = IsLate(active) || HasWaitedTooLong(active);
-  if (is_late && !spare_capacity.AllowsLate(m_balancer.GetUsableOwnSlots(query), m_clock.GetNow())) {
+  if (is_late && !MaySendLate(state, query, active)) {
     why = NoEndpointReason::kBusy;
     return false;
   }
-  if (is_late) spare_capacity.OnLateSent(active.GetTicket());
+  if (is_late) state.spare_capacity.OnLateSent(active.GetTicket());
   m_balancer.OnSent(choice.endpoint->id, active.GetRequest().prompt_tokens);
-  GetPool(active.GetPool()).wait_queue.RecordServed(is_late, m_clock.GetNow());
+  state.wait_queue->OnServed({active.GetTicket(), active.GetMatch().priority, is_late, {}}, m_clock.GetNow());
+  if (state.has_priorities) {
+    m_metrics.CountPriority(active.GetPool(), active.GetMatch().priority, PriorityEvent::kDispatched);
+  }
   active.StartAttempt(choice, MakeAttemptWeights(query, choice));
   return true;
 }
 
+bool ForwardTraffic::MaySendLate(const PoolState& state, const EndpointQuery& query,
+                                 const ActiveRequest& active) const {
+  if (state.wait_queue->IsDue(active.GetTicket())) return true;
+  return state.spare_capacity.AllowsLate(m_balancer.GetUsableOwnSlots(query), m_clock.GetNow(),
+                                         state.GetLevel(active.GetMatch().priority));
+}
+
 void ForwardTraffic::Enqueue(ActiveRequest& active) {
   if (!m_quarantine.IsEmpty() && m_quarantine.Admit(GetContentKeys(active)) == ContentAdmission::kBlocked) {
     RefuseBlocked(active);
@@ -328,10 +365,11 @@
     return;
   }
   const TimePoint now = m_clock.GetNow();
-  WaitQueue& wait_queue = GetPool(active.GetPool()).wait_queue;
+  RequestQueue& wait_queue = *GetPool(active.GetPool()).wait_queue;
   // A hedge may be waiting whose request has lost its other attempt meanwhile.
   wait_queue.Remove(active.GetTicket());
-  const WaitingRequest entry{active.GetTicket(), active.GetMatch().priority, IsLate(active), now + GetMaxWait(active)};
+  const WaitingRequest entry{active.GetTicket(), active.GetMatch().priority, IsLate(active), now + GetMaxWait(active),
+                             GetFlow(active.GetMatch())};
   NoEndpointReason why = NoEndpointReason::kBusy;
   if (wait_queue.GetSize() == 0 && TryDispatch(active, why)) return;
   if (why != NoEndpointReason::kBusy) {
@@ -340,6 +378,7 @@
   }
   if (CanServeInTime(entry, active.GetPool())) {
     wait_queue.Add(entry);
+    RefuseTickets(wait_queue.RemoveHopeless(entry.priority, now), PriorityEvent::kShed);
   } else if (const WaitingRequest late = MakeLateEntry(entry, active); CanServeInTime(late, active.GetPool())) {
     // The request will miss its latency goal, but a late response costs the caller less than another round trip.
     wait_queue.Add(late);
@@ -350,10 +389,25 @@
   if (wait_queue.GetSize() > 1) DispatchQueued(active.GetPool());
 }
 
+// Refuses requests that have been removed from a queue because their turn would come too late.
+void ForwardTraffic::RefuseTickets(const std::vector<WaitTicket>& tickets, PriorityEvent event) {
+  for (const WaitTicket ticket : tickets) {
+    const auto found = m_active_requests.find(ticket);
+    if (found == m_active_requests.end()) continue;
+    const std::shared_ptr<ActiveRequest> active = found->second;
+    if (event == PriorityEvent::kShed) {
+      m_metrics.CountPriority(active->GetPool(), active->GetMatch().priority, event);
+      active->RefuseAttempt(ForwardFailure::kOverloaded, "more urgent requests came before it");
+    } else {
+      RefuseQueued(*active, ForwardFailure::kOverloaded);
+    }
+  }
+}
+
 bool ForwardTraffic::CanServeInTime(const WaitingRequest& entry, const PoolName& pool) {
   const TimePoint now = m_clock.GetNow();
   return now + m_balancer.GetStatedPause(pool) < entry.wait_until &&
-         GetPool(pool).wait_queue.CanServeInTime(entry, now);
+         GetPool(pool).wait_queue->CanServeInTime(entry, now);
 }
 
 WaitingRequest ForwardTraffic::MakeLateEntry(WaitingRequest entry, const ActiveRequest& active) const {
@@ -364,6 +418,9 @@
 }
 
 void ForwardTraffic::RefuseQueued(ActiveRequest& active, ForwardFailure failure) {
+  if (GetPool(active.GetPool()).has_priorities) {
+    m_metrics.CountPriority(active.GetPool(), active.GetMatch().priority, PriorityEvent::kRefused);
+  }
   active.RefuseAttempt(failure, failure == ForwardFailure::kOverloaded ? "its turn would come too late"
                                                                        : "no endpoint accepts the request");
 }
@@ -396,10 +453,10 @@
 
 void ForwardTraffic::RefuseUnservable() {
   for (auto& [pool, state] : m_pools) {
-    for (const WaitTicket ticket : state.wait_queue.GetNext(state.wait_queue.GetSize())) {
+    for (const WaitTicket ticket : state.wait_queue->GetNext(state.wait_queue->GetSize())) {
       const auto found = m_active_requests.find(ticket);
       if (found == m_active_requests.end() || m_balancer.HasEligible(MakeQuery(*found->second))) continue;
-      state.wait_queue.Remove(ticket);
+      state.wait_queue->Remove(ticket);
       const std::shared_ptr<ActiveRequest> active = found->second;
       RefuseQueued(*active, ForwardFailure::kNoEndpoint);
     }
@@ -407,7 +464,7 @@
 }
 
 void ForwardTraffic::DispatchQueued(const PoolName& pool) {
-  WaitQueue& wait_queue = m_pools[pool].wait_queue;
+  RequestQueue& wait_queue = *GetPool(pool).wait_queue;
   bool has_dispatched = true;
   while (has_dispatched && wait_queue.GetSize() > 0) {
     has_dispatched = false;
@@ -434,13 +491,9 @@
   m_balancer.GetStatements().GrantDue();
   LogStatementChanges();
   for (auto& [pool, state] : m_pools) {
-    for (const WaitTicket ticket : state.wait_queue.RemoveExpired(now)) {
-      const auto found = m_active_requests.find(ticket);
-      if (found == m_active_requests.end()) continue;
-      const std::shared_ptr<ActiveRequest> active = found->second;
-      RefuseQueued(*active, ForwardFailure::kOverloaded);
-    }
+    RefuseTickets(state.wait_queue->RemoveExpired(now), PriorityEvent::kRefused);
     DispatchQueued(pool);
+    if (state.has_priorities) CountWaiting(pool, state);
   }
   std::vector<std::shared_ptr<ActiveRequest>> all;
   all.reserve(m_active_requests.size());
@@ -448,18 +501,22 @@
   for (const auto& active : all) active->CheckDue(now);
 }
 
+void ForwardTraffic::CountWaiting(const PoolName& pool, const PoolState& state) {
+  std::map<uint32_t, size_t> counts;
+  for (const uint32_t priority : m_matcher->GetPriorities(pool)) counts[priority] = 0;
+  for (const WaitingRequest& request : state.wait_queue->GetRequests()) ++counts[request.priority];
+  for (const auto& [priority, count] : counts) m_metrics.SetWaiting(pool, priority, count);
+}
+
 Duration ForwardTraffic::GetRetryAfter(const ActiveRequest& active) {
-  const TimePoint now = m_clock.GetNow();
-  const Duration turn = GetPool(active.GetPool()).wait_queue.EstimateWait(active.GetMatch().priority, now);
-  // Jitter keeps callers that were refused together from retrying together.
-  const double jitter = 0.75 + 0.5 * m_random.GetUnit();
-  const Duration base = std::max<Duration>(turn, kNoEndpointRetryAfter);
-  const auto usual =
-      std::clamp<Duration>(std::chrono::duration_cast<Duration>(base * jitter), kMinRetryAfter, kMaxRetryAfter);
-  const Duration pause = m_balancer.GetStatedPause(active.GetPool());
-  if (pause <= Duration::zero()) return usual;
-  const auto after_pause = pause + std::chrono::duration_cast<Duration>(kMinRetryAfter * jitter);
-  return std::min<Duration>(std::max<Duration>(usual, after_pause), kMaxPausedRetryAfter);
+  const uint32_t priority = active.GetMatch().priority;
+  RetryAfterQuery query;
+  query.turn = GetPool(active.GetPool()).wait_queue->EstimateWait(priority, m_clock.GetNow());
+  query.pause = m_balancer.GetStatedPause(active.GetPool());
+  const std::set<uint32_t>& priorities = active.GetMatcher().GetPriorities(active.GetPool());
+  query.priorities = std::max<size_t>(1, priorities.size());
+  query.rank = static_cast<size_t>(std::distance(priorities.begin(), priorities.lower_bound(priority)));
+  return ComputeRetryAfter(query, m_random);
 }
 
 void ForwardTraffic::OnPrefillDone(ActiveRequest& active, const EndpointId& endpoint) {
@@ -470,42 +527,15 @@
   const ResponseHead& head = *attempt.head;
   const EndpointId& endpoint = attempt.choice.endpoint;
   EndpointStatements& statements = m_balancer.GetStatements();
-  if (!head.malformed_rate.empty()) {
-    LogEvent(LogLevel::kWarn, "endpoint_rate_malformed", {{"endpoint", endpoint}, {"value", head.malformed_rate}});
-  } else if (statements.OnResponse(endpoint, head.requests_per_s)) {
-    m_has_statement_news = true;
-  }
-  if (!head.malformed_leaving.empty()) {
-    LogEvent(LogLevel::kWarn, "endpoint_leaving_malformed",
-             {{"endpoint", endpoint}, {"value", head.malformed_leaving}});
-  }
-  if (!head.malformed_pause.empty()) {
-    LogEvent(LogLevel::kWarn, "endpoint_pause_malformed", {{"endpoint", endpoint}, {"value", head.malformed_pause}});
-  }
+  LogMalformedStatements(endpoint, head);
+  const bool is_new_rate = head.malformed_rate.empty() && statements.OnResponse(endpoint, head.requests_per_s);
+  if (is_new_rate) m_has_statement_news = true;
   if (statements.OnPause(endpoint, attempt.incarnation, head.pause)) m_has_statement_news = true;
   if (head.is_leaving && statements.OnLeaving(endpoint, attempt.incarnation)) m_has_statement_news = true;
 }
 
 void ForwardTraffic::LogStatementChanges() {
-  for (const EndpointStatements::Change& change : m_balancer.GetStatements().TakeChanges()) {
-    const std::string_view source = change.is_from_peer ? "peer" : "own";
-    switch (change.kind) {
-      case StatementKind::kRate:
-        LogEvent(LogLevel::kInfo, "endpoint_rate",
-                 {{"endpoint", change.endpoint},
-                  {"per_s", change.per_s.has_value() ? std::to_string(*change.per_s) : "none"},
-                  {"source", source},
-                  {"is_granting", change.is_granting}});
-        break;
-      case StatementKind::kLeaving:
-        LogEvent(LogLevel::kInfo, "endpoint_leaving", {{"endpoint", change.endpoint}, {"source", source}});
-        break;
-      case StatementKind::kPause:
-        LogEvent(LogLevel::kInfo, "endpoint_pause",
-                 {{"endpoint", change.endpoint}, {"left_ms", ToMilliseconds(change.pause_left)}, {"source", source}});
-        break;
-    }
-  }
+  for (const EndpointStatements::Change& change : m_balancer.GetStatements().TakeChanges()) LogStatementChange(change);
   m_metrics.SetLimitedEndpoints(m_balancer.GetStatements().GetLimitCount());
 }
 
@@ -523,13 +553,7 @@
                                      ? m_balancer.OnSilent(endpoint, attempt.incarnation, attempt.received_at)
                                      : m_balancer.ReviewSilence(endpoint, attempt.incarnation, attempt.received_at);
   if (finding == attempt.silence) return finding;
-  LogEvent(LogLevel::kInfo, "endpoint_silent",
-           {{"request", active.GetRequest().id},
-            {"endpoint", endpoint},
-            {"silent_ms", ToMilliseconds(m_clock.GetNow() - attempt.received_at)},
-            {"is_pause", finding == SilenceFinding::kPause},
-            {"has_events", active.HasEvents()},
-            {"attempt", attempt.number}});
+  LogSilentAttempt(active, attempt, finding, m_clock.GetNow());
   return finding;
 }
 
@@ -563,23 +587,7 @@
   spare_capacity.OnEnded(active.GetTicket());
   if (end == AttemptEnd::kSuccess) spare_capacity.OnAnswered(m_clock.GetNow() - attempt.sent_at);
   if (end == AttemptEnd::kConnectionLost && progress != AnswerProgress::kBegun) RecordCrash(active, attempt);
-  if (end == AttemptEnd::kSuccess) return;
-  const TimePoint now = m_clock.GetNow();
-  LogEvent(LogLevel::kInfo, "attempt_failed",
-           {{"request", active.GetRequest().id},
-            {"endpoint", attempt.choice.endpoint},
-            {"pool", active.GetPool()},
-            {"end", GetAttemptEndName(end)},
-            {"progress", GetAnswerProgressName(progress)},
-            {"after_ms", ToMilliseconds(now - active.GetStart())},
-            {"sent_ms", ToMilliseconds(attempt.sent_at - active.GetStart())},
-            {"silent_ms", ToMilliseconds(now - attempt.received_at)},
-            {"attempt", attempt.number},
-            {"is_last", active.IsWaiting()},
-            {"prompt", FormatParts(active.GetRequest().shared_parts)},
-            {"content", end == AttemptEnd::kConnectionLost ? active.GetRequestKey().id : ""},
-            {"version", GetVersionNumber(attempt.choice.version)},
-            {"min_version", GetVersionNumber(attempt.choice.min_version)}});
+  if (end != AttemptEnd::kSuccess) LogFailedAttempt(active, attempt, end, m_clock.GetNow());
 }
 
 void ForwardTraffic::BeginDrain(TimePoint refuse_from, TimePoint end) {
@@ -596,22 +604,13 @@
 }
 
 void ForwardTraffic::LogUnfinished() const {
-  for (const auto& [ticket, active] : m_active_requests) {
-    const ActiveRequestOutcome& outcome = active->GetOutcome();
-    LogEvent(LogLevel::kWarn, "request_cut",
-             {{"request", active->GetRequest().id},
-              {"endpoint", outcome.choice.endpoint},
-              {"attempts", outcome.attempts},
-              {"is_waiting", active->IsWaiting()},
-              {"has_events", active->HasEvents()},
-              {"age_ms", ToMilliseconds(m_clock.GetNow() - active->GetStart())}});
-  }
+  for (const auto& [ticket, active] : m_active_requests) LogUnfinishedRequest(*active, m_clock.GetNow());
 }
 
 void ForwardTraffic::RequestAttempt(ActiveRequest& active) { Enqueue(active); }
 
 void ForwardTraffic::WithdrawHedge(ActiveRequest& active) {
-  GetPool(active.GetPool()).wait_queue.Remove(active.GetTicket());
+  GetPool(active.GetPool()).wait_queue->Remove(active.GetTicket());
   ReturnRetry(active);
 }
 
@@ -627,34 +626,11 @@
 }
 
 void ForwardTraffic::OnRequestEnded(ActiveRequest& active) {
-  const ActiveRequestOutcome& outcome = active.GetOutcome();
-  const RouteMatch& match = active.GetMatch();
-  m_metrics.CountFinishedRequest(match.rule->kind, outcome);
-  LogEvent(
-      LogLevel::kInfo, "request_end",
-      {{"request", active.GetRequest().id},
-       {"route", match.rule->name},
-       {"workspace", match.workspace == nullptr ? WorkspaceName() : match.workspace->name},
-       {"status", outcome.status},
-       {"failure", GetForwardFailureName(outcome.failure)},
-       {"reason", outcome.reason},
-       {"waiting", GetPool(active.GetPool()).wait_queue.GetSize()},
-       {"attempts", outcome.attempts},
-       {"endpoint", outcome.choice.endpoint},
-       {"load", outcome.choice.load},
-       {"load_age_ms", outcome.choice.load_age == Duration::max() ? -1 : ToMilliseconds(outcome.choice.load_age)},
-       {"wait_ms", ToMilliseconds(outcome.wait_time)},
-       {"expected_ms", ToMilliseconds(outcome.choice.expected)},
-       {"first_ms", outcome.first_event.has_value() ? ToMilliseconds(*outcome.first_event) : -1},
-       {"version", GetVersionNumber(outcome.choice.version)},
-       {"min_version", GetVersionNumber(outcome.choice.min_version)},
-       {"limit_ms",
-        outcome.choice.until_limit.has_value() ? std::to_string(ToMilliseconds(*outcome.choice.until_limit)) : "none"},
-       {"total_ms", ToMilliseconds(outcome.total)},
-       {"config", active.GetMatcher().GetDocument().version}});
+  m_metrics.CountFinishedRequest(active.GetMatch().rule->kind, active.GetOutcome());
+  LogEndedRequest(active, GetPool(active.GetPool()).wait_queue->GetSize());
   const auto found = m_active_requests.find(active.GetTicket());
   if (found == m_active_requests.end()) return;
-  GetPool(active.GetPool()).wait_queue.Remove(active.GetTicket());
+  GetPool(active.GetPool()).wait_queue->Remove(active.GetTicket());
   m_ended_requests.push_back(std::move(found->second));
   m_active_requests.erase(found);
   m_metrics.SetInFlight(m_active_requests.size());
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -22,10 +23,10 @@
 #include "http_drain.h"
 #include "http_server.h"
 #include "random.h"
+#include "request_queue.h"
 #include "retry_budget.h"
 #include "route_match.h"
 #include "spare_capacity.h"
-#include "wait_queue.h"
 
 namespace plantain {
 
@@ -82,15 +83,23 @@
 
   // Returns the recent request rate for each pool, in requests/s.
   std::map<PoolName, double> GetDemand() const;
+  // Returns the same by priority, of the pools that share their slots by priority.
+  std::map<PoolName, PriorityDemand> GetPriorityDemand() const;
 
  private:
   // Averaging window of the request rate. Longer than the gaps between requests of an entry with little traffic.
   static constexpr Duration kDemandWindow = std::chrono::seconds(2);
 
   struct PoolState {
-    WaitQueue wait_queue;
+    // Returns the priority as far as it matters in this pool.
+    uint32_t GetLevel(uint32_t priority) const { return has_priorities ? priority : 0; }
+
+    // Whether its requests differ in priority, so that `wait_queue` orders by it.
+    bool has_priorities = false;
+    std::unique_ptr<RequestQueue> wait_queue;
     std::unique_ptr<RetryBudget> budget;
     EventRate demand{kDemandWindow};
+    std::map<uint32_t, EventRate> priority_demand;
     FirstEventDelay first_event_delay;
     SpareCapacity spare_capacity;
   };
@@ -100,6 +109,7 @@
   bool ExceedsDrainDeadline(const ForwardRequest& request, const RouteRule& rule) const;
   void StartRequest(ForwardRequest request, const RouteMatch& match, const std::shared_ptr<HttpResponder>& responder);
   void Enqueue(ActiveRequest& active);
+  void RefuseTickets(const std::vector<WaitTicket>& tickets, PriorityEvent event);
   // Refuses queued requests that no endpoint may run any more.
   void RefuseUnservable();
   bool HasMissedGoal(const ActiveRequest& active) const;
@@ -117,6 +127,7 @@
   EndpointQuery MakeQuery(const ActiveRequest& active) const;
   // Sends a request to an endpoint if one takes it; a late one only if other requests do not need the slot.
   bool TryDispatch(ActiveRequest& active, NoEndpointReason& why);
+  bool MaySendLate(const PoolState& state, const EndpointQuery& query, const ActiveRequest& active) const;
   void RefuseQueued(ActiveRequest& active, ForwardFailure failure);
   std::vector<ContentKey> GetContentKeys(const ActiveRequest& active) const;
   bool EndangersEndpoints(const ActiveRequest& active) const;
@@ -125,6 +136,8 @@
   void LogStatementChanges();
   void DispatchQueued(const PoolName& pool);
   PoolState& GetPool(const PoolName& pool);
+  void SelectQueue(const PoolName& pool, PoolState& state);
+  void CountWaiting(const PoolName& pool, const PoolState& state);
   double GetRetryReserve() const;
   AttemptWeights MakeAttemptWeights(const EndpointQuery& query, const EndpointChoice& choice) const;
   Duration GetRetryAfter(const ActiveRequest& active);
--- a/src/route_match.cpp
+++ b/src/route_match.cpp
@@ -30,6 +30,25 @@
     for (const std::string& key : workspace.keys) m_workspaces_by_key.emplace(key, &workspace);
   }
   for (const PoolSpec& pool : m_document->pools) m_pools.emplace(pool.name, &pool);
+  for (const RouteRule& rule : m_document->routes) CollectPriorities(rule);
+}
+
+void RouteMatcher::CollectPriorities(const RouteRule& rule) {
+  std::set<uint32_t> priorities;
+  const bool needs_key = m_document->has_workspaces && !rule.is_public;
+  if (!needs_key) priorities.insert(rule.priority);
+  if (needs_key) {
+    for (const WorkspaceKeys& workspace : m_document->workspaces) {
+      priorities.insert(workspace.priority.value_or(rule.priority));
+    }
+  }
+  for (const RouteTarget& target : rule.targets) m_priorities[target.pool].insert(priorities.begin(), priorities.end());
+}
+
+const std::set<uint32_t>& RouteMatcher::GetPriorities(const PoolName& pool) const {
+  static const std::set<uint32_t> none;
+  const auto found = m_priorities.find(pool);
+  return found == m_priorities.end() ? none : found->second;
 }
 
 RouteMatch RouteMatcher::Match(std::string_view host, std::string_view path, std::string_view key) const {
--- a/src/route_match.h
+++ b/src/route_match.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -41,12 +42,21 @@
   // Returns the pool, or null if the document does not define it.
   const PoolSpec* FindPool(const PoolName& name) const;
 
+  // Returns the priorities that requests to a pool can have.
+  const std::set<uint32_t>& GetPriorities(const PoolName& pool) const;
+
+  // Whether the requests to a pool differ in priority, so that its slots are shared by priority.
+  bool HasPriorities(const PoolName& pool) const { return GetPriorities(pool).size() > 1; }
+
  private:
+  void CollectPriorities(const RouteRule& rule);
+
   const std::shared_ptr<const RoutingDocument> m_document;
   // Routes by host in lower case, longest prefix first.
   std::unordered_map<std::string, std::vector<const RouteRule*>> m_routes_by_host;
   std::unordered_map<std::string, const WorkspaceKeys*> m_workspaces_by_key;
   std::map<PoolName, const PoolSpec*> m_pools;
+  std::map<PoolName, std::set<uint32_t>> m_priorities;
 };
 
 // Selects a target pool of the route by weighted random choice.
--- a/src/slot_share.h
+++ b/src/slot_share.h
@@ -13,11 +13,20 @@
 
 namespace plantain {
 
+// Offered load of one entry in a pool that shares its slots by priority.
+struct PriorityDemand {
+  std::map<uint32_t, double> requests_per_s;
+  // Mean time that a request holds a slot; 0 if not known.
+  double held_s = 0;
+};
+
 // Offered load of one entry, in requests per second for each pool.
 struct EntryDemand {
   VmId entry;
   ZoneName zone;
   std::map<PoolName, double> requests_per_s;
+  // Of the pools that share their slots by priority, unless the entry does not state it.
+  std::map<PoolName, PriorityDemand> by_priority{};
 };
 
 // Share of the slots of an endpoint, as a sub-range of 0 to 1.
--- a/src/spare_capacity.h
+++ b/src/spare_capacity.h
@@ -3,6 +3,8 @@
 #ifndef PLANTAIN_SPARE_CAPACITY_H_
 #define PLANTAIN_SPARE_CAPACITY_H_
 
+#include <cstdint>
+#include <map>
 #include <set>
 
 #include "core_type.h"
@@ -17,22 +19,28 @@
 // for as long as the load lasts. So late requests together hold no more slots than new requests leave on average: the
 // slots of this entry without the product of the arrival rate of new requests and the time that a request holds a slot.
 // Arrivals count whether they are served or refused, so that the estimate does not depend on what was done before.
+//
+// In a pool with several priorities only new requests that are at least as urgent as the late one count. Others that
+// already wait go before it (PriorityWaitQueue), but no slot is kept free for those that have not arrived yet.
 class SpareCapacity {
  public:
   // Records a request of a caller that can still be answered in time.
-  void OnNewRequest(TimePoint now) { m_new_requests.Count(now); }
+  void OnNewRequest(TimePoint now, uint32_t priority = 0);
   void OnLateSent(WaitTicket ticket) { m_late.insert(ticket); }
   // Records that an attempt has ended, and the time that a complete answer took.
   void OnEnded(WaitTicket ticket) { m_late.erase(ticket); }
   void OnAnswered(Duration held);
 
   // Whether one more late request may be sent, if this entry may use `slots` at endpoints that accept requests.
-  bool AllowsLate(uint32_t slots, TimePoint now) const;
+  bool AllowsLate(uint32_t slots, TimePoint now, uint32_t priority = 0) const;
+
+  // Returns the mean time that a request holds a slot; 0 before the first answer.
+  double GetHeldSeconds() const { return m_held_s; }
 
  private:
   static constexpr Duration kRateWindow = std::chrono::seconds(2);
 
-  EventRate m_new_requests{kRateWindow};
+  std::map<uint32_t, EventRate> m_new_requests;
   // Mean time that a request holds a slot; 0 before the first answer.
   double m_held_s = 0;
   // Late requests that have been sent and have not ended.
--- a/src/wait_queue.cpp
+++ b/src/wait_queue.cpp
@@ -83,6 +83,13 @@
   if (is_late) m_late_service_rate.Count(now);
 }
 
+std::vector<WaitingRequest> WaitQueue::GetRequests() const {
+  std::vector<WaitingRequest> requests(m_requests.begin(), m_requests.end());
+  std::sort(requests.begin(), requests.end(),
+            [](const WaitingRequest& a, const WaitingRequest& b) { return a.ticket < b.ticket; });
+  return requests;
+}
+
 std::vector<WaitTicket> WaitQueue::RemoveExpired(TimePoint now) {
   std::vector<WaitTicket> expired;
   for (auto request = m_requests.begin(); request != m_requests.end();) {
