Share the slots of all entries by priority, and tell engines the priority

Cause: each entry among many owns few slots (7 of 480 with 65 entries), so that urgent requests missed their target there while other entries gave slots to less urgent ones, whatever the order of the local queue.

Change: beacons state the demand of such pools by priority and the time that a request holds a slot (PoolDemand, fields 3 and 4); ComputePriorityDemand gives the slots of a zone to the demand of high priority first, with floors of one eighth. More urgent requests may wait at an endpoint (one place for each priority below theirs, at most two, divided among entries as the slots are), and the least urgent ones are sent only to free slots. Engines get Plantainmast-Request-Priority; a value of the caller is not forwarded. The estimate of when a request is served counts the floor of its priority. The simulation of overload has kinds with priority, target and value, bursts, and an entry that is killed or cut off.

--- a/src/beacon_table.cpp
+++ b/src/beacon_table.cpp
@@ -23,6 +23,7 @@
 constexpr size_t kMaxBeacons = 4096;
 constexpr int kMaxFetches = 8;
 constexpr int kMaxPools = 64;
+constexpr int kMaxPriorities = 16;
 // Larger ages, above one hour, are sent and taken as this one; their limits passed long ago.
 constexpr int64_t kMaxWantedAgeMs = 3'600'000;
 // The same for ages of what is known about prompt parts, which is forgotten after hours.
@@ -57,6 +58,27 @@
   return load;
 }
 
+void EncodePriorityDemand(const PriorityDemand& demand, proto::PoolDemand& out) {
+  out.set_held_s(demand.held_s);
+  for (const auto& [priority, per_s] : demand.requests_per_s) {
+    if (out.priorities_size() >= kMaxPriorities) return;
+    proto::PriorityRate* rate = out.add_priorities();
+    rate->set_priority(priority);
+    rate->set_per_s(per_s);
+  }
+}
+
+bool IsAmount(double value) { return std::isfinite(value) && value >= 0; }
+
+PriorityDemand DecodePriorityDemand(const proto::PoolDemand& in) {
+  PriorityDemand demand;
+  if (IsAmount(in.held_s())) demand.held_s = in.held_s();
+  for (const proto::PriorityRate& rate : in.priorities()) {
+    if (IsAmount(rate.per_s())) demand.requests_per_s[rate.priority()] = rate.per_s();
+  }
+  return demand;
+}
+
 uint64_t EncodeAge(Duration age) { return static_cast<uint64_t>(std::max<int64_t>(0, ToMilliseconds(age))); }
 
 Duration DecodeAge(uint64_t age_ms) { return Milliseconds(std::min(age_ms, kMaxPromptAgeMs)); }
@@ -171,6 +193,9 @@
   }
   is_cut |= Truncate(*message.mutable_fetches(), kMaxFetches);
   is_cut |= Truncate(*message.mutable_demand(), kMaxPools);
+  for (proto::PoolDemand& demand : *message.mutable_demand()) {
+    is_cut |= Truncate(*demand.mutable_priorities(), kMaxPriorities);
+  }
   is_cut |= Truncate(*message.mutable_wanted(), static_cast<int>(kMaxWantedAges));
   is_cut |= Truncate(*message.mutable_content_evidence(), kMaxContentReports);
   is_cut |= Truncate(*message.mutable_statements(), kMaxStatements);
@@ -262,6 +287,8 @@
     proto::PoolDemand* demand = message.add_demand();
     demand->set_pool(pool.Get());
     demand->set_per_s(per_s);
+    const auto split = beacon.priority_demand.find(pool);
+    if (split != beacon.priority_demand.end()) EncodePriorityDemand(split->second, *demand);
   }
   for (const WantedAge& wanted : beacon.wanted) {
     proto::WantedVersion* out = message.add_wanted();
@@ -302,6 +329,9 @@
   }
   for (const proto::PoolDemand& demand : message.demand()) {
     if (std::isfinite(demand.per_s())) beacon.demand[PoolName(demand.pool())] = demand.per_s();
+    if (!demand.priorities().empty()) {
+      beacon.priority_demand[PoolName(demand.pool())] = DecodePriorityDemand(demand);
+    }
   }
   for (const proto::WantedVersion& wanted : message.wanted()) {
     if (wanted.model().empty() || wanted.version() == 0) continue;
--- a/src/beacon_table.h
+++ b/src/beacon_table.h
@@ -52,6 +52,8 @@
   std::vector<HoldingInfo> fetches;
   // Rate of incoming requests per pool at an entry, in requests/s.
   std::map<PoolName, double> demand;
+  // The same by priority, of pools that share their slots by priority; empty if the entry does not state it.
+  std::map<PoolName, PriorityDemand> priority_demand;
   // Ages of the weight versions that it knows to be wanted.
   std::vector<WantedAge> wanted;
   // Contents at which endpoints may crash, as the sender knows them.
--- a/src/endpoint_balancer.cpp
+++ b/src/endpoint_balancer.cpp
@@ -138,7 +138,8 @@
     uint32_t total_own_slots = 0;
     for (State* state : states) {
       state->share = shares.GetDemandShare();
-      state->own_slots = GetOwnSlots(shares.GetRange(state->info.zone), state->info.id, GetSlots(*state));
+      state->range = shares.GetRange(state->info.zone);
+      state->own_slots = GetOwnSlots(state->range, state->info.id, GetSlots(*state));
       total_own_slots += state->own_slots;
     }
     // Plain endpoints report no load, and a pool may have fewer slots than there are entries.
@@ -244,7 +245,7 @@
   if (state.pause_until > now) return Availability::kBusy;
   if (m_statements.GetPauseLeft(state.info.id, state.info.incarnation) > Duration::zero()) return Availability::kBusy;
   if (!IsServing(state, query, now)) return Availability::kBusy;
-  if (GetRoom(state, now) == 0) return Availability::kBusy;
+  if (GetRoomFor(state, query, now) == 0) return Availability::kBusy;
   if (!m_statements.IsAvailable(state.info.id)) return Availability::kBusy;
   if (state.cold_requests_per_s > 0) {
     RefillRateTokens(state, now);
--- a/src/endpoint_balancer.h
+++ b/src/endpoint_balancer.h
@@ -74,6 +74,9 @@
   std::optional<WeightVersion> min_version;
   // The only version that the request may use, since the caller has received events of it; unset if there is none.
   std::optional<WeightVersion> exact_version;
+  // In a pool that shares its slots by priority, how many requests may be at an endpoint beyond its slots when this one
+  // is sent; unset in other pools.
+  std::optional<uint32_t> overcommit;
   // Endpoints that this request has already tried.
   std::span<const EndpointId> excluded;
 };
@@ -172,6 +175,8 @@
     // entries do.
     double share = 1;
     uint32_t own_slots = 1;
+    // This entry's range of the slots.
+    ShareRange range;
     // Whether this entry may send one request at a time while the endpoint's load is unknown.
     bool may_probe = true;
     // Maximum number of requests of this entry until the next report: its own slots, or its requests in flight plus its
@@ -228,6 +233,10 @@
   static uint32_t GetSlots(const State& state);
   // Returns how many more requests this entry may send to an endpoint now, at most.
   uint32_t GetRoom(const State& state, TimePoint now) const;
+  // Returns the same for a request, by its priority. An entry among many owns too few slots to serve an urgent request
+  // in time. So urgent requests may wait at the endpoint, which admits them first, and the least urgent ones are sent
+  // only to free slots. The places to wait at are divided among entries as the slots are.
+  uint32_t GetRoomFor(const State& state, const EndpointQuery& query, TimePoint now) const;
   State* FindRun(const EndpointId& id, Incarnation incarnation);
   void ApplyPoolSpecs();
   void AssignSlots();
--- a/src/forward_service.cpp
+++ b/src/forward_service.cpp
@@ -147,6 +147,7 @@
 void ForwardService::FillBeacon(BeaconInfo& beacon) {
   const std::lock_guard lock(m_beacon_mutex);
   beacon.demand = m_demand;
+  beacon.priority_demand = m_priority_demand;
   beacon.content_reports = m_content_reports;
   AddAge(beacon.content_reports, m_parts.clock.GetNow() - m_content_reports_at);
   beacon.statements = m_statement_report;
@@ -161,7 +162,7 @@
   m_loop.Post([this, view = MakeEntryView(), loads = std::exchange(m_loads, {}),
                statement_reports = std::exchange(m_received_statement_reports, {})]() mutable {
     if (m_traffic == nullptr) return;
-    view.entries.push_back({m_parts.vm, m_parts.zone, m_traffic->GetDemand()});
+    view.entries.push_back({m_parts.vm, m_parts.zone, m_traffic->GetDemand(), m_traffic->GetPriorityDemand()});
     ShareState(view.entries.back().requests_per_s);
     m_traffic->SetEntries(std::move(view));
     for (const auto& [from, report] : statement_reports) m_traffic->ApplyStatementReport(from, report);
@@ -175,7 +176,7 @@
   for (const BeaconInfo* beacon : m_relay.GetBeacons().GetLiveBeacons()) {
     view.named.insert(beacon->entries.begin(), beacon->entries.end());
     if (!beacon->is_entry) continue;
-    view.entries.push_back({beacon->vm, beacon->zone, beacon->demand});
+    view.entries.push_back({beacon->vm, beacon->zone, beacon->demand, beacon->priority_demand});
     const auto heard = std::find(beacon->entries.begin(), beacon->entries.end(), m_parts.vm);
     view.is_heard_by_all = view.is_heard_by_all && heard != beacon->entries.end();
   }
@@ -198,8 +199,10 @@
 void ForwardService::ShareState(std::map<PoolName, double> demand) {
   std::vector<ContentReport> content_reports = m_traffic->GetContentReports();
   StatementReport statement_report = m_traffic->GetStatementReport();
+  std::map<PoolName, PriorityDemand> priority_demand = m_traffic->GetPriorityDemand();
   const std::lock_guard lock(m_beacon_mutex);
   m_demand = std::move(demand);
+  m_priority_demand = std::move(priority_demand);
   m_content_reports = std::move(content_reports);
   m_content_reports_at = m_parts.clock.GetNow();
   m_statement_report = std::move(statement_report);
--- a/src/forward_service.h
+++ b/src/forward_service.h
@@ -69,9 +69,10 @@
   std::unique_ptr<Timer> m_tick_timer;
   // Requests in progress as of the last tick, for /status.
   std::atomic<size_t> m_in_flight = 0;
-  // Guards the next four, which the traffic loop writes and the control thread reads.
+  // Guards the next five, which the traffic loop writes and the control thread reads.
   std::mutex m_beacon_mutex;
   std::map<PoolName, double> m_demand;
+  std::map<PoolName, PriorityDemand> m_priority_demand;
   std::vector<ContentReport> m_content_reports;
   // When the content reports were made.
   TimePoint m_content_reports_at;
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -33,6 +33,9 @@
 // Number of queued requests that are tried when an endpoint may have become free. Requests at the head of the queue may
 // need other endpoints than those behind them.
 constexpr size_t kDispatchWindow = 6;
+// Most requests at an endpoint beyond its slots, in pools with several priorities. An endpoint with 12 slots and
+// answers of 1.4 s begins one of them about every 120 ms.
+constexpr uint32_t kMaxOvercommit = 2;
 // Fractions of the fleet-wide retry budget that all entries together use, since they do not exchange their retry
 // counts. The fixed part is divided by the number of known entries, but at least by kMinEntries: an entry that has just
 // started does not know the others yet.
@@ -211,6 +214,9 @@
   const WaitTicket ticket = m_next_ticket;
   const PoolName& pool = SelectPool(*match.rule, m_random);
   PoolState& state = GetPool(pool);
+  const PoolSpec* spec = m_matcher->FindPool(pool);
+  request.has_pool_priorities = state.has_priorities;
+  if (state.has_priorities && spec != nullptr && spec->engine.has_value()) request.endpoint_priority = match.priority;
   auto active =
       std::make_shared<ActiveRequest>(m_request_deps, std::move(request), match, m_matcher, pool, ticket, responder);
   m_active_requests.emplace(ticket, active);
@@ -281,12 +287,24 @@
   return versions;
 }
 
+// Returns one for each priority below the request's, since a request that waits at an endpoint leaves room for more
+// urgent ones. A request that is owed a slot goes before all others.
+std::optional<uint32_t> ForwardTraffic::GetOvercommit(const ActiveRequest& active) const {
+  const auto pool = m_pools.find(active.GetPool());
+  if (pool == m_pools.end() || !pool->second.has_priorities) return std::nullopt;
+  if (pool->second.wait_queue->IsDue(active.GetTicket())) return kMaxOvercommit;
+  const std::set<uint32_t>& priorities = m_matcher->GetPriorities(active.GetPool());
+  const auto below = std::distance(priorities.upper_bound(active.GetMatch().priority), priorities.end());
+  return std::min(kMaxOvercommit, static_cast<uint32_t>(below));
+}
+
 EndpointQuery ForwardTraffic::MakeQuery(const ActiveRequest& active) const {
   EndpointQuery query;
   query.pool = active.GetPool();
   query.rule = active.GetMatch().rule;
   query.workspace = active.GetMatch().workspace;
   query.excluded = active.GetTriedEndpoints();
+  query.overcommit = GetOvercommit(active);
   if (!active.GetModel().IsEmpty()) {
     query.model = active.GetModel();
     query.prompt_tokens = active.GetRequest().prompt_tokens;
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -125,6 +125,8 @@
   std::optional<WeightVersion> GetMinVersion(const ModelName& model) const;
   std::map<ModelName, WeightVersion> GetMinVersions() const;
   EndpointQuery MakeQuery(const ActiveRequest& active) const;
+  // Returns how many requests may be at an endpoint beyond its slots when this one is sent; unset without priorities.
+  std::optional<uint32_t> GetOvercommit(const ActiveRequest& active) const;
   // Sends a request to an endpoint if one takes it; a late one only if other requests do not need the slot.
   bool TryDispatch(ActiveRequest& active, NoEndpointReason& why);
   bool MaySendLate(const PoolState& state, const EndpointQuery& query, const ActiveRequest& active) const;
--- a/src/forward_type.h
+++ b/src/forward_type.h
@@ -38,6 +38,10 @@
   std::optional<uint64_t> last_event_id;
   // Parts of the prompt that other requests may share, in order; at most kMaxSharedParts.
   std::vector<ContentKey> shared_parts;
+  // Whether the pool shares its slots by priority. A priority that the caller states is not forwarded to such a pool.
+  bool has_pool_priorities = false;
+  // Priority that the endpoint is told, 0 for the most urgent; unset if it is told none.
+  std::optional<uint32_t> endpoint_priority;
   HttpRequest http;
 };
 
--- a/src/priority_wait_queue.cpp
+++ b/src/priority_wait_queue.cpp
@@ -10,6 +10,8 @@
 // A waiting request is shed only if its turn is expected later than its limit by this factor. The service rate of an
 // entry with few slots varies by about a quarter.
 constexpr double kShedMargin = 1.25;
+// Least service rate that is divided by.
+constexpr double kMinRate = 1e-3;
 constexpr size_t kAll = std::numeric_limits<size_t>::max();
 
 }  // namespace
@@ -68,19 +70,28 @@
   }
   const std::optional<double> rate =
       request.is_late ? m_late_service_rate.Get(now) : GetLevelRate(request.priority, now);
-  // The first in the queue is always accepted, as the next answer may free a slot for it.
+  // The first of its priority is always accepted, as its floor or the next answer may give it a slot.
   if (ahead == 0 || (!rate.has_value() && !request.is_late)) return true;
   if (!rate.has_value()) return false;
-  return static_cast<double>(ahead) <= *rate * ToSeconds(request.wait_until - now);
+  const double allowed_s = ToSeconds(request.wait_until - now);
+  if (request.is_late) return static_cast<double>(ahead) <= *rate * allowed_s;
+  const auto own = static_cast<double>(ahead - CountInTimeAbove(request.priority));
+  return EstimateSeconds(CountInTimeAbove(request.priority), own, *rate, now) <= allowed_s;
+}
+
+// The floor of a priority gives it slots whatever waits above it.
+double PriorityWaitQueue::EstimateSeconds(size_t above, double own, double rate, TimePoint now) const {
+  const double floor = m_service_rate.Get(now).value_or(0) / static_cast<double>(kFloorInterval);
+  const double in_order_s = (static_cast<double>(above) + own) / std::max(rate, kMinRate);
+  return std::min(in_order_s, own / std::max(floor, kMinRate));
 }
 
 Duration PriorityWaitQueue::EstimateWait(uint32_t priority, TimePoint now) const {
   const std::optional<double> rate = GetLevelRate(priority, now);
   if (!rate.has_value()) return Duration::zero();
-  size_t ahead = CountInTimeAbove(priority);
   const auto level = m_levels.find(priority);
-  if (level != m_levels.end()) ahead += level->second.in_time.GetSize();
-  const double wait_s = static_cast<double>(ahead) / std::max(*rate, 1e-3);
+  const size_t own = level == m_levels.end() ? 0 : level->second.in_time.GetSize();
+  const double wait_s = EstimateSeconds(CountInTimeAbove(priority), static_cast<double>(own), *rate, now);
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::min(wait_s, ToSeconds(kMaxEstimate))));
 }
 
@@ -152,7 +163,7 @@
     size_t kept = 0;
     for (const WaitingRequest* request : level->second.in_time.GetOrder(kAll)) {
       const double allowed_s = ToSeconds(request->wait_until - now) * kShedMargin;
-      const bool is_hopeless = kept > 0 && static_cast<double>(above + kept) > *rate * allowed_s;
+      const bool is_hopeless = kept > 0 && EstimateSeconds(above, static_cast<double>(kept), *rate, now) > allowed_s;
       if (is_hopeless) hopeless.push_back(request->ticket);
       if (!is_hopeless) ++kept;
     }
--- a/src/priority_wait_queue.h
+++ b/src/priority_wait_queue.h
@@ -65,6 +65,9 @@
   // Returns the rate of slots that a priority gets after those above it and the floors of those below, or nothing
   // before the first slot.
   std::optional<double> GetLevelRate(uint32_t priority, TimePoint now) const;
+  // Returns when a request is served that has `above` requests of higher priorities and `own` of its own before it, if
+  // its priority gets slots at `rate`.
+  double EstimateSeconds(size_t above, double own, double rate, TimePoint now) const;
 
   // By priority, the most urgent one first.
   std::map<uint32_t, Level> m_levels;
--- a/src/slot_share.cpp
+++ b/src/slot_share.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <limits>
 
+#include "priority_share.h"
 #include "rendezvous.h"
 
 namespace plantain {
@@ -24,22 +25,20 @@
 
 using ZoneDemands = std::map<ZoneName, ZoneDemand>;
 
-double GetDemand(const EntryDemand& entry, const PoolName& pool) {
-  const auto found = entry.requests_per_s.find(pool);
-  return found == entry.requests_per_s.end() ? 0 : std::max(0.0, found->second);
-}
-
-double GetMinDemand(const std::vector<EntryDemand>& entries, const PoolName& pool) {
+double GetMinDemand(const std::vector<double>& demands) {
   double sum = 0;
-  for (const EntryDemand& entry : entries) sum += GetDemand(entry, pool);
-  return sum > 0 ? kMinDemand * sum / static_cast<double>(entries.size()) : 1;
+  for (const double demand : demands) sum += demand;
+  return sum > 0 ? kMinDemand * sum / static_cast<double>(demands.size()) : 1;
 }
 
-ZoneDemands SumDemands(const std::vector<EntryDemand>& entries, const EntryDemand& self, const PoolName& pool) {
+// `offered` are the demands of the entries, in their order.
+ZoneDemands SumDemands(const std::vector<EntryDemand>& entries, const std::vector<double>& offered,
+                       const EntryDemand& self) {
   ZoneDemands zones;
-  const double min_demand = GetMinDemand(entries, pool);
-  for (const EntryDemand& entry : entries) {
-    const double demand = std::max(min_demand, GetDemand(entry, pool));
+  const double min_demand = GetMinDemand(offered);
+  for (size_t i = 0; i < entries.size(); ++i) {
+    const EntryDemand& entry = entries[i];
+    const double demand = std::max(min_demand, offered[i]);
     ZoneDemand& zone = zones[entry.zone];
     zone.sum += demand;
     if (entry.zone != self.zone) continue;
@@ -106,7 +105,7 @@
   const auto own =
       std::find_if(entries.begin(), entries.end(), [&](const EntryDemand& entry) { return entry.entry == self; });
   if (own == entries.end() || entries.size() < 2) return;
-  const ZoneDemands demands = SumDemands(entries, *own, pool);
+  const ZoneDemands demands = SumDemands(entries, ComputePriorityDemand(entries, slots, pool), *own);
   std::map<ZoneName, double> weights;
   double total_demand = 0;
   for (const auto& [zone, demand] : demands) {
--- a/src/slot_share.h
+++ b/src/slot_share.h
@@ -42,7 +42,8 @@
 // Load pattern: more requests than slots, and several times as many entries as an endpoint has slots. If each entry had
 // a share of each endpoint, it would rarely own a whole slot anywhere. So the slots of a zone go to the entries of that
 // zone first, and only what they do not need goes to zones whose demand exceeds their slots. Each zone gets slots in
-// proportion to its demand, so that none waits longer than another.
+// proportion to its demand, so that none waits longer than another. In pools that share their slots by priority, the
+// entries of a zone share in proportion to ComputePriorityDemand.
 class SlotShares {
  public:
   // `slots` are the usable slots of the pool in each zone. An entry without demand keeps a narrow share, so that its
--- a/tests/overload_sim.h
+++ b/tests/overload_sim.h
@@ -16,6 +16,15 @@
 
 namespace plantain {
 
+// Requests of one kind: their part of the load, and what an answer is worth to its caller.
+struct SimKind {
+  uint32_t priority = 0;
+  Duration target = Milliseconds(400);
+  double part = 1;
+  double value = 1;
+  double late_value = 0;
+};
+
 struct OverloadOptions {
   size_t zones = 1;
   size_t entries = 1;
@@ -26,6 +35,17 @@
   Duration outage_at{};
   Duration outage{};
   uint64_t seed = 20261205;
+  uint32_t slots = 8;
+  // Kinds of requests; if there are none, all take the route of MakeForwardDocument.
+  std::vector<SimKind> kinds{};
+  // The kind of which there are `burst` times as many requests from `burst_at` on, for `burst_length`.
+  size_t burst_kind = 0;
+  double burst = 1;
+  Duration burst_at{};
+  Duration burst_length{};
+  // When the first entry is killed, and when the last one neither sends nor receives beacons any more; never if zero.
+  Duration killed_at{};
+  Duration cut_off_at{};
 };
 
 // What became of the requests that callers first sent within one second.
@@ -34,13 +54,14 @@
   int in_time = 0;
   int late = 0;
 
+  double GetShareServed() const { return asked == 0 ? 0 : static_cast<double>(in_time + late) / asked; }
+
   double GetShareInTime() const { return asked == 0 ? 0 : static_cast<double>(in_time) / asked; }
 };
 
 class OverloadSim {
  public:
   static constexpr Duration kStep = Milliseconds(10);
-  static constexpr uint32_t kSlots = 8;
   static constexpr size_t kEndpointQueue = 16;
   // Time from the start of a request in a slot to its first event, and to its end, which varies by half of that.
   static constexpr Duration kFirstEvent = Milliseconds(120);
@@ -49,14 +70,18 @@
   static constexpr Duration kTarget = Milliseconds(400);
   static constexpr Duration kDeadline = Milliseconds(6000);
 
-  explicit OverloadSim(OverloadOptions options) : m_options(options), m_random(options.seed) {
+  explicit OverloadSim(const OverloadOptions& options) : m_options(options), m_random(options.seed) {
+    if (m_options.kinds.empty()) m_kinds = {SimKind()};
+    m_owed.resize(m_kinds.size());
+    m_outcomes.resize(m_kinds.size());
     std::vector<EndpointInfo> endpoints;
     for (size_t i = 0; i < options.endpoints; ++i) {
-      endpoints.push_back(MakeEndpoint("i-" + std::to_string(i), kEnginePool, GetZone(i), kSlots));
+      endpoints.push_back(MakeEndpoint("i-" + std::to_string(i), kEnginePool, GetZone(i), options.slots));
       endpoints.back().target.port = Port(static_cast<uint16_t>(kFirstPort + i));
     }
     m_endpoints.resize(options.endpoints);
     const auto fleet = MakeFleet(std::move(endpoints));
+    if (!m_options.kinds.empty()) fleet->routing = MakeDocument();
     for (size_t i = 0; i < options.entries; ++i) {
       m_entries.push_back(std::make_unique<Entry>(*this, i));
       m_entries.back()->traffic.SetFleet(fleet);
@@ -65,18 +90,23 @@
 
   void Run(Duration length) {
     const TimePoint start = m_clock.GetNow();
-    const double per_step =
-        m_options.load * static_cast<double>(m_options.endpoints * kSlots) / ToSeconds(kAnswer) * ToSeconds(kStep);
-    double owed = 0;
+    const double per_step = m_options.load * static_cast<double>(m_options.endpoints * m_options.slots) /
+                            ToSeconds(kAnswer) * ToSeconds(kStep);
     for (int step = 0; m_clock.GetNow() - start < length; ++step) {
       m_is_out = m_clock.GetNow() - start >= m_options.outage_at &&
                  m_clock.GetNow() - start < m_options.outage_at + m_options.outage;
+      m_passed = m_clock.GetNow() - start;
+      Kill();
       for (Endpoint& endpoint : m_endpoints) Advance(endpoint);
+      CountRunning();
       if (step % 10 == 0) ReportLoads();
       if (step % 20 == 0) ShareDemand();
-      for (owed += per_step; owed >= 1; owed -= 1) Ask(static_cast<size_t>(ToSeconds(m_clock.GetNow() - start)));
+      for (size_t kind = 0; kind < m_kinds.size(); ++kind) {
+        double& owed = m_owed[kind];
+        for (owed += per_step * m_kinds[kind].part * GetBurst(kind); owed >= 1; owed -= 1) Ask(kind);
+      }
       ReturnCallers();
-      for (const auto& entry : m_entries) entry->traffic.CheckDue();
+      for (size_t i = GetFirstAlive(); i < m_entries.size(); ++i) m_entries[i]->traffic.CheckDue();
       Collect();
       m_clock.Advance(kStep);
     }
@@ -84,6 +114,35 @@
 
   const SecondOutcome& GetSecond(size_t second) const { return m_seconds.at(second); }
 
+  // What became of the requests of a kind that were first sent from second `from` to before second `to`.
+  SecondOutcome GetOutcome(size_t kind, size_t from, size_t to) const {
+    SecondOutcome sum;
+    for (size_t second = from; second < to; ++second) {
+      sum.asked += m_outcomes[kind].at(second).asked;
+      sum.in_time += m_outcomes[kind].at(second).in_time;
+      sum.late += m_outcomes[kind].at(second).late;
+    }
+    return sum;
+  }
+
+  // Share of the value that the requests of a kind could have had.
+  double GetValueShare(size_t kind, size_t from, size_t to) const {
+    const SecondOutcome sum = GetOutcome(kind, from, to);
+    const SimKind& terms = m_kinds[kind];
+    return (sum.in_time * terms.value + sum.late * terms.late_value) / (sum.asked * terms.value);
+  }
+
+  // Mean part of the slots that are in use in second `from` to before second `to`.
+  double GetSlotsInUse(size_t from, size_t to) const {
+    double running = 0;
+    for (size_t second = from; second < to; ++second) running += m_running.at(second);
+    const double steps = static_cast<double>(to - from) * ToSeconds(std::chrono::seconds(1)) / ToSeconds(kStep);
+    return running / steps / static_cast<double>(m_options.endpoints * m_options.slots);
+  }
+
+  // Most requests that an endpoint had in its slots and its queue.
+  size_t GetLongestLoad() const { return m_longest_load; }
+
   // Mean share in time of the requests first sent from second `from` to before second `to`.
   double GetShareInTime(size_t from, size_t to) const {
     SecondOutcome sum;
@@ -96,6 +155,9 @@
 
  private:
   static constexpr uint16_t kFirstPort = 9000;
+  static constexpr uint32_t kUsualPriority = 5;
+  // Time without beacons after which an entry counts as dead.
+  static constexpr Duration kBeaconTimeout = Milliseconds(2500);
 
   struct Call : HttpCall {
     void Cancel() override { is_cancelled = true; }
@@ -104,6 +166,8 @@
 
     HttpCallbacks callbacks;
     std::string id;
+    uint32_t priority = 0;
+    size_t entry = 0;
     bool is_cancelled = false;
     int events = 0;
     TimePoint started_at;
@@ -118,6 +182,8 @@
   // One caller's request, over both of its attempts.
   struct OpenRequest {
     std::shared_ptr<FakeForwardCaller> caller;
+    size_t kind = 0;
+    size_t entry = 0;
     size_t second = 0;
     TimePoint first_sent_at;
     bool has_returned = false;
@@ -127,6 +193,7 @@
   struct Entry : AttemptSender {
     Entry(OverloadSim& sim_in, size_t number)
         : sim(sim_in),
+          number(number),
           forward_metrics(metrics),
           traffic(sim.m_clock, sim.m_random, protocol, *this, answer_memory, forward_metrics,
                   MakeOptions(number, sim)) {}
@@ -144,11 +211,19 @@
       call->callbacks = std::move(callbacks);
       call->length = std::chrono::duration_cast<Duration>(kAnswer * (0.5 + sim.m_random.GetUnit()));
       call->id = std::string(request.headers.Find("Plantainmast-Attempt-Id"));
-      sim.m_endpoints.at(target.port.Get() - kFirstPort).queue.push_back(call);
+      call->entry = number;
+      const std::string_view priority = request.headers.Find("Plantainmast-Request-Priority");
+      call->priority = priority.empty() ? kUsualPriority : static_cast<uint32_t>(priority.front() - '0');
+      // Engines admit more urgent requests first.
+      auto& queue = sim.m_endpoints.at(target.port.Get() - kFirstPort).queue;
+      const auto position =
+          std::find_if(queue.begin(), queue.end(), [&](const auto& other) { return other->priority > call->priority; });
+      queue.insert(position, call);
       return call;
     }
 
     OverloadSim& sim;
+    size_t number;
     hosted::HostedCallerProtocol protocol;
     Metrics metrics;
     ForwardMetrics forward_metrics;
@@ -174,6 +249,58 @@
     call.callbacks.on_data("id: " + std::to_string(call.events) + "\ndata: x\n\n");
   }
 
+  std::shared_ptr<const RoutingDocument> MakeDocument() const {
+    const auto document = MakeForwardDocument();
+    const RouteRule draft = document->routes.front();
+    document->routes.clear();
+    for (size_t i = 0; i < m_kinds.size(); ++i) {
+      RouteRule rule = draft;
+      rule.name = "kind-" + std::to_string(i);
+      rule.path_prefix = "/" + rule.name + "/";
+      rule.priority = m_kinds[i].priority;
+      rule.latency_target = m_kinds[i].target;
+      document->routes.push_back(rule);
+    }
+    return document;
+  }
+
+  double GetBurst(size_t kind) const {
+    const bool is_burst = kind == m_options.burst_kind && m_passed >= m_options.burst_at &&
+                          m_passed < m_options.burst_at + m_options.burst_length;
+    return is_burst ? m_options.burst : 1;
+  }
+
+  bool IsKilled() const { return m_options.killed_at > Duration::zero() && m_passed >= m_options.killed_at; }
+  size_t GetFirstAlive() const { return IsKilled() ? 1 : 0; }
+
+  // The callers of a killed entry lose their connections and do not return.
+  void Kill() {
+    if (!IsKilled()) return;
+    std::erase_if(m_open, [](const OpenRequest& ask) { return ask.caller != nullptr && ask.entry == 0; });
+    for (Endpoint& endpoint : m_endpoints) {
+      for (const auto& call : endpoint.running) call->is_cancelled = call->is_cancelled || call->entry == 0;
+      for (const auto& call : endpoint.queue) call->is_cancelled = call->is_cancelled || call->entry == 0;
+    }
+  }
+
+  void CountRunning() {
+    const auto second = static_cast<size_t>(ToSeconds(m_passed));
+    if (m_running.size() <= second) m_running.resize(second + 1);
+    for (const Endpoint& endpoint : m_endpoints) {
+      m_running[second] += static_cast<double>(endpoint.running.size());
+      m_longest_load = std::max(m_longest_load, endpoint.running.size() + endpoint.queue.size());
+    }
+  }
+
+  // Whether one entry still counts another one as live.
+  bool IsInView(size_t viewer, size_t other) const {
+    if (viewer == other) return true;
+    const auto is_lost = [&](Duration at) { return at > Duration::zero() && m_passed >= at + kBeaconTimeout; };
+    if (other == 0 && is_lost(m_options.killed_at)) return false;
+    const size_t last = m_entries.size() - 1;
+    return !((viewer == last || other == last) && is_lost(m_options.cut_off_at));
+  }
+
   void Advance(Endpoint& endpoint) {
     const TimePoint now = m_clock.GetNow();
     const auto is_cancelled = [](const auto& call) { return call->is_cancelled; };
@@ -192,7 +319,7 @@
       Respond(*refused, 503, "Plantainmast-Not-Executed", "1");
       refused->callbacks.on_done(absl::OkStatus());
     }
-    while (!endpoint.queue.empty() && endpoint.running.size() < kSlots) {
+    while (!endpoint.queue.empty() && endpoint.running.size() < m_options.slots) {
       endpoint.running.push_back(endpoint.queue.front());
       endpoint.queue.pop_front();
       endpoint.running.back()->started_at = now;
@@ -207,21 +334,33 @@
       loads.push_back(
           {EndpointId("i-" + std::to_string(i)), running, queued, m_is_out, 1, {{kVeilModel, WeightVersion(1)}}});
     }
-    for (const auto& entry : m_entries) entry->traffic.OnLoad(loads);
+    for (size_t i = GetFirstAlive(); i < m_entries.size(); ++i) m_entries[i]->traffic.OnLoad(loads);
   }
 
   void ShareDemand() {
-    EntryView view;
+    std::vector<EntryDemand> demands;
     for (size_t i = 0; i < m_entries.size(); ++i) {
-      view.entries.push_back({GetVm(i), ZoneName(GetZone(i)), m_entries[i]->traffic.GetDemand()});
+      const ForwardTraffic& traffic = m_entries[i]->traffic;
+      demands.push_back({GetVm(i), ZoneName(GetZone(i)), traffic.GetDemand(), traffic.GetPriorityDemand()});
+    }
+    for (size_t viewer = GetFirstAlive(); viewer < m_entries.size(); ++viewer) {
+      EntryView view;
+      for (size_t i = 0; i < demands.size(); ++i) {
+        if (IsInView(viewer, i)) view.entries.push_back(demands[i]);
+      }
+      m_entries[viewer]->traffic.SetEntries(std::move(view));
     }
-    for (const auto& entry : m_entries) entry->traffic.SetEntries(view);
   }
 
-  void Ask(size_t second) {
+  void Ask(size_t kind) {
+    const auto second = static_cast<size_t>(ToSeconds(m_passed));
+    for (auto& outcomes : m_outcomes) {
+      if (outcomes.size() <= second) outcomes.resize(second + 1);
+    }
     if (m_seconds.size() <= second) m_seconds.resize(second + 1);
     ++m_seconds[second].asked;
-    m_open.push_back({nullptr, second, m_clock.GetNow(), false, {}});
+    ++m_outcomes[kind][second].asked;
+    m_open.push_back({nullptr, kind, 0, second, m_clock.GetNow(), false, {}});
     Send(m_open.back());
   }
 
@@ -229,14 +368,15 @@
     const Duration left = kDeadline - (m_clock.GetNow() - ask.first_sent_at);
     HttpRequest request;
     request.method = "POST";
-    request.target = "/draft/x";
+    request.target = m_options.kinds.empty() ? "/draft/x" : "/kind-" + std::to_string(ask.kind) + "/x";
     request.headers.Add("Host", "h.example");
     request.headers.Add("Plantainmast-Attempt-Id", "r" + std::to_string(++m_requests));
     request.headers.Add("Plantainmast-Deadline-Ms", std::to_string(ToMilliseconds(left)));
     request.headers.Add("Plantainmast-Model", kVeilModel.Get());
     request.headers.Add("Plantainmast-Token-Usage", "900,100");
     ask.caller = std::make_shared<FakeForwardCaller>();
-    m_entries[m_random.GetBelow(m_entries.size())]->traffic.HandleHttp(std::move(request), ask.caller);
+    ask.entry = GetFirstAlive() + m_random.GetBelow(m_entries.size() - GetFirstAlive());
+    m_entries[ask.entry]->traffic.HandleHttp(std::move(request), ask.caller);
   }
 
   void ReturnCallers() {
@@ -253,7 +393,10 @@
       if (ask.caller == nullptr || ask.caller->status == 0) return false;
       const Duration spent = m_clock.GetNow() - ask.first_sent_at;
       if (ask.caller->status == 200) {
-        ++(spent <= kTarget ? m_seconds[ask.second].in_time : m_seconds[ask.second].late);
+        const bool is_in_time = spent <= m_kinds[ask.kind].target;
+        ++(is_in_time ? m_seconds[ask.second].in_time : m_seconds[ask.second].late);
+        SecondOutcome& outcome = m_outcomes[ask.kind][ask.second];
+        ++(is_in_time ? outcome.in_time : outcome.late);
         return true;
       }
       const std::string after(ask.caller->headers.Find("Retry-After"));
@@ -273,6 +416,14 @@
   std::vector<std::unique_ptr<Entry>> m_entries;
   std::deque<OpenRequest> m_open;
   std::vector<SecondOutcome> m_seconds;
+  std::vector<SimKind> m_kinds = m_options.kinds;
+  // Requests of each kind that are to be sent, with fractions, and what became of them by second.
+  std::vector<double> m_owed;
+  std::vector<std::vector<SecondOutcome>> m_outcomes;
+  // Sum over the steps of each second of the slots in use.
+  std::vector<double> m_running;
+  size_t m_longest_load = 0;
+  Duration m_passed{};
   uint64_t m_requests = 0;
   bool m_is_out = false;
 };
