--- a/src/slot_share.h
+++ b/src/slot_share.h
@@ -13,11 +13,20 @@
 
 namespace plantain {
 
+// Offered load of one entry in a pool that shares its slots by priority.
+struct PriorityDemand {
+  std::map<uint32_t, double> requests_per_s;
+  // Mean time that a request holds a slot; 0 if not known.
+  double held_s = 0;
+};
+
 // Offered load of one entry, in requests per second for each pool.
 struct EntryDemand {
   VmId entry;
   ZoneName zone;
   std::map<PoolName, double> requests_per_s;
+  // Of the pools that share their slots by priority, unless the entry does not state it.
+  std::map<PoolName, PriorityDemand> by_priority{};
 };
 
 // Share of the slots of an endpoint, as a sub-range of 0 to 1.
@@ -33,7 +42,8 @@
 // Load pattern: more requests than slots, and several times as many entries as an endpoint has slots. If each entry had
 // a share of each endpoint, it would rarely own a whole slot anywhere. So the slots of a zone go to the entries of that
 // zone first, and only what they do not need goes to zones whose demand exceeds their slots. Each zone gets slots in
-// proportion to its demand, so that none waits longer than another.
+// proportion to its demand, so that none waits longer than another. In pools that share their slots by priority, the
+// entries of a zone share in proportion to ComputePriorityDemand.
 class SlotShares {
  public:
   // `slots` are the usable slots of the pool in each zone. An entry without demand keeps a narrow share, so that its
