Move the meaning of statuses from ActiveRequest to http_status.h

Cause: what a status says (success, server error, not run) was defined in src/active_request.cpp, beside the definition of a status in http_status.h.

--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "failure_type.h"
+#include "http_status.h"
 #include "weight_time.h"
 
 namespace plantain {
@@ -30,15 +31,6 @@
 // Maximum number of bytes buffered for a slow caller before its stream is aborted.
 constexpr size_t kMaxUnsentBytes = 1024 * 1024;
 
-constexpr int kFirstSuccess = 200;
-constexpr int kFirstRedirect = 300;
-constexpr int kFirstServerError = 500;
-
-bool IsSuccess(int status) { return status >= kFirstSuccess && status < kFirstRedirect; }
-
-// Returns whether callers interpret the status as a guarantee that the request has not run.
-bool GuaranteesNotRun(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
-
 // Returns the model that the endpoints of the pool run the request on, or an empty name if they are no engines.
 ModelName FindModel(const RouteMatcher& matcher, const PoolName& name, const ForwardRequest& request) {
   const PoolSpec* pool = matcher.FindPool(name);
@@ -183,7 +175,7 @@
   // Bytes that complete no event are no activity of a stream: they may come without end.
   if (!IsStream()) RecordReceived(attempt);
   attempt.has_body = true;
-  const bool is_valid_success = attempt.head->has_receipt && IsSuccess(attempt.head->status);
+  const bool is_valid_success = attempt.head->has_receipt && IsSuccessStatus(attempt.head->status);
   if (IsStream() && is_valid_success && attempt.head->is_stream) {
     const uint64_t progress = attempt.events.GetProgress();
     std::string events = attempt.events.Take(data);
@@ -273,9 +265,9 @@
     EndAttempt(attempt, is_misdirected ? AttemptEnd::kMisdirected : AttemptEnd::kFull);
     RetryOrFail(AttemptOutcome::kNotRun,
                 is_misdirected ? "wrong endpoint or weight version" : "refused by the endpoint without running it");
-  } else if (IsSuccess(head.status) && IsStream() && head.is_stream && head.has_receipt) {
+  } else if (IsSuccessStatus(head.status) && IsStream() && head.is_stream && head.has_receipt) {
     FinishStream(attempt);
-  } else if (IsSuccess(head.status) && !head.has_receipt) {
+  } else if (IsSuccessStatus(head.status) && !head.has_receipt) {
     FailAttempt(attempt, AttemptEnd::kBroken, "success response without a receipt");
   } else {
     DeliverResponse(attempt);
@@ -312,7 +304,7 @@
   }
   HttpResponse response{status, attempt.head->headers, std::move(attempt.body)};
   MemoryReservation memory = std::move(attempt.memory);
-  const bool is_error = status >= kFirstServerError;
+  const bool is_error = IsServerErrorStatus(status);
   // An error of an attempt is not the answer while another one may still succeed.
   const bool is_answer = !m_has_events && !(is_error && m_match.rule->IsRepeatable());
   if (is_answer) SelectAnswer(attempt);
--- a/src/http_status.h
+++ b/src/http_status.h
@@ -1,4 +1,4 @@
-// What counts as the status of an HTTP answer.
+// What counts as the status of an HTTP answer, and what a status says.
 
 #ifndef PLANTAIN_HTTP_STATUS_H_
 #define PLANTAIN_HTTP_STATUS_H_
@@ -15,6 +15,21 @@
   return status >= kFirstStatus && status <= kLastStatus;
 }
 
+// Returns whether the status says that the request was carried out.
+constexpr bool IsSuccessStatus(int status) {
+  constexpr int kFirstSuccess = 200;
+  constexpr int kFirstRedirect = 300;
+  return status >= kFirstSuccess && status < kFirstRedirect;
+}
+
+constexpr bool IsServerErrorStatus(int status) {
+  constexpr int kFirstServerError = 500;
+  return status >= kFirstServerError;
+}
+
+// Returns whether callers interpret the status as a guarantee that the request has not run.
+constexpr bool GuaranteesNotRun(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
+
 }  // namespace plantain
 
 #endif  // PLANTAIN_HTTP_STATUS_H_
