--- a/tests/ctl_check_test.cpp
+++ b/tests/ctl_check_test.cpp
@@ -41,7 +41,7 @@
   std::string err;
 };
 
-// Runs `plantainctl check`. The log is down and an append to it would be counted, since the command sends nothing.
+// Runs `plantainctl check`. The log is down, so that a command which used it would fail.
 CheckResult Check(std::vector<std::string> args) {
   args.insert(args.begin(), "check");
   std::ostringstream out;
