Pass on what is written again after a restore

Cause: a key that a restored store had lost and that was written again with the same value did not raise the revision of a process that had kept it, so that peers did not pull it.

Change: a record that is written in a later era than the known one counts as a change for peers. A test in restored_store_test.cpp fails without it.

--- a/src/record_mirror.cpp
+++ b/src/record_mirror.cpp
@@ -43,11 +43,14 @@
   Entry& entry = found->second;
   if (!IsNewer(record, entry.record)) return false;
   const bool is_changed = HasChanged(entry, record);
+  // A record that was written again after a restore is news to peers, though its value is the same: to them the key may
+  // still count as lost, and it would expire.
+  const bool is_rewritten = m_eras.GetWriteEra(record.position) > m_eras.GetWriteEra(entry.record.position);
   entry.record = std::move(record);
-  if (!is_changed) return false;
+  if (!is_changed && !is_rewritten) return false;
   entry.changed_at = entry.record.position;
   m_revision.Raise(entry.changed_at.era, entry.changed_at.offset.Next());
-  return true;
+  return is_changed;
 }
 
 bool RecordMirror::ApplyListing(std::vector<KeyedRecord> records, LogPosition end) {
--- a/src/record_mirror.h
+++ b/src/record_mirror.h
@@ -97,7 +97,8 @@
  private:
   struct Entry {
     KeyedRecord record;
-    // Position of the record that last changed the value to one that is not equivalent.
+    // Position of the record that last changed the value to one that is not equivalent, or wrote it again after a
+    // restore.
     LogPosition changed_at;
   };
 
--- a/tests/restored_store_test.cpp
+++ b/tests/restored_store_test.cpp
@@ -115,6 +115,31 @@
   bool is_in_touch = false;
 };
 
+// Guards against zones that return to service, and endpoints that vanish, at entries that get their records from peers:
+// what a store has lost expires there although it was written again, because the peers had kept it all the time.
+TEST_CASE("What is written again after a restore reaches a process that gets its records from peers") {
+  SimulatedLog log;
+  log.Append("config", MakeConfig(7));
+  log.Append("evacuate/z", "{}");
+  Process reader;
+  Process standby;
+  reader.Read(log);
+  standby.Read(log);
+  log.Restore(1);
+  // Each process reads a new era once.
+  reader.Read(log);
+  standby.Read(log);
+  REQUIRE(standby.IsZoneOut());
+  log.Append("evacuate/z", "{}");
+  reader.Read(log);
+  standby.Pull(reader);
+  for (const auto wait : {std::chrono::seconds(61), std::chrono::seconds(11)}) {
+    standby.clock.Advance(wait);
+    standby.mirror.ExpireLost();
+  }
+  CHECK(standby.IsZoneOut());
+}
+
 // Guards against news that are ignored because a store that came back from an older copy gives out offsets again.
 TEST_CASE("What is written after the store came back from an older copy takes effect") {
   SimulatedLog log;
