Add slow start of endpoints and choice by observed speed

Cause: an endpoint that returns from a crash gets its full share of slots from every entry as soon as the directory lists it, and one that could not be reached stays in the backoff of each entry for up to 3 s after it serves again. Endpoints that are slow for a while get as many requests as fast ones.

Entries exchange counts in beacons (field 27); GetStartSlots divides the number so that entries with different views do not exceed the largest number. - EndpointSpeeds takes the median of the last answers, shared in beacons (field 28); an endpoint of slowness s gets 1/s of the choices. - In slow start the cold rate is divided as the slots are. Equal parts with a burst for each entry exceeded it with many entries. - The handling of outcomes moves to endpoint_balancer_outcome.cpp. - Metrics, log line endpoint_start_pace, and docs/design/slow-start.md.

--- a/src/beacon_table.cpp
+++ b/src/beacon_table.cpp
@@ -8,6 +8,7 @@
 #include <iterator>
 #include <tuple>
 
+#include "beacon_pace.h"
 #include "fleet.pb.h"
 
 namespace plantain {
@@ -271,6 +272,7 @@
   }
   for (const ContentReport& report : beacon.content_reports) EncodeContent(report, *message.add_content_evidence());
   EncodeStatements(beacon.statements, message);
+  EncodePace(beacon.pace, message);
   return message.SerializeAsString();
 }
 
@@ -311,6 +313,7 @@
   for (const proto::ContentEvidence& content : message.content_evidence())
     beacon.content_reports.push_back(DecodeContent(content));
   beacon.statements = DecodeStatements(message);
+  beacon.pace = DecodePace(message);
   return beacon;
 }
 
--- a/src/beacon_table.h
+++ b/src/beacon_table.h
@@ -17,6 +17,7 @@
 #include "era_table.h"
 #include "log_position.h"
 #include "member_type.h"
+#include "pace_type.h"
 
 namespace plantain::proto {
 class TopicState;
@@ -58,6 +59,8 @@
   std::vector<ContentReport> content_reports;
   // What endpoints state in their answers, and what the sender grants to entries.
   StatementReport statements;
+  // Slow start and speed of endpoints.
+  PaceReport pace;
 };
 
 // Encode and decode beacons. Decoding returns nothing if the bytes are not a valid beacon. Lists that are longer than
--- a/src/endpoint_balancer.cpp
+++ b/src/endpoint_balancer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace plantain {
 namespace {
@@ -32,19 +33,10 @@
 constexpr double kColdRateFactor = 0.7;
 constexpr double kWarmRateFactor = 1.2;
 constexpr double kRateBurst = 2;
-// Backoff after a failure; doubles with each consecutive one.
-constexpr Duration kUnreachableBackoff = Milliseconds(400);
-constexpr Duration kMaxUnreachableBackoff = Milliseconds(3000);
-constexpr Duration kSilentBackoff = Milliseconds(1500);
-constexpr Duration kMaxSilentBackoff = Milliseconds(6000);
 // Time between two requests to an endpoint that stands still.
 constexpr Duration kProbeInterval = Milliseconds(1500);
-constexpr Duration kFullPause = Milliseconds(60);
-constexpr Duration kMisdirectedPause = Milliseconds(500);
-constexpr uint32_t kMaxDoublings = 5;
-// Number of attempts that the moving average of the error rate spans, attempts needed before it is used, and how far it
-// must exceed the mean of the pool's other endpoints before the endpoint is penalized.
-constexpr double kErrorRateWindow = 12;
+// Attempts needed before the error rate is used, and how far it must exceed the mean of the pool's other endpoints
+// before the endpoint is penalized.
 constexpr double kMinAttempts = 5;
 constexpr double kOutlierExcess = 0.25;
 // The penalty for each request is scaled to this number of slots, as a request takes a larger share of an endpoint with
@@ -61,7 +53,9 @@
       m_random(random),
       m_options(std::move(options)),
       m_fleet(std::make_shared<FleetView>()),
-      m_statements(clock, m_options.self) {}
+      m_statements(clock, m_options.self),
+      m_start_pace(clock),
+      m_speeds(clock) {}
 
 void EndpointBalancer::SetFleet(std::shared_ptr<const FleetView> fleet) {
   m_fleet = std::move(fleet);
@@ -89,6 +83,7 @@
     listed[info.id] = {info.pool, info.incarnation};
   }
   m_statements.SetEndpoints(std::move(listed));
+  if (m_options.learns_pace) SetPaceEndpoints();
   std::erase_if(m_states, [](const auto& entry) { return !entry.second.is_listed && entry.second.own_requests == 0; });
   ApplyPoolSpecs();
   AssignSlots();
@@ -108,6 +103,10 @@
 
 void EndpointBalancer::SetEntries(std::vector<EntryDemand> entries) {
   m_entries = std::move(entries);
+  std::set<VmId> live;
+  for (const EntryDemand& entry : m_entries) live.insert(entry.entry);
+  m_start_pace.SetEntries(live);
+  m_speeds.SetEntries(live);
   AssignSlots();
 }
 
@@ -117,8 +116,14 @@
     double& count = slots[state->info.zone];
     // Slots of an endpoint that takes no connections would keep its zone from slots of other zones until the directory
     // drops it.
-    const bool is_usable = IsInService(state->info) && !state->is_unreachable && HasUsableWeights(*state);
-    if (is_usable) count += GetSlots(*state);
+    if (!IsInService(state->info) || !HasUsableWeights(*state)) continue;
+    // All entries know about the same number in slow start, but not which of them could not reach the endpoint. If
+    // their views differed, possibly none would own the slot that finds the endpoint again.
+    if (const std::optional<StartNumber> start = m_start_pace.Get(state->info.id); start.has_value()) {
+      count += start->number;
+    } else if (!state->is_unreachable) {
+      count += GetSlots(*state);
+    }
   }
   return slots;
 }
@@ -138,7 +143,9 @@
     uint32_t total_own_slots = 0;
     for (State* state : states) {
       state->share = shares.GetDemandShare();
-      state->own_slots = GetOwnSlots(shares.GetRange(state->info.zone), state->info.id, GetSlots(*state));
+      state->range = shares.GetRange(state->info.zone);
+      state->was_starting = state->was_starting || m_start_pace.Get(state->info.id).has_value();
+      state->own_slots = GetOwnSlots(state->range, state->info.id, GetSlots(*state));
       total_own_slots += state->own_slots;
     }
     // Plain endpoints report no load, and a pool may have fewer slots than there are entries.
@@ -177,6 +184,13 @@
 uint32_t EndpointBalancer::GetSlots(const State& state) { return std::max(1U, state.info.slots); }
 
 uint32_t EndpointBalancer::GetRoom(const State& state, TimePoint now) const {
+  const uint32_t room = GetUsualRoom(state, now);
+  const std::optional<uint32_t> limit = GetStartLimit(state);
+  if (!limit.has_value()) return room;
+  return std::min(room, *limit - std::min(*limit, state.own_requests));
+}
+
+uint32_t EndpointBalancer::GetUsualRoom(const State& state, TimePoint now) const {
   const auto subtract = [](uint32_t from, uint32_t used) { return from - std::min(from, used); };
   const uint32_t slots = GetSlots(state);
   const uint32_t load = GetLoad(state, now);
@@ -203,10 +217,29 @@
 
 void EndpointBalancer::RefillRateTokens(State& state, TimePoint now) const {
   const bool is_cold = state.info.cold_until > now;
-  const double rate =
-      state.cold_requests_per_s * (is_cold ? kColdRateFactor : kWarmRateFactor) / std::max<size_t>(1, m_entries.size());
+  double part = 1 / static_cast<double>(std::max<size_t>(1, m_entries.size()));
+  double burst = kRateBurst;
+  // In slow start the rate belongs to the entries that own slots. Equal parts of all entries would leave most of the
+  // rate unused, and their bursts together exceed it when the slow start ends.
+  const std::optional<uint32_t> limit = GetStartLimit(state);
+  if (limit.has_value()) {
+    part = static_cast<double>(*limit) / m_start_pace.Get(state.info.id)->number;
+    burst = std::min<double>(kRateBurst, *limit);
+  }
+  // Only the first slots come with a request that may be sent at once: what entries have saved up while they owned no
+  // slot would arrive together.
+  const bool is_later_slot =
+      limit.has_value() && !state.owned_start_slot && m_start_pace.Get(state.info.id)->number > kFirstStartSlots;
+  const bool is_end = state.was_starting && !limit.has_value();
+  if (is_later_slot || is_end) {
+    state.rate_tokens = 0;
+    state.rate_tokens_at = now;
+  }
+  state.owned_start_slot = limit.has_value();
+  state.was_starting = limit.has_value();
+  const double rate = state.cold_requests_per_s * (is_cold ? kColdRateFactor : kWarmRateFactor) * part;
   const double elapsed_s = std::chrono::duration<double>(now - state.rate_tokens_at).count();
-  state.rate_tokens = std::min(kRateBurst, state.rate_tokens + elapsed_s * rate);
+  state.rate_tokens = std::min(burst, state.rate_tokens + elapsed_s * rate);
   state.rate_tokens_at = now;
 }
 
@@ -296,7 +329,7 @@
     const double usual_ms = engine.mean_output_tokens * step_ms * 1.5;
     expected_ms += kQueueWaitFactor * (load - slots + 1) * usual_ms / slots;
   }
-  return expected_ms * std::max(1.0, state.slowness);
+  return m_options.learns_pace ? expected_ms : expected_ms * std::max(1.0, state.slowness);
 }
 
 double EndpointBalancer::GetScoreMs(const State& state, const EndpointQuery& query, TimePoint now) const {
@@ -318,6 +351,7 @@
   if (pool == m_pools.end() || IsSuperseded(query)) return choice;
   State* best = nullptr;
   double best_score = 0;
+  bool is_best_skipped = false;
   for (State* state : pool->second) {
     const Availability availability = GetAvailability(*state, query, now);
     if (availability == Availability::kBusy) choice.failure = NoEndpointReason::kBusy;
@@ -325,9 +359,11 @@
       choice.failure = NoEndpointReason::kBackedOff;
     if (availability != Availability::kAvailable) continue;
     const double score = GetScoreMs(*state, query, now);
-    if (best != nullptr && score >= best_score) continue;
+    const bool is_skipped = IsSkippedForSpeed(*state);
+    if (best != nullptr && std::tie(is_skipped, score) >= std::tie(is_best_skipped, best_score)) continue;
     best = state;
     best_score = score;
+    is_best_skipped = is_skipped;
   }
   if (best == nullptr) return choice;
   choice.endpoint = &best->info;
@@ -347,7 +383,8 @@
   if (pool == m_pools.end()) return 0;
   uint32_t slots = 0;
   for (const State* state : pool->second) {
-    if (IsServing(*state, query, now)) slots += std::max(state->own_slots, state->may_probe ? 1U : 0U);
+    if (!IsServing(*state, query, now)) continue;
+    slots += GetStartLimit(*state).value_or(std::max(state->own_slots, state->may_probe ? 1U : 0U));
   }
   return slots;
 }
@@ -383,89 +420,6 @@
   m_statements.OnSent(id);
 }
 
-void EndpointBalancer::RecordOutcome(State& state, bool is_error) {
-  const double weight = 1 / std::min(kErrorRateWindow, state.attempts + 1);
-  state.error_rate += weight * ((is_error ? 1.0 : 0.0) - state.error_rate);
-  state.attempts = std::min(kErrorRateWindow, state.attempts + 1);
-}
-
-bool EndpointBalancer::BackOff(State& state, TimePoint since, Duration initial, Duration maximum) {
-  if (since < state.failure_found_at) return false;
-  const uint32_t doublings = std::min(state.failures, kMaxDoublings);
-  ++state.failures;
-  state.failure_found_at = m_clock.GetNow();
-  state.backoff_until = state.failure_found_at + std::min(maximum, initial * (1 << doublings));
-  return true;
-}
-
-EndpointBalancer::State* EndpointBalancer::FindRun(const EndpointId& id, Incarnation incarnation) {
-  const auto found = m_states.find(id);
-  const bool is_same = found != m_states.end() && found->second.info.incarnation == incarnation;
-  return is_same ? &found->second : nullptr;
-}
-
-std::optional<Duration> EndpointBalancer::OnReceived(const EndpointId& id, Incarnation incarnation) {
-  State* state = FindRun(id, incarnation);
-  if (state == nullptr) return std::nullopt;
-  state->is_unreachable = false;
-  const std::optional<Duration> pause = state->silence.OnReceived(m_clock.GetNow());
-  if (!pause.has_value()) return std::nullopt;
-  state->failures = 0;
-  state->backoff_until = m_clock.GetNow();
-  return pause;
-}
-
-SilenceFinding EndpointBalancer::OnSilent(const EndpointId& id, Incarnation incarnation, TimePoint since) {
-  State* state = FindRun(id, incarnation);
-  if (state == nullptr) return SilenceFinding::kRequestOnly;
-  const SilenceFinding finding = state->silence.OnSilent(since, m_clock.GetNow());
-  const bool is_new = BackOff(*state, since, kSilentBackoff, kMaxSilentBackoff);
-  // A pause is one failure, whatever the number of requests that it holds up.
-  if (is_new || finding == SilenceFinding::kRequestOnly) RecordOutcome(*state, true);
-  return finding;
-}
-
-SilenceFinding EndpointBalancer::ReviewSilence(const EndpointId& id, Incarnation incarnation, TimePoint since) {
-  State* state = FindRun(id, incarnation);
-  return state == nullptr ? SilenceFinding::kRequestOnly : state->silence.OnSilent(since, m_clock.GetNow());
-}
-
-void EndpointBalancer::OnEnded(const EndpointId& id, AttemptEnd end, TimePoint sent_at) {
-  const auto found = m_states.find(id);
-  if (found == m_states.end()) return;
-  State& state = found->second;
-  if (state.own_requests > 0) --state.own_requests;
-  switch (end) {
-    case AttemptEnd::kSuccess:
-      state.failures = 0;
-      RecordOutcome(state, false);
-      break;
-    case AttemptEnd::kError:
-    case AttemptEnd::kConnectionLost:
-    case AttemptEnd::kBroken:
-    case AttemptEnd::kOverdue:
-      RecordOutcome(state, true);
-      break;
-    case AttemptEnd::kFull:
-      state.pause_until = std::max(state.pause_until, m_clock.GetNow() + kFullPause);
-      break;
-    case AttemptEnd::kMisdirected:
-      state.pause_until = std::max(state.pause_until, m_clock.GetNow() + kMisdirectedPause);
-      break;
-    case AttemptEnd::kUnreachable:
-      // It shows more than a pause.
-      state.silence.EndPause();
-      state.is_unreachable = true;
-      BackOff(state, sent_at, kUnreachableBackoff, kMaxUnreachableBackoff);
-      break;
-    case AttemptEnd::kSilent:
-      // OnSilent has recorded it.
-    case AttemptEnd::kWithdrawn:
-    case AttemptEnd::kCancelled:
-      break;
-  }
-}
-
 Duration EndpointBalancer::GetStatedPause(const PoolName& pool) const {
   const auto states = m_pools.find(pool);
   if (states == m_pools.end()) return Duration::zero();
--- a/src/endpoint_balancer.h
+++ b/src/endpoint_balancer.h
@@ -11,11 +11,13 @@
 
 #include "clock.h"
 #include "endpoint_silence.h"
+#include "endpoint_speed.h"
 #include "endpoint_statement.h"
 #include "fleet_type.h"
 #include "random.h"
 #include "route_match.h"
 #include "slot_share.h"
+#include "start_pace.h"
 
 namespace plantain {
 
@@ -61,6 +63,8 @@
   VmId self;
   ZoneName zone;
   RegionName region;
+  // Whether endpoints begin slowly after a start or an outage, and are chosen by their observed speed.
+  bool learns_pace = false;
 };
 
 // Input of one endpoint selection.
@@ -121,6 +125,11 @@
   EndpointStatements& GetStatements() { return m_statements; }
   const EndpointStatements& GetStatements() const { return m_statements; }
 
+  // Exchange counts of slow starts, and the speed of endpoints.
+  PaceReport GetPaceReport();
+  void ApplyPaceReport(const VmId& from, const PaceReport& report);
+  StartPace& GetStartPace() { return m_start_pace; }
+
   // Whether the endpoint leaves, as the directory or one of its responses says.
   bool IsLeaving(const EndpointInfo& endpoint) const;
 
@@ -142,6 +151,9 @@
   // `sent_at` tells whether a failed connection shows anything new.
   void OnEnded(const EndpointId& id, AttemptEnd end, TimePoint sent_at);
 
+  // Records that the answer to a request has begun. `expected` is the estimate of EndpointChoice.
+  void OnAnswerBegun(const EndpointId& id, Incarnation incarnation, TimePoint sent_at, Duration expected);
+
   // The next three concern one run of the endpoint and do nothing if it has restarted since.
   // Records that the endpoint has sent a part of an answer. Returns how long it stood still, if it did.
   std::optional<Duration> OnReceived(const EndpointId& id, Incarnation incarnation);
@@ -172,6 +184,7 @@
     // entries do.
     double share = 1;
     uint32_t own_slots = 1;
+    ShareRange range;
     // Whether this entry may send one request at a time while the endpoint's load is unknown.
     bool may_probe = true;
     // Maximum number of requests of this entry until the next report: its own slots, or its requests in flight plus its
@@ -204,6 +217,9 @@
     // Token bucket, in requests, that limits the rate at cold endpoints.
     double rate_tokens = 0;
     TimePoint rate_tokens_at;
+    // Whether the endpoint was in slow start, and this entry owned a slot, when the tokens were last computed.
+    bool was_starting = false;
+    bool owned_start_slot = false;
     bool is_listed = true;
   };
 
@@ -226,8 +242,18 @@
   uint32_t GetLoad(const State& state, TimePoint now) const;
   // Returns the slots of an endpoint; an endpoint that announces none counts as one slot.
   static uint32_t GetSlots(const State& state);
+  // Returns the slots of this entry at an endpoint in slow start, or nothing if it is not in slow start.
+  std::optional<uint32_t> GetStartLimit(const State& state) const;
+  // Returns the time of answers relative to the usual one; 1 if not known.
+  double GetSlowness(const State& state) const;
+  // Whether a slow endpoint is left out of one choice, so that it gets requests in proportion to its speed.
+  bool IsSkippedForSpeed(const State& state);
+  void SetPaceEndpoints();
+  // Ends the backoff of an endpoint that answers other entries.
+  void EndBackOff(const EndpointId& id);
   // Returns how many more requests this entry may send to an endpoint now, at most.
   uint32_t GetRoom(const State& state, TimePoint now) const;
+  uint32_t GetUsualRoom(const State& state, TimePoint now) const;
   State* FindRun(const EndpointId& id, Incarnation incarnation);
   void ApplyPoolSpecs();
   void AssignSlots();
@@ -252,6 +278,8 @@
   std::vector<EntryDemand> m_entries;
   std::map<ModelName, WeightVersion> m_min_versions;
   EndpointStatements m_statements;
+  StartPace m_start_pace;
+  EndpointSpeeds m_speeds;
 };
 
 }  // namespace plantain
--- a/src/forward_metrics.cpp
+++ b/src/forward_metrics.cpp
@@ -112,6 +112,17 @@
       .Set(static_cast<double>(count));
 }
 
+void ForwardMetrics::SetStartingEndpoints(size_t count, size_t slots) {
+  m_metrics.GetGauge("plantain_forward_starting_endpoints", "Endpoints in slow start.").Set(static_cast<double>(count));
+  m_metrics.GetGauge("plantain_forward_starting_slots", "Slots that all entries use at endpoints in slow start.")
+      .Set(static_cast<double>(slots));
+}
+
+void ForwardMetrics::CountStartRefusals(uint32_t count) {
+  m_metrics.GetCounter("plantain_forward_start_refusals_total", "Requests that endpoints refused in slow start.")
+      .Increment(count);
+}
+
 void ForwardMetrics::SetBlockedContents(size_t count) {
   m_metrics.GetGauge("plantain_forward_blocked_contents", "Contents that are not sent because endpoints crash.")
       .Set(static_cast<double>(count));
--- a/src/forward_metrics.h
+++ b/src/forward_metrics.h
@@ -20,6 +20,9 @@
   void SetInFlight(size_t count);
   void SetBlockedContents(size_t count);
   void SetLimitedEndpoints(size_t count);
+  // Sets the number of endpoints in slow start and the slots that all entries may use at them together.
+  void SetStartingEndpoints(size_t count, size_t slots);
+  void CountStartRefusals(uint32_t count);
 
  private:
   Metrics& m_metrics;
--- a/src/forward_service.cpp
+++ b/src/forward_service.cpp
@@ -32,6 +32,7 @@
   options.balancer.self = parts.vm;
   options.balancer.zone = parts.zone;
   options.balancer.region = RegionName(parts.settings.GetText("vm.region"));
+  options.balancer.learns_pace = parts.settings.GetFlag("balancer.learn_pace");
   options.retry_share = parts.settings.GetNumber("retry.share");
   options.retry_slack = parts.settings.GetNumber("retry.slack");
   options.version_change_limit = parts.settings.GetDuration("version.limit_ms");
@@ -142,6 +143,9 @@
   if (!report.statements.empty() || !report.grants.empty()) {
     m_received_statement_reports.emplace_back(beacon.vm, report);
   }
+  if (!beacon.pace.starts.empty() || !beacon.pace.speeds.empty()) {
+    m_received_pace_reports.emplace_back(beacon.vm, beacon.pace);
+  }
 }
 
 void ForwardService::FillBeacon(BeaconInfo& beacon) {
@@ -150,21 +154,25 @@
   beacon.content_reports = m_content_reports;
   AddAge(beacon.content_reports, m_parts.clock.GetNow() - m_content_reports_at);
   beacon.statements = m_statement_report;
+  beacon.pace = m_pace_report;
 }
 
 BeaconTargets ForwardService::GetBeaconTargets() const { return m_relay.GetBeacons().GetAgents(); }
 
 void ForwardService::TransferBeacons() {
   const bool is_due = ++m_transfer_number % kQuietTransferDivisor == 0;
-  const bool has_news = !m_loads.empty() || !m_received_statement_reports.empty();
+  const bool has_reports = !m_received_statement_reports.empty() || !m_received_pace_reports.empty();
+  const bool has_news = !m_loads.empty() || has_reports;
   if (!has_news && !is_due) return;
   m_loop.Post([this, view = MakeEntryView(), loads = std::exchange(m_loads, {}),
-               statement_reports = std::exchange(m_received_statement_reports, {})]() mutable {
+               statement_reports = std::exchange(m_received_statement_reports, {}),
+               pace_reports = std::exchange(m_received_pace_reports, {})]() mutable {
     if (m_traffic == nullptr) return;
     view.entries.push_back({m_parts.vm, m_parts.zone, m_traffic->GetDemand()});
     ShareState(view.entries.back().requests_per_s);
     m_traffic->SetEntries(std::move(view));
     for (const auto& [from, report] : statement_reports) m_traffic->ApplyStatementReport(from, report);
+    for (const auto& [from, report] : pace_reports) m_traffic->ApplyPaceReport(from, report);
     m_traffic->OnLoad(loads);
   });
 }
@@ -198,11 +206,13 @@
 void ForwardService::ShareState(std::map<PoolName, double> demand) {
   std::vector<ContentReport> content_reports = m_traffic->GetContentReports();
   StatementReport statement_report = m_traffic->GetStatementReport();
+  PaceReport pace_report = m_traffic->GetPaceReport();
   const std::lock_guard lock(m_beacon_mutex);
   m_demand = std::move(demand);
   m_content_reports = std::move(content_reports);
   m_content_reports_at = m_parts.clock.GetNow();
   m_statement_report = std::move(statement_report);
+  m_pace_report = std::move(pace_report);
 }
 
 void ForwardService::Tick() {
--- a/src/forward_service.h
+++ b/src/forward_service.h
@@ -69,19 +69,22 @@
   std::unique_ptr<Timer> m_tick_timer;
   // Requests in progress as of the last tick, for /status.
   std::atomic<size_t> m_in_flight = 0;
-  // Guards the next four, which the traffic loop writes and the control thread reads.
+  // Guards the next five, which the traffic loop writes and the control thread reads.
   std::mutex m_beacon_mutex;
   std::map<PoolName, double> m_demand;
   std::vector<ContentReport> m_content_reports;
   // When the content reports were made.
   TimePoint m_content_reports_at;
   StatementReport m_statement_report;
+  PaceReport m_pace_report;
   // Addresses of engines to which this entry has announced itself. Accessed only on the control thread.
   std::set<VmId> m_greeted;
   // Loads received since the last transfer to the traffic loop. Accessed only on the control thread.
   std::vector<EndpointLoad> m_loads;
   // The same for reports about what endpoints state, by sender.
   std::vector<std::pair<VmId, StatementReport>> m_received_statement_reports;
+  // The same for slow starts and the speed of endpoints.
+  std::vector<std::pair<VmId, PaceReport>> m_received_pace_reports;
   // When news were last sent. Accessed only on the traffic loop.
   TimePoint m_news_sent_at;
   uint64_t m_transfer_number = 0;
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -7,6 +7,7 @@
 #include "event_log.h"
 #include "failure_type.h"
 #include "rendezvous.h"
+#include "start_pace_log.h"
 #include "weight_limit.h"
 #include "weight_time.h"
 
@@ -40,6 +41,7 @@
 constexpr Duration kMaxPausedRetryAfter = std::chrono::seconds(30);
 // About the duration of a weight switch or a restart, during which few endpoints serve.
 constexpr Duration kNoEndpointRetryAfter = Milliseconds(1800);
+constexpr int kFirstServerError = 500;
 
 // Returns the number that logs show for a weight version, 0 if there is none.
 uint64_t GetVersionNumber(const std::optional<WeightVersion>& version) {
@@ -108,7 +110,8 @@
 
 bool ForwardTraffic::TakeHasNews() {
   const bool has_content_news = m_quarantine.TakeHasNews();
-  return std::exchange(m_has_statement_news, false) || has_content_news;
+  const bool has_pace_news = m_balancer.GetStartPace().TakeHasNews();
+  return std::exchange(m_has_statement_news, false) || has_content_news || has_pace_news;
 }
 
 std::map<PoolName, double> ForwardTraffic::GetDemand() const {
@@ -433,6 +436,7 @@
   ApplyContentChanges();
   m_balancer.GetStatements().GrantDue();
   LogStatementChanges();
+  ReportStartPace(m_balancer.GetStartPace(), m_metrics);
   for (auto& [pool, state] : m_pools) {
     for (const WaitTicket ticket : state.wait_queue.RemoveExpired(now)) {
       const auto found = m_active_requests.find(ticket);
@@ -535,6 +539,10 @@
 
 void ForwardTraffic::OnAnswerBegun(ActiveRequest& active, const ForwardAttempt& attempt) {
   GetPool(active.GetPool()).first_event_delay.Record(m_clock.GetNow() - attempt.sent_at);
+  const AttemptChoice& choice = attempt.choice;
+  if (attempt.head->status < kFirstServerError) {
+    m_balancer.OnAnswerBegun(choice.endpoint, attempt.incarnation, attempt.sent_at, choice.expected);
+  }
   if (!m_quarantine.IsEmpty()) {
     m_quarantine.OnRunAnswered(GetRun(attempt.choice.endpoint, attempt.incarnation), attempt.sent_at);
   }
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -55,6 +55,9 @@
   void ApplyStatementReport(const VmId& from, const StatementReport& report) {
     m_balancer.GetStatements().ApplyReport(from, report);
   }
+  // Exchange counts of slow starts, and the speed of endpoints.
+  PaceReport GetPaceReport() { return m_balancer.GetPaceReport(); }
+  void ApplyPaceReport(const VmId& from, const PaceReport& report) { m_balancer.ApplyPaceReport(from, report); }
   // Exchange what entries know about contents at which endpoints crash.
   std::vector<ContentReport> GetContentReports() const { return m_quarantine.GetReports(); }
   void ApplyContentReports(const std::vector<ContentReport>& reports) { m_quarantine.ApplyReports(reports); }
--- a/src/settings_table.cpp
+++ b/src/settings_table.cpp
@@ -146,6 +146,8 @@
     {"ready.target", kTarget, "", 0, 0, "", "Address on which the balancer asks for readiness."},
     {"retry.share", kNumber, "0.2", 0, 1, "share", "Attempts beyond the first as a share of first ones, fleet-wide."},
     {"retry.slack", kNumber, "0", 0, 1e6, "attempts", "Attempts beyond that share that the fleet may make."},
+    {"balancer.learn_pace", kFlag, "false", 0, 0, "",
+     "Whether endpoints begin slowly after a start or an outage, and are chosen by their observed speed."},
 };
 
 constexpr SettingRow kHostedAgentOnlyRows[] = {
--- a/src/slot_share.cpp
+++ b/src/slot_share.cpp
@@ -130,14 +130,19 @@
   return found == m_ranges.end() ? m_default_range : found->second;
 }
 
-uint32_t GetOwnSlots(const ShareRange& range, const EndpointId& endpoint, uint32_t slots) {
+SlotRange GetOwnSlotRange(const ShareRange& range, const EndpointId& endpoint, uint32_t slots) {
   const double shift =
       static_cast<double>(HashName(endpoint.Get())) / static_cast<double>(std::numeric_limits<uint64_t>::max());
   // The widths may add up to slightly less than 1 because of rounding errors.
   constexpr double kRounding = 1e-9;
   const double first = std::floor(range.from * slots + shift + kRounding);
   const double last = std::floor(range.to * slots + shift + kRounding);
-  return static_cast<uint32_t>(std::max(0.0, last - first));
+  return {static_cast<uint64_t>(first), static_cast<uint64_t>(std::max(first, last))};
+}
+
+uint32_t GetOwnSlots(const ShareRange& range, const EndpointId& endpoint, uint32_t slots) {
+  const SlotRange own = GetOwnSlotRange(range, endpoint, slots);
+  return static_cast<uint32_t>(own.last - own.first);
 }
 
 }  // namespace plantain
--- a/src/slot_share.h
+++ b/src/slot_share.h
@@ -56,6 +56,18 @@
   double m_demand_share = 1;
 };
 
+// Slots of an endpoint from `first` to before `last`. Numbers of at least the endpoint's slots stand for the slots that
+// remain after division by their number.
+struct SlotRange {
+  uint64_t first = 0;
+  uint64_t last = 0;
+
+  bool Contains(uint64_t slot) const { return slot >= first && slot < last; }
+};
+
+// Returns the slots of one endpoint that lie in a range.
+SlotRange GetOwnSlotRange(const ShareRange& range, const EndpointId& endpoint, uint32_t slots);
+
 // Returns how many slots of one endpoint lie in a range. Over adjacent ranges that cover 0 to 1 the results add up to
 // `slots` exactly; fractions of a slot are rounded in favour of different entries at different endpoints.
 uint32_t GetOwnSlots(const ShareRange& range, const EndpointId& endpoint, uint32_t slots);
