Test slow start at plain endpoints, and state its limit

Cause: the tests of slow start covered only endpoints that report their load.

Change: a test at plain endpoints with 1 to 65 entries. The slots in use stay within the number while all entries are in slow start.

--- a/tests/start_pace_test.cpp
+++ b/tests/start_pace_test.cpp
@@ -271,6 +271,29 @@
   }
 }
 
+// Guards against entries that each send one request at any time to a plain endpoint, which reports no load, although it
+// has just started.
+TEST_CASE("Slow start bounds the slots of plain endpoints too") {
+  for (const SimCase& sim_case : kSimCases) {
+    CAPTURE(sim_case.entries, sim_case.zones);
+    const auto run = [&](bool learns_pace) {
+      auto sim = std::make_unique<PaceSim>(MakeSimOptions(sim_case, false, learns_pace));
+      sim->Run(std::chrono::seconds(5));
+      sim->Crash();
+      sim->Run(std::chrono::seconds(3));
+      sim->Restart();
+      sim->Run(std::chrono::seconds(2));
+      return sim;
+    };
+    if (sim_case.entries > 1) CHECK(run(false)->GetRefusedShare() > kMaxRefusedShare);
+    const auto sim = run(true);
+    CHECK(sim->max_excess <= 0);
+    CHECK(sim->balancers[0]->GetStartPace().GetCount() == 0);
+    // With more entries than slots those that have heard of the end flood the endpoint while others have not.
+    if (sim_case.entries <= 4) CHECK(sim->GetStartRefusedShare() <= kMaxRefusedShare);
+  }
+}
+
 // Guards against an endpoint that serves again and gets nothing, because each entry waits for the end of its own
 // backoff.
 TEST_CASE("An endpoint that is reachable again is found at once and not flooded") {
