Test that the forwarding path keeps to the slots of a slow start

Cause: only the classes were tested, not that answers and refusals reach them.

Change: a test with the fake sender; without the setting nothing changes.

Result: build/plantain-tests "The forwarding path keeps*": passed.

--- a/tests/start_pace_test.cpp
+++ b/tests/start_pace_test.cpp
@@ -353,5 +353,42 @@
   CHECK(sim.sent > 0);
 }
 
+// Guards against a forwarding path that does not tell slow start of answers and refusals.
+TEST_CASE("The forwarding path keeps to the slots of a slow start") {
+  ForwardOptions options = ForwardFixture::MakeOptions();
+  options.balancer.learns_pace = true;
+  ForwardFixture fixture({MakeEndpoint("e0", kEnginePool, "praha", 12)}, options);
+  fixture.AdvanceTime(std::chrono::seconds(4));
+  fixture.fleet = std::make_shared<FleetView>(*fixture.fleet);
+  fixture.fleet->endpoints[0].incarnation = Incarnation(2);
+  fixture.traffic->SetFleet(fixture.fleet);
+  std::vector<std::shared_ptr<FakeForwardCaller>> callers;
+  for (int i = 0; i < 6; ++i) callers.push_back(fixture.SendRequest("/draft/x", "6000"));
+  REQUIRE(fixture.sender.GetCount() == 2);
+
+  SECTION("an answer that begins makes room for one more request") {
+    fixture.sender.At(0).BeginStream();
+    fixture.sender.At(0).SendData("id: 1\ndata: x\n\n");
+    fixture.AdvanceTime(Milliseconds(10));
+    CHECK(fixture.sender.GetCount() == 3);
+    CHECK(fixture.traffic->GetPaceReport().starts.at(0).good == 1);
+  }
+  SECTION("a refusal halves the number") {
+    fixture.sender.At(0).RefuseAsNotRun();
+    fixture.AdvanceTime(Milliseconds(100));
+    CHECK(fixture.sender.GetCount() == 2);
+    CHECK(fixture.traffic->GetPaceReport().starts.at(0).base == 1);
+  }
+  SECTION("without the setting all slots are used at once") {
+    ForwardFixture usual({MakeEndpoint("e0", kEnginePool, "praha", 12)});
+    usual.fleet = std::make_shared<FleetView>(*usual.fleet);
+    usual.fleet->endpoints[0].incarnation = Incarnation(2);
+    usual.traffic->SetFleet(usual.fleet);
+    for (int i = 0; i < 6; ++i) callers.push_back(usual.SendRequest("/draft/x", "6000"));
+    CHECK(usual.sender.GetCount() == 6);
+    CHECK(usual.traffic->GetPaceReport().starts.empty());
+  }
+}
+
 }  // namespace
 }  // namespace plantain
