--- a/src/beacon_table.cpp
+++ b/src/beacon_table.cpp
@@ -8,6 +8,7 @@
 #include <iterator>
 #include <tuple>
 
+#include "beacon_pace.h"
 #include "fleet.pb.h"
 
 namespace plantain {
@@ -315,6 +316,7 @@
   for (const ContentReport& report : beacon.content_reports) EncodeContent(report, *message.add_content_evidence());
   EncodeStatements(beacon.statements, message);
   EncodeStore(beacon.store, message);
+  EncodePace(beacon.pace, message);
   return message.SerializeAsString();
 }
 
@@ -359,6 +361,7 @@
     beacon.content_reports.push_back(DecodeContent(content));
   beacon.statements = DecodeStatements(message);
   beacon.store = DecodeStore(message);
+  beacon.pace = DecodePace(message);
   return beacon;
 }
 
--- a/src/beacon_table.h
+++ b/src/beacon_table.h
@@ -17,6 +17,7 @@
 #include "era_table.h"
 #include "log_position.h"
 #include "member_type.h"
+#include "pace_type.h"
 #include "store_statement.h"
 
 namespace plantain::proto {
@@ -63,6 +64,8 @@
   StatementReport statements;
   // Whether the sender, an entry, reads the store.
   StoreStatement store;
+  // Slow start and speed of endpoints.
+  PaceReport pace;
 };
 
 // Encode and decode beacons. Decoding returns nothing if the bytes are not a valid beacon. Lists that are longer than
--- a/src/endpoint_balancer.h
+++ b/src/endpoint_balancer.h
@@ -11,11 +11,13 @@
 
 #include "clock.h"
 #include "endpoint_silence.h"
+#include "endpoint_speed.h"
 #include "endpoint_statement.h"
 #include "fleet_type.h"
 #include "random.h"
 #include "route_match.h"
 #include "slot_share.h"
+#include "start_pace.h"
 
 namespace plantain {
 
@@ -61,6 +63,8 @@
   VmId self;
   ZoneName zone;
   RegionName region;
+  // Whether endpoints begin slowly after a start or an outage, and are chosen by their observed speed.
+  bool learns_pace = false;
 };
 
 // Input of one endpoint selection.
@@ -124,6 +128,11 @@
   EndpointStatements& GetStatements() { return m_statements; }
   const EndpointStatements& GetStatements() const { return m_statements; }
 
+  // Exchange counts of slow starts, and the speed of endpoints.
+  PaceReport GetPaceReport();
+  void ApplyPaceReport(const VmId& from, const PaceReport& report);
+  StartPace& GetStartPace() { return m_start_pace; }
+
   // Whether the endpoint leaves, as the directory or one of its responses says.
   bool IsLeaving(const EndpointInfo& endpoint) const;
 
@@ -145,6 +154,9 @@
   // `sent_at` tells whether a failed connection shows anything new.
   void OnEnded(const EndpointId& id, AttemptEnd end, TimePoint sent_at);
 
+  // Records that the answer to a request has begun. `expected` is the estimate of EndpointChoice.
+  void OnAnswerBegun(const EndpointId& id, Incarnation incarnation, TimePoint sent_at, Duration expected);
+
   // The next three concern one run of the endpoint and do nothing if it has restarted since.
   // Records that the endpoint has sent a part of an answer. Returns how long it stood still, if it did.
   std::optional<Duration> OnReceived(const EndpointId& id, Incarnation incarnation);
@@ -209,6 +221,9 @@
     // Token bucket, in requests, that limits the rate at cold endpoints.
     double rate_tokens = 0;
     TimePoint rate_tokens_at;
+    // Whether the endpoint was in slow start, and this entry owned a slot, when the tokens were last computed.
+    bool was_starting = false;
+    bool owned_start_slot = false;
     bool is_listed = true;
   };
 
@@ -231,12 +246,22 @@
   uint32_t GetLoad(const State& state, TimePoint now) const;
   // Returns the slots of an endpoint; an endpoint that announces none counts as one slot.
   static uint32_t GetSlots(const State& state);
+  // Returns the slots of this entry at an endpoint in slow start, or nothing if it is not in slow start.
+  std::optional<uint32_t> GetStartLimit(const State& state) const;
+  // Returns the time of answers relative to the usual one; 1 if not known.
+  double GetSlowness(const State& state) const;
+  // Whether a slow endpoint is left out of one choice, so that it gets requests in proportion to its speed.
+  bool IsSkippedForSpeed(const State& state);
+  void SetPaceEndpoints();
+  // Ends the backoff of an endpoint that answers other entries.
+  void EndBackOff(const EndpointId& id);
   // Returns how many more requests this entry may send to an endpoint now, at most.
   uint32_t GetRoom(const State& state, TimePoint now) const;
   // Returns the same for a request, by its priority. An entry among many owns too few slots to serve an urgent request
   // in time. So urgent requests may wait at the endpoint, which admits them first, and the least urgent ones are sent
   // only to free slots. The places to wait at are divided among entries as the slots are.
   uint32_t GetRoomFor(const State& state, const EndpointQuery& query, TimePoint now) const;
+  uint32_t GetUsualRoom(const State& state, TimePoint now) const;
   State* FindRun(const EndpointId& id, Incarnation incarnation);
   void ApplyPoolSpecs();
   void AssignSlots();
@@ -261,6 +286,8 @@
   std::vector<EntryDemand> m_entries;
   std::map<ModelName, WeightVersion> m_min_versions;
   EndpointStatements m_statements;
+  StartPace m_start_pace;
+  EndpointSpeeds m_speeds;
 };
 
 }  // namespace plantain
--- a/src/endpoint_room.cpp
+++ b/src/endpoint_room.cpp
@@ -9,6 +9,8 @@
 uint32_t EndpointBalancer::GetRoomFor(const State& state, const EndpointQuery& query, TimePoint now) const {
   const uint32_t room = GetRoom(state, now);
   if (!query.overcommit.has_value() || m_entries.size() < 2 || !HasFreshReport(state, now)) return room;
+  // Requests that wait at an endpoint in slow start would exceed the slots that all entries may use there.
+  if (GetStartLimit(state).has_value()) return room;
   const auto subtract = [](uint32_t from, uint32_t used) { return from - std::min(from, used); };
   const uint32_t places = GetSlots(state) + *query.overcommit;
   const uint32_t free = subtract(places, GetLoad(state, now));
--- a/src/forward_service.h
+++ b/src/forward_service.h
@@ -77,12 +77,15 @@
   // When the content reports were made.
   TimePoint m_content_reports_at;
   StatementReport m_statement_report;
+  PaceReport m_pace_report;
   // Addresses of engines to which this entry has announced itself. Accessed only on the control thread.
   std::set<VmId> m_greeted;
   // Loads received since the last transfer to the traffic loop. Accessed only on the control thread.
   std::vector<EndpointLoad> m_loads;
   // The same for reports about what endpoints state, by sender.
   std::vector<std::pair<VmId, StatementReport>> m_received_statement_reports;
+  // The same for slow starts and the speed of endpoints.
+  std::vector<std::pair<VmId, PaceReport>> m_received_pace_reports;
   // When news were last sent. Accessed only on the traffic loop.
   TimePoint m_news_sent_at;
   uint64_t m_transfer_number = 0;
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -8,9 +8,11 @@
 #include "event_log.h"
 #include "failure_type.h"
 #include "forward_log.h"
+#include "http_status.h"
 #include "priority_wait_queue.h"
 #include "rendezvous.h"
 #include "retry_after.h"
+#include "start_pace_log.h"
 #include "wait_queue.h"
 #include "weight_limit.h"
 #include "weight_time.h"
@@ -107,7 +109,8 @@
 
 bool ForwardTraffic::TakeHasNews() {
   const bool has_content_news = m_quarantine.TakeHasNews();
-  return std::exchange(m_has_statement_news, false) || has_content_news;
+  const bool has_pace_news = m_balancer.GetStartPace().TakeHasNews();
+  return std::exchange(m_has_statement_news, false) || has_content_news || has_pace_news;
 }
 
 std::map<PoolName, double> ForwardTraffic::GetDemand() const {
@@ -508,6 +511,7 @@
   ApplyContentChanges();
   m_balancer.GetStatements().GrantDue();
   LogStatementChanges();
+  ReportStartPace(m_balancer.GetStartPace(), m_metrics);
   for (auto& [pool, state] : m_pools) {
     RefuseTickets(state.wait_queue->RemoveExpired(now), PriorityEvent::kRefused);
     DispatchQueued(pool);
@@ -577,6 +581,10 @@
 
 void ForwardTraffic::OnAnswerBegun(ActiveRequest& active, const ForwardAttempt& attempt) {
   GetPool(active.GetPool()).first_event_delay.Record(m_clock.GetNow() - attempt.sent_at);
+  const AttemptChoice& choice = attempt.choice;
+  if (!IsServerErrorStatus(attempt.head->status)) {
+    m_balancer.OnAnswerBegun(choice.endpoint, attempt.incarnation, attempt.sent_at, choice.expected);
+  }
   if (!m_quarantine.IsEmpty()) {
     m_quarantine.OnRunAnswered(GetRun(attempt.choice.endpoint, attempt.incarnation), attempt.sent_at);
   }
