--- a/src/active_request.h
+++ b/src/active_request.h
@@ -143,6 +143,7 @@
   // Whether no attempt runs.
   bool IsWaiting() const { return m_running.empty() && !m_is_ended; }
   const ForwardRequest& GetRequest() const { return m_request; }
+  bool IsStream() const { return m_match.rule->kind == RequestKind::kStream; }
   const RouteMatch& GetMatch() const { return m_match; }
   const RouteMatcher& GetMatcher() const { return *m_matcher; }
   const PoolName& GetPool() const { return m_pool; }
@@ -205,7 +206,6 @@
   void ReportSilence(ForwardAttempt& attempt);
   AttemptEnd ReportOverdue(ForwardAttempt& attempt);
   bool IsPastStartLimit(const ForwardAttempt& attempt, TimePoint now) const;
-  bool IsStream() const { return m_match.rule->kind == RequestKind::kStream; }
 
   ActiveRequestDeps& m_deps;
   const ForwardRequest m_request;
--- a/src/crash_report_type.h
+++ b/src/crash_report_type.h
@@ -5,10 +5,12 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "content_key.h"
 #include "core_type.h"
+#include "rendezvous.h"
 #include "strong_type.h"
 
 namespace plantain {
@@ -16,6 +18,10 @@
 // Hash that identifies one run of an endpoint, from its start to its end.
 using EndpointRun = StrongNumber<struct EndpointRunTag, uint64_t>;
 
+inline EndpointRun GetEndpointRun(const EndpointId& endpoint, Incarnation incarnation) {
+  return EndpointRun(HashName(endpoint.Get() + '/' + std::to_string(incarnation.Get())));
+}
+
 // The end of an endpoint's run while it was about to answer a request.
 struct ContentCrash {
   EndpointRun run;
--- a/src/forward_log.cpp
+++ b/src/forward_log.cpp
@@ -13,8 +13,6 @@
   return version.value_or(WeightVersion()).Get();
 }
 
-bool IsStream(const ActiveRequest& active) { return active.GetMatch().rule->kind == RequestKind::kStream; }
-
 std::string FormatParts(const std::vector<ContentKey>& parts) {
   std::string text;
   for (const ContentKey& part : parts) {
@@ -72,7 +70,7 @@
             {"endpoint", attempt.choice.endpoint},
             {"pool", active.GetPool()},
             {"end", GetAttemptEndName(end)},
-            {"progress", GetAnswerProgressName(attempt.GetProgress(IsStream(active)))},
+            {"progress", GetAnswerProgressName(attempt.GetProgress(active.IsStream()))},
             {"after_ms", ToMilliseconds(now - active.GetStart())},
             {"sent_ms", ToMilliseconds(attempt.sent_at - active.GetStart())},
             {"silent_ms", ToMilliseconds(now - attempt.received_at)},
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -4,7 +4,6 @@
 #include <iterator>
 #include <utility>
 
-#include "crash_log.h"
 #include "event_log.h"
 #include "failure_type.h"
 #include "forward_log.h"
@@ -53,16 +52,10 @@
   return FlowId(HashName(workspace + '/' + match.rule->name));
 }
 
-EndpointRun GetRun(const EndpointId& endpoint, Incarnation incarnation) {
-  return EndpointRun(HashName(endpoint.Get() + '/' + std::to_string(incarnation.Get())));
-}
-
 Duration GetGoalShare(const ActiveRequest& active, double share) {
   return std::chrono::duration_cast<Duration>(active.GetMatch().rule->latency_target * share);
 }
 
-bool IsStream(const ActiveRequest& active) { return active.GetMatch().rule->kind == RequestKind::kStream; }
-
 }  // namespace
 
 ForwardTraffic::ForwardTraffic(const Clock& clock, Random& random, const CallerProtocol& protocol,
@@ -317,33 +310,6 @@
   return query;
 }
 
-// Returns what is known to end endpoints or not by: the parts of the prompt, and the whole request if any is known.
-std::vector<ContentKey> ForwardTraffic::GetContentKeys(const ActiveRequest& active) const {
-  std::vector<ContentKey> keys = active.GetRequest().shared_parts;
-  if (m_quarantine.KnowsRequests()) keys.push_back(active.GetRequestKey());
-  return keys;
-}
-
-// Whether a request at which endpoints have just crashed would run at the only endpoint left, which is kept for other
-// requests until those endpoints are back, or at another endpoint while it already runs at one.
-bool ForwardTraffic::EndangersEndpoints(const ActiveRequest& active) const {
-  if (m_quarantine.IsEmpty()) return false;
-  const std::vector<ContentKey> keys = GetContentKeys(active);
-  if (!m_quarantine.IsSuspect(keys) || !m_quarantine.HasRecentEnd(keys)) return false;
-  const bool runs_already = std::any_of(m_active_requests.begin(), m_active_requests.end(), [&](const auto& entry) {
-    const ActiveRequest& other = *entry.second;
-    return !other.IsWaiting() && other.GetRequestKey() == active.GetRequestKey();
-  });
-  if (runs_already) return true;
-  const auto usable =
-      std::count_if(m_fleet->endpoints.begin(), m_fleet->endpoints.end(), [&](const EndpointInfo& endpoint) {
-        const bool is_in_service = !m_balancer.IsLeaving(endpoint) && !m_fleet->zones_out.contains(endpoint.zone);
-        return endpoint.pool == active.GetPool() && is_in_service &&
-               !m_quarantine.HasEnded(GetRun(endpoint.id, endpoint.incarnation));
-      });
-  return usable <= 1;
-}
-
 bool ForwardTraffic::TryDispatch(ActiveRequest& active, NoEndpointReason& why) {
   if (EndangersEndpoints(active)) {
     why = NoEndpointReason::kBackedOff;
@@ -446,32 +412,6 @@
                                                                        : "no endpoint accepts the request");
 }
 
-void ForwardTraffic::RefuseBlocked(ActiveRequest& active) {
-  active.RefuseAttempt(ForwardFailure::kBlockedContent, "endpoints crash at this content");
-}
-
-// Logs contents that have been blocked or cleared, and checks queued and sent requests again if one was blocked.
-void ForwardTraffic::ApplyContentChanges() {
-  bool has_blocked = false;
-  for (const CrashQuarantine::Change& change : m_quarantine.TakeChanges()) {
-    has_blocked = has_blocked || change.is_blocked;
-    LogContentChange(change);
-  }
-  m_metrics.SetBlockedContents(m_quarantine.GetBlockedCount());
-  if (!has_blocked) return;
-  std::vector<std::shared_ptr<ActiveRequest>> blocked;
-  for (const auto& [ticket, active] : m_active_requests) {
-    if (m_quarantine.IsBlocked(GetContentKeys(*active))) blocked.push_back(active);
-  }
-  for (const auto& active : blocked) {
-    if (active->IsWaiting()) {
-      RefuseBlocked(*active);
-    } else {
-      active->WithdrawAttempts("endpoints crash at this content");
-    }
-  }
-}
-
 void ForwardTraffic::RefuseUnservable() {
   for (auto& [pool, state] : m_pools) {
     for (const WaitTicket ticket : state.wait_queue->GetNext(state.wait_queue->GetSize())) {
@@ -586,27 +526,13 @@
     m_balancer.OnAnswerBegun(choice.endpoint, attempt.incarnation, attempt.sent_at, choice.expected);
   }
   if (!m_quarantine.IsEmpty()) {
-    m_quarantine.OnRunAnswered(GetRun(attempt.choice.endpoint, attempt.incarnation), attempt.sent_at);
+    m_quarantine.OnRunAnswered(GetEndpointRun(attempt.choice.endpoint, attempt.incarnation), attempt.sent_at);
   }
   m_quarantine.OnAnswered(m_quarantine.KnowsRequests() ? GetContentKeys(active) : active.GetRequest().shared_parts);
 }
 
-// Records a lost connection as the end of the endpoint, unless it was about to end anyway.
-void ForwardTraffic::RecordCrash(const ActiveRequest& active, const ForwardAttempt& attempt) {
-  const auto& endpoints = m_fleet->endpoints;
-  const bool is_leaving = std::any_of(endpoints.begin(), endpoints.end(), [&](const EndpointInfo& endpoint) {
-    return endpoint.id == attempt.choice.endpoint && m_balancer.IsLeaving(endpoint);
-  });
-  if (is_leaving) return;
-  std::vector<ContentKey> keys = active.GetRequest().shared_parts;
-  keys.push_back(active.GetRequestKey());
-  const bool has_header = attempt.GetProgress(IsStream(active)) == AnswerProgress::kHeader;
-  m_quarantine.OnCrash(keys, GetRun(attempt.choice.endpoint, attempt.incarnation), attempt.sent_at, has_header);
-  if (m_on_crash) m_on_crash();
-}
-
 void ForwardTraffic::OnAttemptEnded(ActiveRequest& active, const ForwardAttempt& attempt, AttemptEnd end) {
-  const AnswerProgress progress = attempt.GetProgress(IsStream(active));
+  const AnswerProgress progress = attempt.GetProgress(active.IsStream());
   m_metrics.CountAttempt(end);
   m_balancer.OnEnded(attempt.choice.endpoint, end, attempt.sent_at);
   SpareCapacity& spare_capacity = GetPool(active.GetPool()).spare_capacity;
