Mend what the reviews of the joined parts found

Causes and changes: - A body was counted four times when it was handed on, three are reserved, so that large requests were refused on small VMs. HttpSession counts what the parser holds once, and keeps the place for a body of known length.

--- a/src/beacon_table.cpp
+++ b/src/beacon_table.cpp
@@ -210,6 +210,8 @@
   }
   is_cut |= Truncate(*message.mutable_fetches(), kMaxFetches);
   is_cut |= Truncate(*message.mutable_demand(), kMaxPools);
+  is_cut |= Truncate(*message.mutable_start_counts(), static_cast<int>(kMaxStartCounts));
+  is_cut |= Truncate(*message.mutable_speeds(), static_cast<int>(kMaxSpeedReports));
   for (proto::PoolDemand& demand : *message.mutable_demand()) {
     is_cut |= Truncate(*demand.mutable_priorities(), kMaxPriorities);
   }
--- a/src/caller_memory.cpp
+++ b/src/caller_memory.cpp
@@ -13,6 +13,8 @@
 constexpr size_t kProgressBytes = 4096;
 // Stall time of a connection that has just made progress, so that the one that holds most goes first among such.
 constexpr Duration kMinStall = Milliseconds(1);
+// An answer is cut off for the descriptor of a new connection only if its caller has taken nothing for so long.
+constexpr Duration kMinWriteStall = std::chrono::seconds(1);
 // A request in progress, the request of its attempt, and the message that the client writes.
 constexpr size_t kRequestCopies = 3;
 // Descriptors for everything but connections of callers and of endpoints: sockets that listen, store, peers, logs.
@@ -25,7 +27,7 @@
 // The limit rises at most to this part of the VM's memory.
 constexpr size_t kMaxMemoryDivisor = 2;
 
-// Returns how expendable the connection is when descriptors are short; the lowest goes first, nullopt must stay.
+// Returns the order in which connections are closed when descriptors are short, the lowest first; nullopt must stay.
 std::optional<int> GetConnectionRank(CallerState state) {
   switch (state) {
     case CallerState::kClosing:
@@ -98,11 +100,14 @@
 }
 
 bool CallerMemory::ShedConnection() {
+  const TimePoint now = m_clock.GetNow();
   CallerAccount* victim = nullptr;
   std::pair<int, TimePoint> lowest;
   for (CallerAccount* account : m_accounts) {
     const std::optional<int> rank = GetConnectionRank(account->m_state);
     if (!rank.has_value()) continue;
+    const bool is_taken = account->m_state == CallerState::kWriting && now - account->m_progress_at < kMinWriteStall;
+    if (is_taken) continue;
     const std::pair<int, TimePoint> key(*rank, account->m_progress_at);
     if (victim != nullptr && key >= lowest) continue;
     victim = account;
--- a/src/caller_memory.h
+++ b/src/caller_memory.h
@@ -87,7 +87,7 @@
 
 class CallerAccount;
 
-// Pattern of load: many connections each hold as much as a single one may, and stop before the end of their request or
+// Load pattern: many connections each hold as much as a single one may, and stop before the end of their request or
 // do not read their answer, beside callers with small requests. So when memory is short the connection goes whose bytes
 // times the time without progress are the most, and a quarter is reserved for connections that hold little. A request
 // that was handed on is not shed while it waits for its answer, since its caller cannot speed that up.
--- a/src/ctl_check_cmd.cpp
+++ b/src/ctl_check_cmd.cpp
@@ -127,8 +127,12 @@
     DocumentFaults faults(report.against);
     YamlNode in_force;
     if (!ReadYamlTree(*text, YamlLimits(), in_force, faults)) return faults.GetStatus();
-    // A text that is not YAML has no fields to compare.
-    if (tree.kind != YamlNode::Kind::kNull) report.differences = CompareDocuments(in_force, tree);
+    // A text that is not YAML has no fields to compare, so no result of a comparison is reported.
+    if (tree.kind == YamlNode::Kind::kNull) {
+      report.against.clear();
+    } else {
+      report.differences = CompareDocuments(in_force, tree);
+    }
     return absl::OkStatus();
   }
 };
--- a/src/endpoint_speed.h
+++ b/src/endpoint_speed.h
@@ -34,7 +34,7 @@
   std::optional<double> OnAnswerBegun(const EndpointId& id, Incarnation incarnation, const PoolName& pool,
                                       Duration delay, Duration expected);
 
-  // Returns the usual time of the pool as a fraction of the time that the endpoint takes, inverted: 2 is half as fast.
+  // Returns the time until answers of the endpoint begin relative to the usual one of its pool, so 2 is half as fast.
   // Returns nothing if too few recent answers are known.
   std::optional<double> GetSlowness(const EndpointId& id) const;
 
--- a/src/entry_worker.cpp
+++ b/src/entry_worker.cpp
@@ -51,12 +51,13 @@
       [this](const VmId& vm) { m_traffic->HandleEndpointSuspect(vm); });
   m_traffic = std::make_unique<EntryTraffic>(parts.clock, m_random, *m_channels, parts.metrics, parts.history, slo,
                                              ReadTrafficOptions(parts));
-  m_server =
-      std::make_unique<HttpServer>(loop, std::move(caller_memory), parts.address, parts.settings.GetPort("http.port"),
-                                   parts.settings.GetBytes("http.max_body_bytes").Get(),
-                                   [this](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
-                                     m_traffic->HandleHttp(std::move(request), responder);
-                                   });
+  const Bytes max_body = parts.settings.GetBytes("http.max_body_bytes");
+  caller_memory->SetLargestRequest(HttpLimits().max_header_bytes, max_body.Get());
+  m_server = std::make_unique<HttpServer>(loop, std::move(caller_memory), parts.address,
+                                          parts.settings.GetPort("http.port"), max_body.Get(),
+                                          [this](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
+                                            m_traffic->HandleHttp(std::move(request), responder);
+                                          });
 }
 
 EntryWorker::~EntryWorker() = default;
--- a/src/fleet_mirror.h
+++ b/src/fleet_mirror.h
@@ -110,8 +110,8 @@
   // Returns the time since which operator requests may have been made without being received.
   Duration GetOperatorReadAge() const { return m_clock.GetNow() - m_operator_as_of; }
 
-  // Sets whether this entry gets its records from an entry that reads the store. Removals that peers send may then be
-  // those of endpoints whose records lapsed, as removals read from the store may be.
+  // Sets whether this entry gets its records from a reader. A removal from a peer may then concern a record that lapsed
+  // in an outage and can return.
   void SetStandby(bool is_standby) { m_is_standby = is_standby; }
   // Whether peers have read the store in a later era than this process. What the store has lost and what expires
   // therefore only shows in a read of its own.
--- a/src/fleet_relay.cpp
+++ b/src/fleet_relay.cpp
@@ -284,12 +284,15 @@
 
 bool FleetRelay::AdmitLargeBatch(const std::shared_ptr<HttpResponder>& responder) {
   if (!GetPullRole().has_value()) return true;
-  std::erase_if(m_large_batches, [](const std::weak_ptr<HttpResponder>& weak) {
-    const auto answered = weak.lock();
-    return answered == nullptr || answered->GetUnsentBytes() == 0;
+  const TimePoint now = m_clock.GetNow();
+  std::erase_if(m_large_batches, [&](const LargeBatch& batch) {
+    const auto answered = batch.responder.lock();
+    // A peer that stands still takes nothing, and has given up when its time limit is over.
+    const bool is_given_up = now - batch.begun_at >= kPullTimeout;
+    return answered == nullptr || answered->GetUnsentBytes() == 0 || is_given_up;
   });
   if (m_large_batches.size() >= kMaxLargeBatches) return false;
-  m_large_batches.push_back(responder);
+  m_large_batches.push_back({responder, now});
   return true;
 }
 
@@ -315,7 +318,7 @@
     peers.push_back({beacon->vm, beacon->zone == m_options.zone, beacon->is_entry, state.revision.GetNewest()});
   }
   const bool is_reader = role == PullRole::kReader && !is_lost_at_store && m_mirror.GetFleet()->is_store_reachable;
-  if (role == PullRole::kReader && !is_reader) role = PullRole::kLeader;
+  if (role == PullRole::kReader && !is_reader) role = PullRole::kFirst;
   return GetPlan(topic).Decide(role, own.GetNewest(), peers);
 }
 
--- a/src/fleet_relay.h
+++ b/src/fleet_relay.h
@@ -85,6 +85,11 @@
   void SetStoreStatement(std::function<StoreStatement()> get) { m_get_store_statement = std::move(get); }
 
  private:
+  struct LargeBatch {
+    std::weak_ptr<HttpResponder> responder;
+    TimePoint begun_at;
+  };
+
   void OnDatagram(std::string_view data);
   void SendBeacons();
   void SendUrgentBeacon(const std::string& data);
@@ -95,7 +100,7 @@
   void OnFleetChanged();
   HttpResponse HandleRecordRequest(const HttpRequest& request) const;
   void HandleRequest(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
-  // Whether one more large batch may be sent.
+  // Returns whether one more large batch may be sent, and counts it.
   bool AdmitLargeBatch(const std::shared_ptr<HttpResponder>& responder);
   std::optional<PullRole> GetPullRole() const;
   RecordPullPlan& GetPlan(FleetTopic topic);
@@ -146,8 +151,8 @@
   RecordPullPlan m_operator_plan;
   RecordPullPlan m_directory_plan;
   std::unique_ptr<Timer> m_plan_timer;
-  // Connections to which large batches were sent last, as far as they are in use.
-  std::vector<std::weak_ptr<HttpResponder>> m_large_batches;
+  // Connections whose large batch may not be sent completely yet.
+  std::vector<LargeBatch> m_large_batches;
 };
 
 }  // namespace plantain
--- a/src/forward_content.cpp
+++ b/src/forward_content.cpp
@@ -7,7 +7,8 @@
 
 namespace plantain {
 
-// Returns what is known to end endpoints or not by: the parts of the prompt, and the whole request if any is known.
+// Returns the keys that the quarantine may know: the parts of the prompt, and the whole request if it knows any
+// request.
 std::vector<ContentKey> ForwardTraffic::GetContentKeys(const ActiveRequest& active) const {
   std::vector<ContentKey> keys = active.GetRequest().shared_parts;
   if (m_quarantine.KnowsRequests()) keys.push_back(active.GetRequestKey());
--- a/src/forward_metrics.cpp
+++ b/src/forward_metrics.cpp
@@ -143,7 +143,9 @@
 
 void ForwardMetrics::SetStartingEndpoints(size_t count, size_t slots) {
   m_metrics.GetGauge("plantain_forward_starting_endpoints", "Endpoints in slow start.").Set(static_cast<double>(count));
-  m_metrics.GetGauge("plantain_forward_starting_slots", "Slots that all entries use at endpoints in slow start.")
+  m_metrics
+      .GetGauge("plantain_forward_starting_slots",
+                "Slots that all entries together may use at endpoints in slow start.")
       .Set(static_cast<double>(slots));
 }
 
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -383,7 +383,8 @@
     if (found == m_active_requests.end()) continue;
     const std::shared_ptr<ActiveRequest> active = found->second;
     if (event == PriorityEvent::kShed) {
-      m_metrics.CountPriority(active->GetPool(), active->GetMatch().priority, event);
+      // A hedge that is given up refuses nothing.
+      if (active->IsWaiting()) m_metrics.CountPriority(active->GetPool(), active->GetMatch().priority, event);
       active->RefuseAttempt(ForwardFailure::kOverloaded, "more urgent requests came before it");
     } else {
       RefuseQueued(*active, ForwardFailure::kOverloaded);
@@ -405,7 +406,7 @@
 }
 
 void ForwardTraffic::RefuseQueued(ActiveRequest& active, ForwardFailure failure) {
-  if (GetPool(active.GetPool()).has_priorities) {
+  if (active.IsWaiting() && GetPool(active.GetPool()).has_priorities) {
     m_metrics.CountPriority(active.GetPool(), active.GetMatch().priority, PriorityEvent::kRefused);
   }
   active.RefuseAttempt(failure, failure == ForwardFailure::kOverloaded ? "its turn would come too late"
@@ -455,7 +456,7 @@
   for (auto& [pool, state] : m_pools) {
     RefuseTickets(state.wait_queue->RemoveExpired(now), PriorityEvent::kRefused);
     DispatchQueued(pool);
-    if (state.has_priorities) CountWaiting(pool, state);
+    CountWaiting(pool, state);
   }
   std::vector<std::shared_ptr<ActiveRequest>> all;
   all.reserve(m_active_requests.size());
@@ -463,11 +464,13 @@
   for (const auto& active : all) active->CheckDue(now);
 }
 
-void ForwardTraffic::CountWaiting(const PoolName& pool, const PoolState& state) {
-  std::map<uint32_t, size_t> counts;
-  for (const uint32_t priority : m_matcher->GetPriorities(pool)) counts[priority] = 0;
-  for (const WaitingRequest& request : state.wait_queue->GetRequests()) ++counts[request.priority];
-  for (const auto& [priority, count] : counts) m_metrics.SetWaiting(pool, priority, count);
+// Priorities that the configuration has dropped are set to 0.
+void ForwardTraffic::CountWaiting(const PoolName& pool, PoolState& state) {
+  for (auto& [priority, count] : state.waiting) count = 0;
+  if (state.has_priorities) {
+    for (const WaitingRequest& request : state.wait_queue->GetRequests()) ++state.waiting[request.priority];
+  }
+  for (const auto& [priority, count] : state.waiting) m_metrics.SetWaiting(pool, priority, count);
 }
 
 Duration ForwardTraffic::GetRetryAfter(const ActiveRequest& active) {
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -103,6 +103,8 @@
     std::unique_ptr<RetryBudget> budget;
     EventRate demand{kDemandWindow};
     std::map<uint32_t, EventRate> priority_demand;
+    // Waiting requests by priority, as last exported; empty in pools that never had priorities.
+    std::map<uint32_t, size_t> waiting;
     FirstEventDelay first_event_delay;
     SpareCapacity spare_capacity;
   };
@@ -142,7 +144,7 @@
   void DispatchQueued(const PoolName& pool);
   PoolState& GetPool(const PoolName& pool);
   void SelectQueue(const PoolName& pool, PoolState& state);
-  void CountWaiting(const PoolName& pool, const PoolState& state);
+  void CountWaiting(const PoolName& pool, PoolState& state);
   double GetRetryReserve() const;
   AttemptWeights MakeAttemptWeights(const EndpointQuery& query, const EndpointChoice& choice) const;
   Duration GetRetryAfter(const ActiveRequest& active);
--- a/src/http_session.cpp
+++ b/src/http_session.cpp
@@ -190,10 +190,12 @@
   m_state = State::kReading;
   m_parser.emplace();
   m_max_header_bytes = m_server->limits.max_header_bytes;
+  m_max_body_bytes = m_server->limits.max_body_bytes;
   m_head_bytes = 0;
   m_field_memory = 0;
+  m_reserved_body_bytes = 0;
   m_parser->header_limit(static_cast<uint32_t>(m_server->limits.max_header_bytes));
-  m_parser->body_limit(m_server->limits.max_body_bytes);
+  m_parser->body_limit(m_max_body_bytes);
   m_read_since = GetMonotonicTime();
   m_idle_limit.Begin(m_server->limits.idle_timeout, m_read_since);
   m_has_begun = false;
@@ -289,8 +291,11 @@
   m_parser->eager(true);
   m_field_bytes = GetFieldBytes();
   m_field_memory = GetFieldMemory();
-  // The parser allocates a body of known length at once.
-  return m_account.Reserve(GetHeldBytes() + m_parser->content_length().value_or(0));
+  // The parser allocates a body of known length at once, with its first byte.
+  const size_t body_bytes = m_parser->content_length().value_or(0);
+  if (!m_account.Reserve(GetHeldBytes() + body_bytes)) return false;
+  m_reserved_body_bytes = body_bytes;
+  return true;
 }
 
 // The string would double its capacity, also beyond the largest body.
@@ -298,7 +303,7 @@
   std::string& body = m_parser->get().body();
   if (!m_parser->chunked() || m_buffer.size() <= body.capacity() - body.size()) return true;
   const size_t wanted = std::max(body.size() + m_buffer.size(), 2 * body.size());
-  const size_t capacity = std::max(body.size(), std::min<size_t>(wanted, m_server->limits.max_body_bytes));
+  const size_t capacity = std::max(body.size(), std::min<size_t>(wanted, m_max_body_bytes));
   if (capacity <= body.capacity()) return true;
   if (!m_account.Reserve(GetHeldBytes() + capacity)) return false;
   std::string grown;
@@ -325,13 +330,17 @@
 
 size_t HttpSession::GetTrailerBytes() const { return GetFieldBytes() - m_field_bytes; }
 
+size_t HttpSession::GetParsedBytes() const {
+  if (!m_parser.has_value()) return 0;
+  return m_head_bytes + m_field_memory + std::max(m_parser->get().body().capacity(), m_reserved_body_bytes);
+}
+
 size_t HttpSession::GetHeldBytes() const {
   size_t bytes = kConnectionBytes + m_buffer.capacity() + m_request_bytes + m_pending.capacity();
   // The write of a closed connection has been cancelled, and the callback that frees its buffer is queued. Counting the
   // buffer until then would refuse others for whom this connection was shed.
   if (m_state != State::kClosed) bytes += m_writing.capacity();
-  if (m_parser.has_value()) bytes += m_head_bytes + m_field_memory + m_parser->get().body().capacity();
-  return bytes;
+  return bytes + GetParsedBytes();
 }
 
 void HttpSession::OnAnswerGrown() {
@@ -352,6 +361,8 @@
   if (may_refuse) {
     RefuseRequest(503);
   } else {
+    // The request ends with the connection. Counting it until it is destroyed would shed others for the same shortage.
+    m_request_bytes = 0;
     Close();
   }
 }
@@ -364,7 +375,8 @@
   const std::string& body = m_parser->get().body();
   const size_t head_bytes = m_head_bytes + GetTrailerBytes() + GetFieldMemory();
   const size_t request_bytes = (1 + kBodyCopies) * head_bytes + body.capacity() + kBodyCopies * body.size();
-  if (!m_account.Reserve(GetHeldBytes() + request_bytes)) {
+  // The request takes over what the parser holds, so that this is not counted twice.
+  if (!m_account.Reserve(GetHeldBytes() - GetParsedBytes() + request_bytes)) {
     RefuseRequest(503);
     return;
   }
--- a/src/http_session_asio.h
+++ b/src/http_session_asio.h
@@ -149,6 +149,8 @@
   void HandleRequest();
   // Frees what has been read of a request.
   void DropRequest();
+  // Returns what the parser holds, and will hold for a body of known length.
+  size_t GetParsedBytes() const;
   size_t GetHeldBytes() const;
   void UpdateHeld() { m_account.Set(GetHeldBytes()); }
   // Counts an answer that has grown.
@@ -199,6 +201,9 @@
   bool m_has_begun = false;
   // Largest head with trailers of the request that is being read, the bytes of its head, and those of its fields.
   size_t m_max_header_bytes = 0;
+  size_t m_max_body_bytes = 0;
+  // Length of the body that the head states.
+  size_t m_reserved_body_bytes = 0;
   size_t m_head_bytes = 0;
   size_t m_field_bytes = 0;
   // What the parser takes for the fields of the head besides their bytes.
--- a/src/http_status.h
+++ b/src/http_status.h
@@ -8,7 +8,8 @@
 namespace plantain {
 
 // Returns whether a number is a status. RFC 9110, section 15, calls any other one invalid; an answer with it states
-// neither success nor that the request has not run. Every client of ours decides by this function.
+// neither success nor that the request has not run. Every HTTP client of the project, and AttemptClient, decide by this
+// function.
 constexpr bool IsHttpStatus(uint32_t status) {
   constexpr uint32_t kFirstStatus = 100;
   constexpr uint32_t kLastStatus = 599;
--- a/src/priority_share.cpp
+++ b/src/priority_share.cpp
@@ -4,11 +4,13 @@
 #include <numeric>
 #include <set>
 
+#include "priority_wait_queue.h"
+
 namespace plantain {
 namespace {
 
 // Part of a zone's slots that each priority gets at least, as in PriorityWaitQueue.
-constexpr double kFloor = 1.0 / 8;
+constexpr double kFloor = 1.0 / PriorityWaitQueue::kFloorInterval;
 
 using Rates = std::map<uint32_t, double>;
 
--- a/src/priority_wait_queue.cpp
+++ b/src/priority_wait_queue.cpp
@@ -10,7 +10,7 @@
 // A waiting request is shed only if its turn is expected later than its limit by this factor. The service rate of an
 // entry with few slots varies by about a quarter.
 constexpr double kShedMargin = 1.25;
-// Least service rate that is divided by.
+// Rates below this one are taken as this one, to avoid a division by zero.
 constexpr double kMinRate = 1e-3;
 constexpr size_t kAll = std::numeric_limits<size_t>::max();
 
--- a/src/priority_wait_queue.h
+++ b/src/priority_wait_queue.h
@@ -22,8 +22,8 @@
 // value, and costs the other one its target too. It keeps its precedence over late requests, and over requests of a
 // lower priority that have not arrived yet (SpareCapacity).
 //
-// Each priority that waits gets at least one slot in kFloorInterval, so that none starves. The count goes on when its
-// requests give up, as there may be fewer slots than that while one request waits.
+// Each priority that waits gets at least one slot in kFloorInterval, so that none starves. The count is kept while
+// nothing of the priority waits, because a single request may give up before that many slots become free.
 class PriorityWaitQueue : public RequestQueue {
  public:
   static constexpr uint64_t kFloorInterval = 8;
--- a/src/process.cpp
+++ b/src/process.cpp
@@ -25,11 +25,11 @@
 constexpr uint64_t kBytesPerMb = 1024 * 1024;
 // Answers being received may hold this part of the VM's memory.
 constexpr uint64_t kAnswerMemoryPart = 8;
-// So may callers' connections, and those of peers, operators and the load balancer. The largest body of the users'
-// configurations, 4 MiB, takes 12 MiB with its copies, which must fit on a VM of 112 MB beside what is reserved.
+// Connections to callers' ports, and to the control loop's ports, may hold these parts of the VM's memory. A request
+// with a body of 4 MiB takes 12 MiB with its copies, which must fit into the part of callers on a VM of 112 MB.
 constexpr size_t kCallerMemoryPart = 4;
 constexpr size_t kControlMemoryPart = 8;
-// Part of the descriptors of which connections to the control loop's ports get a share.
+// The control loop's ports get their share of this part of the descriptors.
 constexpr size_t kControlDescriptorPart = 4;
 
 struct CommandLine {
--- a/src/record_pull_plan.cpp
+++ b/src/record_pull_plan.cpp
@@ -16,10 +16,12 @@
 constexpr Duration kRetryWait = Milliseconds(20);
 constexpr Duration kRefusedTime = Milliseconds(100);
 constexpr Duration kFailedTime = Milliseconds(500);
+// Failures in a row after which peers of all zones are asked.
+constexpr int kMaxFailures = 2;
 
 Duration GetWait(PullRole role, bool is_own_zone) {
   if (role == PullRole::kReader) return kStoreReadTimeout;
-  return role == PullRole::kLeader || is_own_zone ? Duration::zero() : kOtherZoneDelay;
+  return role == PullRole::kFirst || is_own_zone ? Duration::zero() : kOtherZoneDelay;
 }
 
 // Returns the peers of the first non-empty group: entries of the own zone, other entries, agents.
@@ -49,7 +51,8 @@
   if (peers.empty()) return {};
   if (!m_behind_since.has_value()) m_behind_since = now;
   if (m_peer.has_value()) return {};
-  const std::vector<PullPeer> preferred = SelectPreferred(peers);
+  // After repeated failures the own zone may be out of reach although its beacons arrive.
+  const std::vector<PullPeer> preferred = m_failures < kMaxFailures ? SelectPreferred(peers) : peers;
   const bool is_own_zone = preferred.front().is_own_zone && preferred.front().is_entry;
   const TimePoint earliest = std::max(m_pause_until, *m_behind_since + GetWait(role, is_own_zone));
   if (now < earliest) return {std::nullopt, earliest - now};
@@ -87,6 +90,7 @@
 void RecordPullPlan::OnEnded(PullEnd end) {
   if (!m_peer.has_value()) return;
   const TimePoint now = m_clock.GetNow();
+  m_failures = end == PullEnd::kFailed ? m_failures + 1 : 0;
   if (end == PullEnd::kReceived) {
     const auto pause = std::chrono::duration_cast<Duration>((now - m_started_at) * m_pause_factor);
     m_pause_until = now + std::min(pause, kMaxPause);
--- a/src/record_pull_plan.h
+++ b/src/record_pull_plan.h
@@ -18,7 +18,7 @@
   // It reads the store for its zone, and the store answers.
   kReader,
   // Nobody in its zone has answers from the store, and it ranks first.
-  kLeader,
+  kFirst,
   // It gets records from the others of its zone.
   kStandby,
 };
@@ -76,6 +76,8 @@
   TimePoint m_pause_until;
   // Peers that are not asked until some time, because they refused or failed.
   std::map<VmId, TimePoint> m_avoided;
+  // Failed pulls since the last one that a peer answered.
+  int m_failures = 0;
 };
 
 }  // namespace plantain
--- a/src/retry_after.cpp
+++ b/src/retry_after.cpp
@@ -8,11 +8,12 @@
 constexpr Duration kMinRetryAfter = Milliseconds(250);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(3);
 constexpr Duration kMaxPausedRetryAfter = std::chrono::seconds(30);
-// About the duration of a weight switch or a restart, during which few endpoints serve. With several priorities, the
-// time over which their callers are spread.
+// Time in which a weight switch or a restart, during which few endpoints serve, usually ends.
 constexpr Duration kNoEndpointRetryAfter = Milliseconds(1800);
-// Time below the maximum over which callers are spread whose turn is expected later than that.
-constexpr Duration kMinSpread = Milliseconds(600);
+// Time over which the callers of a pool with several priorities are spread, and the least that is left for it before
+// kMaxRetryAfter.
+constexpr Duration kPrioritySpread = Milliseconds(1800);
+constexpr Duration kMinPrioritySpread = Milliseconds(600);
 
 Duration Scale(Duration time, double factor) { return std::chrono::duration_cast<Duration>(time * factor); }
 
@@ -23,8 +24,8 @@
 
 Duration ComputeByPriority(const RetryAfterQuery& query, double unit) {
   const Duration first =
-      std::min<Duration>(std::max<Duration>(query.turn, kMinRetryAfter), kMaxRetryAfter - kMinSpread);
-  const Duration spread = std::min<Duration>(kNoEndpointRetryAfter, kMaxRetryAfter - first);
+      std::min<Duration>(std::max<Duration>(query.turn, kMinRetryAfter), kMaxRetryAfter - kMinPrioritySpread);
+  const Duration spread = std::min<Duration>(kPrioritySpread, kMaxRetryAfter - first);
   const double place = (static_cast<double>(query.rank) + unit) / static_cast<double>(query.priorities);
   return AddPause(first + Scale(spread, place), query.pause, kMinRetryAfter + Scale(spread, place));
 }
--- a/src/start_pace.cpp
+++ b/src/start_pace.cpp
@@ -56,7 +56,9 @@
     if (is_other_run) run = Run();
     run.info = info;
     run.unlisted_since.reset();
-    if (is_other_run || (is_new && (is_settled || info.is_cold))) Begin(id, run, 1, kFirstStartSlots, false);
+    const bool begins = is_other_run || (is_new && (is_settled || info.is_cold));
+    // With so few slots there is nothing to bound.
+    if (begins && info.slots > kFirstStartSlots) Begin(id, run, 1, kFirstStartSlots, false);
     FinishIfFull(id, run, false);
   }
   for (auto& [id, run] : m_runs) {
@@ -215,7 +217,8 @@
   if (has_answers) run.peer_answered_at = now;
   // The sender knew counts that have not arrived here, or never will.
   if (count.is_done) run.base = std::max(run.base, run.info.slots);
-  FinishIfFull(count.endpoint, run, true);
+  // A number that begins at all slots shows no answer.
+  if (has_answers) FinishIfFull(count.endpoint, run, true);
   return has_answers;
 }
 
--- a/src/start_pace.h
+++ b/src/start_pace.h
@@ -33,7 +33,8 @@
 
 // Returns how many of the first `number.number` slots of an endpoint lie in a range. Slots are used in an order that
 // spreads them over all ranges, and a larger number contains the slots of a smaller one: entries that know different
-// numbers together use no more than the largest of them. All slots give the result of GetOwnSlots.
+// numbers together use no more than the largest of them. If `number` covers all slots, the result is that of
+// GetOwnSlots.
 uint32_t GetStartSlots(const ShareRange& range, const EndpointId& endpoint, uint32_t slots, const StartNumber& number);
 
 // Load pattern: an endpoint that has just started, or takes requests again after a stall or an outage, and entries that
