--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,5 +5,5 @@
 cd "$(dirname "$0")"
 python3 -c 'import sys; sys.exit(sys.version_info < (3, 9))'
 for file in standins-2/*.py 6/case.py 7/case.py 8/case.py 9/case.py 10/case.py; do
-  [ ! -f "$file" ] || python3 -c 'import ast, sys; ast.parse(open(sys.argv[1], encoding="utf-8").read())' "$file"
+  python3 -c 'import ast, sys; ast.parse(open(sys.argv[1], encoding="utf-8").read())' "$file"
 done
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -11,6 +11,7 @@
 import os
 import random
 import re
+import resource
 import signal
 import socket
 import struct
@@ -305,6 +306,8 @@
 
     def __init__(self, folder, entries=4):
         self.folder, self.entry_count = folder, entries
+        # Limits of an entry's machine: memory in MB, and descriptors or None for those of this process.
+        self.memory_mb, self.descriptors = 520, None
         self.began_at = time.monotonic()
         self.octet = self.find_octet()
         self.temporary = tempfile.TemporaryDirectory(prefix="review-")
@@ -349,7 +352,7 @@
         address = self.get_entry_address(number)
         zone = list(ZONES)[number % len(ZONES)]
         fields = {"ip": address, "node_name": f"edge-{zone}-{number}", "zone": zone, "region": ZONES[zone],
-                  "zones": ZONES, "limits": {"memory_mb": 520, "link_mbps": 2000.0},
+                  "zones": ZONES, "limits": {"memory_mb": self.memory_mb, "link_mbps": 2000.0},
                   "seeds": [f"{self.get_entry_address(i)}:{CONTROL_PORT}" for i in range(min(3, self.entry_count))],
                   "platform": {"address": store_target or f"{self.store_address}:{STORE_PORT}"},
                   "listen": {"client_addr": f"{address}:{CALLER_PORT}", "readiness": f"{address}:{READY_PORT}"},
@@ -363,9 +366,23 @@
         self.logs.append(log)
         self.processes[number] = subprocess.Popen(
             ["target/plantain-entry", "--platform", "hosted", "--settings", path], cwd=ROOT, stdout=log,
-            stderr=subprocess.STDOUT)
+            stderr=subprocess.STDOUT, preexec_fn=self.limit_process)
         self.write(f"entry {number} started, pid {self.processes[number].pid}")
 
+    def limit_process(self):
+        """Runs in a new process before its program."""
+        if self.descriptors is not None:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (self.descriptors, self.descriptors))
+
+    def get_memory_mb(self, number):
+        """Returns the memory that an entry's process holds, or 0 if it has ended."""
+        try:
+            with open(f"/proc/{self.processes[number].pid}/status", encoding="utf-8") as status:
+                found = re.search(r"VmRSS:\s+(\d+) kB", status.read())
+        except OSError:
+            found = None
+        return int(found.group(1)) / 1024 if found else 0
+
     async def wait_ready(self, number, time_s=20):
         end = time.monotonic() + time_s
         while time.monotonic() < end:
