--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,8 +1,8 @@
-"""All channels to the store go silent between two changes of the config; new channels work."""
+"""A part of a prompt crashes each runner that has written the first event of an answer on it."""
 
 import asyncio
-import dataclasses
 import os
+import random
 import sys
 import time
 
@@ -10,112 +10,118 @@
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "standins-2"))
 import deployment as d  # noqa: E402
 
-OLD, NEW = "wuno96b", "kuno11c"
-# Key that the second change takes away.
-DROPPED_KEY = "bvk9m68k7b2ex5wa5xwy"
-# Times from the ack of the first change.
-SILENCE_AT_S, SECOND_CHANGE_AT_S, END_AT_S = 0.1, 0.4, 7.0
-SEND_PERIOD_S = 0.05
+BAD_PART, FIRST_PARTS = "5c1e07a2", ["91bd3f06", "e4402b7d", "07aa51c3"]
+RUNNERS, EVENTS, EVENT_GAP_S, PREFILL_S, RESTART_S = 14, 12, 0.05, 0.05, 3.0
+# Events of an answer that the runner has sent whole when the part crashes it.
+EVENTS_BEFORE_CRASH = int(os.environ.get("EVENTS_BEFORE_CRASH", "1"))
+SOUND_PER_S, BAD_PER_S, LOAD_S = 15.0, 1.0, 30.0
 
 
-class Reader(d.Runner):
-    """A sound runner whose answers name its service."""
+class Engine(d.Runner):
+    """A model runner. One part of a prompt crashes it when it begins to write the answer."""
 
-    async def run(self, method, path, fields, body, prefix, writer):
-        attempt = fields.get("plantainmast-attempt-id", "")
-        self.deployment.write(f"{self.name} of service {self.service} runs attempt {attempt}")
-        await asyncio.sleep(0.01)
-        writer.write(f"HTTP/1.1 200 OK\r\n{prefix}Plantainmast-Server-Stamp: {self.service}\r\n"
-                     "Content-Length: 2\r\n\r\nok".encode())
-
-
-def make_config(version, service, has_idle_route, has_key=True):
-    routes = [d.make_route("r-read", "/boye614/", service, "idempotent")]
-    if has_idle_route:
-        routes.append(d.make_route("r-idle", "/idle8/", OLD, "idempotent"))
-    config = d.make_config(version, routes, [{**d.REGISTER, "name": name} for name in (OLD, NEW)])
-    if has_key:
-        config["tenants"].append({"name": "tenant-2", "api_keys": [DROPPED_KEY], "priority": 1, "allowed_regions": []})
-    return config
-
-
-@dataclasses.dataclass
-class Sent:
-    """One request and what came of it. `ran_by` is the service that ran it, or empty."""
+    has_trouble = True
 
-    at: float
-    entry: int
-    key: str
-    status: int
-    ran_by: str
+    async def restart(self, old_id):
+        await asyncio.sleep(RESTART_S)
+        await self.start()
+        await asyncio.sleep(max(0.0, 3 * d.HEARTBEAT_S - RESTART_S))
+        await self.deployment.store.put("keyed.servers", old_id, None)
 
-    def is_stale(self):
-        """Whether only a config older than the second change allows what came of it."""
-        return self.ran_by == OLD or (self.key == DROPPED_KEY and self.status == 200)
-
-
-async def offer(deployment, entry, key, begin, sent):
-    """Sends requests with one key to one entry at a fixed rate."""
-    fields = {"X-Api-Key": key, "Plantainmast-Deadline-Ms": "1000"}
-    channel = d.Channel(deployment, entry)
-    await channel.open()
-    number = 0
-    while time.monotonic() < begin + END_AT_S:
-        attempt = f"e{entry}-{key[:3]}-{number}"
-        sent_at = time.monotonic()
-        answer = await channel.call("GET", "/boye614/x", attempt, fields)
-        ran_by = answer.fields.get("plantainmast-server-stamp", "")
-        sent.append(Sent(sent_at, entry, key, answer.status, ran_by))
-        deployment.write(f"entry {entry} attempt {attempt} sent at {sent_at - deployment.began_at:.3f}: "
-                         f"status {answer.status}, service {ran_by or 'none'}")
-        if answer.status == 0 or answer.fields.get("connection") == "close":
-            channel.close()
-            await channel.open()
+    async def run(self, method, path, fields, body, prefix, writer):
+        attempt, id_at_start = fields.get("plantainmast-attempt-id", ""), self.id
+        parts = [part.split(":")[0] for part in fields.get("plantainmast-prefix-hash", "").split(",")]
+        is_bad = BAD_PART in parts[:-1]
+        arrived_at = time.monotonic()
+        if is_bad:
+            self.deployment.bad_arrivals.append(arrived_at)
+            self.deployment.write(f"{self.name} gets attempt {attempt} with the part {BAD_PART}, "
+                                  f"Last-Event-Id {fields.get('last-event-id')}")
+        else:
+            self.deployment.sound_arrivals += 1
+        await asyncio.sleep(PREFILL_S)
+        if self.id != id_at_start or self.server is None:
+            raise ConnectionResetError
+        writer.write((f"HTTP/1.1 200 OK\r\n{prefix}Plantainmast-Server-Stamp: s-{attempt}\r\n"
+                      "Plantainmast-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n").encode())
+        first = int(fields.get("last-event-id", -1)) + 1
+        for number in range(first, EVENTS):
+            if is_bad and self.has_trouble and number - first == EVENTS_BEFORE_CRASH:
+                await writer.drain()
+                await asyncio.sleep(0.005)
+                if self.server is not None and self.id == id_at_start:
+                    self.deployment.crashes.append(time.monotonic())
+                    self.deployment.write(f"{self.name} {self.id} crashes at attempt {attempt}, crash number "
+                                          f"{len(self.deployment.crashes)}")
+                    self.crash()
+                    asyncio.ensure_future(self.restart(id_at_start))
+                raise ConnectionResetError
+            event = f"id: {number}\ndata: token\n\n"
+            writer.write(f"{len(event):x}\r\n{event}\r\n".encode())
+            await writer.drain()
+            await asyncio.sleep(EVENT_GAP_S)
+            if self.id != id_at_start or self.server is None:
+                raise ConnectionResetError
+        writer.write(b"0\r\n\r\n")
+
+
+async def offer(deployment, name, per_s, is_bad):
+    """Sends requests at a mean rate, each to a random entry on a new channel and with parts of its own."""
+    end = time.monotonic() + LOAD_S
+    calls, number = [], 0
+    while time.monotonic() < end:
+        calls.append(asyncio.ensure_future(call(deployment, f"{name}-{number}", is_bad)))
         number += 1
-        await asyncio.sleep(SEND_PERIOD_S)
+        await asyncio.sleep(random.expovariate(per_s))
+    await asyncio.wait(calls, timeout=8)
+    answers = [task.result() for task in calls if task.done() and not task.exception()]
+    complete = sum(1 for answer in answers if answer.is_complete and answer.status == 200)
+    deployment.write(f"{name}: {number} requests sent, {complete} whole answers")
+
+
+async def call(deployment, attempt, is_bad):
+    entry = random.randrange(deployment.entry_count)
+    parts = [random.choice(FIRST_PARTS), *([BAD_PART] if is_bad else []), f"{random.getrandbits(32):08x}"]
+    prefix = ",".join(f"{part}:{300 if i else 40}" for i, part in enumerate(parts))
+    fields = {"X-Api-Key": d.API_KEY, "Plantainmast-Deadline-Ms": "6000", "Plantainmast-Model": d.MODEL,
+              "Plantainmast-Token-Usage": "900,100", "Plantainmast-Prefix-Hash": prefix, "Connection": "close"}
+    channel = d.Channel(deployment, entry)
+    try:
+        await channel.open()
+        answer = await channel.call("POST", f"/lepu270/{attempt}", attempt, fields, b"{}", 7.0)
+    except (OSError, asyncio.TimeoutError):
+        answer = d.Answer()
     channel.close()
+    if is_bad:
+        deployment.write(f"caller of {attempt} at entry {entry}: status {answer.status}, complete {answer.is_complete}")
+    return answer
 
 
 async def play(deployment, has_trouble):
-    proxy = d.StoreProxy(deployment)
-    await proxy.start()
-    await deployment.store.put("keyed.op", "config", make_config(7, OLD, False))
-    for number in range(6):
-        await Reader(deployment, OLD if number < 3 else NEW, list(d.ZONES)[number % 3], number, 6).start()
-    for number in range(deployment.entry_count):
-        deployment.start_entry(number, f"{proxy.address}:{d.STORE_PORT}")
-    for number in range(deployment.entry_count):
-        await deployment.wait_ready(number)
-    await asyncio.sleep(d.BOUNDS["stable_window_ms"] / 1000 + 1)
-
-    begin = await deployment.store.put("keyed.op", "config", make_config(8, OLD, True))
-    deployment.write("ack of config 8, which adds a route")
-    sent = []
-    offers = [asyncio.ensure_future(offer(deployment, entry, key, begin, sent))
-              for entry in range(deployment.entry_count) for key in (d.API_KEY, DROPPED_KEY)]
-    await asyncio.sleep(begin + SILENCE_AT_S - time.monotonic())
-    silent_at = time.monotonic()
-    if has_trouble:
-        deployment.write(f"{proxy.silence()} channels between entries and store go silent")
-    await asyncio.sleep(begin + SECOND_CHANGE_AT_S - time.monotonic())
-    acked_at = await deployment.store.put("keyed.op", "config", make_config(9, NEW, True, has_key=False))
-    deployment.write(f"ack of config 9, which moves the route from service {OLD} to {NEW} and drops a key")
-    await asyncio.gather(*offers)
-
-    # Machines are in touch again from here on, and the change has to be in force.
-    due_at = max(acked_at + d.BOUNDS["config_ms"] / 1000, silent_at + d.BOUNDS["stable_window_ms"] / 1000)
-    late = [request for request in sent if request.at > due_at]
-    stale = [request for request in late if request.is_stale()]
-    dropped = [request for request in stale if request.key == DROPPED_KEY]
-    deployment.write(f"due at {due_at - deployment.began_at:.3f}; sent later: {len(late)}, of them handled as only an "
-                     f"older version allows: {len(stale)}, {len(dropped)} of these with the key that was dropped")
-    for entry in range(deployment.entry_count):
-        times = [request.at - due_at for request in stale if request.entry == entry]
-        deployment.write(f"entry {entry}: {len(times)} stale, the last sent {max(times, default=0):.3f} s after the "
-                         "bound")
-    if not any(request.ran_by == NEW for request in late):
-        raise RuntimeError("the second change never came into force")
-    return bool(stale)
+    deployment.bad_arrivals, deployment.crashes, deployment.sound_arrivals = [], [], 0
+    Engine.has_trouble = has_trouble
+    routes = [d.make_route("r-draft", "/lepu270/", "huvo11a", "stream")]
+    await deployment.store.put("keyed.op", "config", d.make_config(7, routes, [d.ENGINES]))
+    for number in range(RUNNERS):
+        await Engine(deployment, "huvo11a", list(d.ZONES)[number % 3], number, 16).start()
+    await deployment.start_entries()
+    await asyncio.sleep(d.BOUNDS["stable_window_ms"] / 1000 + 0.5)
+    await asyncio.gather(offer(deployment, "sound", SOUND_PER_S, False), offer(deployment, "bad", BAD_PER_S, True))
+
+    crashes = deployment.crashes
+    deployment.write(f"crashes: {len(crashes)}, requests with the part at runners: {len(deployment.bad_arrivals)}, "
+                     f"sound requests at runners: {deployment.sound_arrivals}")
+    if len(crashes) < 5:
+        if has_trouble:
+            raise RuntimeError("fewer than five crashes")
+        return False
+    # A request is on its way for less than 0.1 s here.
+    from_at = crashes[4] + d.BOUNDS["stable_window_ms"] / 1000 + 0.1
+    late = [at for at in deployment.bad_arrivals if at > from_at]
+    deployment.write(f"fifth crash at {crashes[4] - deployment.began_at:.3f}; requests with the part that reached "
+                     f"runners later than stable_window_ms after it: {len(late)} (3 are allowed)")
+    return len(late) > 3
 
 
 d.main(FOLDER, play)
