review: case 9 records each request; unused stand-in removed

The record of case 9 now names each sound request too, and the stand-in for silent channels, which no case uses any more, is gone.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -33,10 +33,10 @@
         parts = [part.split(":")[0] for part in fields.get("plantainmast-prefix-hash", "").split(",")]
         is_bad = BAD_PART in parts[:-1]
         arrived_at = time.monotonic()
+        self.deployment.write(f"{self.name} gets attempt {attempt}{f' with the part {BAD_PART}' if is_bad else ''}, "
+                              f"Last-Event-Id {fields.get('last-event-id')}")
         if is_bad:
             self.deployment.bad_arrivals.append(arrived_at)
-            self.deployment.write(f"{self.name} gets attempt {attempt} with the part {BAD_PART}, "
-                                  f"Last-Event-Id {fields.get('last-event-id')}")
         else:
             self.deployment.sound_arrivals += 1
         await asyncio.sleep(PREFILL_S)
@@ -93,8 +93,7 @@
     except (OSError, asyncio.TimeoutError):
         answer = d.Answer()
     channel.close()
-    if is_bad:
-        deployment.write(f"caller of {attempt} at entry {entry}: status {answer.status}, complete {answer.is_complete}")
+    deployment.write(f"caller of {attempt} at entry {entry}: status {answer.status}, complete {answer.is_complete}")
     return answer
 
 
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -141,44 +141,6 @@
             writer.close()
 
 
-class StoreProxy:
-    """Passes channels on to the store. Those that are open at a call of `silence` pass nothing more, without a reset."""
-
-    def __init__(self, deployment):
-        self.deployment = deployment
-        self.address = f"127.{deployment.octet}.200.2"
-        self.open = []
-
-    async def start(self):
-        await asyncio.start_server(self.handle, self.address, STORE_PORT, backlog=256)
-
-    def silence(self):
-        """Returns the number of channels that are silent from now on."""
-        count = sum(1 for channel in self.open if not channel["is_silent"])
-        for channel in self.open:
-            channel["is_silent"] = True
-        return count
-
-    async def handle(self, reader, writer):
-        channel = {"is_silent": False}
-        self.open.append(channel)
-        channel["task"] = asyncio.current_task()
-        store_reader, store_writer = await asyncio.open_connection(self.deployment.store_address, STORE_PORT)
-        await asyncio.gather(self.copy(reader, store_writer, channel), self.copy(store_reader, writer, channel))
-        self.open.remove(channel)
-
-    @staticmethod
-    async def copy(reader, writer, channel):
-        try:
-            while data := await reader.read(65536):
-                if not channel["is_silent"]:
-                    writer.write(data)
-        except OSError:
-            pass
-        if not channel["is_silent"]:
-            writer.close()
-
-
 class Runner:
     """One runner. A subclass answers requests in `run`; this class keeps channels, its entry and its record."""
 
@@ -348,13 +310,13 @@
         self.store = Store()
         await asyncio.start_server(self.store.handle, self.store_address, STORE_PORT, backlog=256)
 
-    def start_entry(self, number, store_target=None):
+    def start_entry(self, number):
         address = self.get_entry_address(number)
         zone = list(ZONES)[number % len(ZONES)]
         fields = {"ip": address, "node_name": f"edge-{zone}-{number}", "zone": zone, "region": ZONES[zone],
                   "zones": ZONES, "limits": {"memory_mb": self.memory_mb, "link_mbps": 2000.0},
                   "seeds": [f"{self.get_entry_address(i)}:{CONTROL_PORT}" for i in range(min(3, self.entry_count))],
-                  "platform": {"address": store_target or f"{self.store_address}:{STORE_PORT}"},
+                  "platform": {"address": f"{self.store_address}:{STORE_PORT}"},
                   "listen": {"client_addr": f"{address}:{CALLER_PORT}", "readiness": f"{address}:{READY_PORT}"},
                   "bounds": BOUNDS}
         with open(os.path.join(ROOT, "deploy", "entry.yaml.tmpl"), encoding="utf-8") as template:
@@ -423,7 +385,7 @@
         self.temporary.cleanup()
 
 
-def make_config(version, routes, services, timeout=None):
+def make_config(version, routes, services):
     return {"version": version, "routes": routes, "services": services,
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000,
                        "idle_timeout_ms": 15000},
