--- a/review/9/case.py
+++ b/review/9/case.py
@@ -123,4 +123,4 @@
     return len(late) > 3
 
 
-d.main(FOLDER, play)
+d.main(os.path.join(FOLDER, "record.txt"), play)
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -266,14 +266,14 @@
 class Deployment:
     """Entries, store and record of one script."""
 
-    def __init__(self, folder, entries=4):
-        self.folder, self.entry_count = folder, entries
+    def __init__(self, record_path, entries=4):
+        self.entry_count = entries
         # Limits of an entry's machine: memory in MB, and descriptors or None for those of this process.
         self.memory_mb, self.descriptors = 520, None
         self.began_at = time.monotonic()
         self.octet = self.find_octet()
         self.temporary = tempfile.TemporaryDirectory(prefix="review-")
-        self.record = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+        self.record = open(record_path, "w", encoding="utf-8")
         self.processes, self.logs = {}, []
         self.store = None
         self.store_address = f"127.{self.octet}.200.1"
@@ -415,10 +415,10 @@
                       "chunk_bytes": 24576}}
 
 
-def main(folder, play):
+def main(record_path, play):
     """Runs `play(deployment, has_trouble)`, which returns whether the rule was broken. Exits as the issue says."""
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    deployment = Deployment(folder)
+    deployment = Deployment(record_path)
 
     async def run():
         await deployment.start_store()
