--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -99,6 +99,7 @@
   if (weights.start_limit.has_value()) attempt->choice.until_limit = *weights.start_limit - now;
   attempt->incarnation = choice.endpoint->incarnation;
   attempt->sent_at = now;
+  attempt->is_resumed = m_last_event_id.has_value();
   attempt->received_at = now;
   attempt->received_loop_time = m_deps.loop_time.GetElapsed();
   attempt->events = EventSplitter(m_last_event_id);
@@ -147,6 +148,12 @@
   return found == m_running.end() ? nullptr : found->get();
 }
 
+Duration ActiveRequest::GetRunningTime() const {
+  Duration time{};
+  for (const auto& attempt : m_running) time += attempt->received_at - attempt->sent_at;
+  return time;
+}
+
 std::vector<AttemptNumber> ActiveRequest::GetRunning() const {
   std::vector<AttemptNumber> numbers;
   for (const auto& attempt : m_running) numbers.push_back(attempt->number);
--- a/src/active_request.h
+++ b/src/active_request.h
@@ -149,6 +149,8 @@
   const PoolName& GetPool() const { return m_pool; }
   WaitTicket GetTicket() const { return m_ticket; }
   TimePoint GetStart() const { return m_started_at; }
+  // Returns the times from the send to the endpoint's last sign of life, summed over the running attempts.
+  Duration GetRunningTime() const;
   TimePoint GetDeadline() const { return m_deadline; }
   // Returns the endpoints that were tried, which retries avoid.
   const std::vector<EndpointId>& GetTriedEndpoints() const { return m_tried_endpoints; }
--- a/src/beacon_table.cpp
+++ b/src/beacon_table.cpp
@@ -92,7 +92,8 @@
     added->set_run(crash.run.Get());
     added->set_age_ms(EncodeAge(crash.age));
     added->set_sent_age_ms(EncodeAge(crash.sent_age));
-    added->set_has_header(crash.has_header);
+    added->set_progress(static_cast<uint32_t>(crash.progress));
+    added->set_others_at_once(crash.others_at_once);
   }
   for (const ContentKey& companion : report.companions) out.add_companions(companion.id);
   out.set_is_blocked(report.blocked_age.has_value());
@@ -105,14 +106,17 @@
   out.set_is_answered(report.answered_age.has_value());
   if (report.answered_age.has_value()) out.set_answered_age_ms(EncodeAge(*report.answered_age));
   out.set_is_cleared(report.is_cleared);
+  out.set_survived_ms(EncodeAge(report.totals.survived));
+  out.set_other_losses(report.totals.other_losses);
+  out.set_other_running_ms(EncodeAge(report.totals.other_running));
 }
 
 ContentReport DecodeContent(const proto::ContentEvidence& in) {
   ContentReport report;
   report.key = {static_cast<ContentKind>(in.kind()), in.id()};
   for (const proto::ContentCrash& crash : in.crashes()) {
-    report.crashes.push_back(
-        {EndpointRun(crash.run()), DecodeAge(crash.age_ms()), DecodeAge(crash.sent_age_ms()), crash.has_header()});
+    report.crashes.push_back({EndpointRun(crash.run()), DecodeAge(crash.age_ms()), DecodeAge(crash.sent_age_ms()),
+                              static_cast<AnswerProgress>(crash.progress()), crash.others_at_once()});
   }
   for (const std::string& id : in.companions()) report.companions.push_back({report.key.kind, id});
   if (in.is_blocked()) report.blocked_age = DecodeAge(in.blocked_age_ms());
@@ -121,12 +125,20 @@
   report.trials = in.trials();
   if (in.is_answered()) report.answered_age = DecodeAge(in.answered_age_ms());
   report.is_cleared = in.is_cleared() && in.is_answered();
+  report.totals.survived = DecodeAge(in.survived_ms());
+  report.totals.other_losses = in.other_losses();
+  report.totals.other_running = DecodeAge(in.other_running_ms());
   return report;
 }
 
 bool IsBounded(const proto::ContentEvidence& content) {
   const bool is_known_kind = content.kind() <= static_cast<uint32_t>(ContentKind::kRequest);
-  return is_known_kind && content.crashes_size() <= kMaxContentListSize &&
+  const bool is_known_progress =
+      std::all_of(content.crashes().begin(), content.crashes().end(), [](const proto::ContentCrash& crash) {
+        return crash.progress() <= static_cast<uint32_t>(AnswerProgress::kBegun);
+      });
+  const bool has_totals = std::isfinite(content.other_losses()) && content.other_losses() >= 0;
+  return is_known_kind && is_known_progress && has_totals && content.crashes_size() <= kMaxContentListSize &&
          content.companions_size() <= kMaxContentListSize;
 }
 
--- a/src/crash_quarantine.cpp
+++ b/src/crash_quarantine.cpp
@@ -8,30 +8,28 @@
 namespace plantain {
 namespace {
 
-// How much evidence of a kind is needed.
+// How much evidence against a key of a kind is needed, as decimal logarithms of odds.
 struct EvidenceRules {
-  // Weights of an endpoint's end, without and with the header of the answer.
-  int weight_without_header;
-  int weight_with_header;
-  // Sum of weights at which a key is blocked, and from which a request with it is not repeated.
-  int weight_to_block;
-  int weight_to_suspect;
-  // How many of the requests must have been sent after the first end.
-  size_t later_sent_to_block;
+  LossWeights weights;
+  // Odds at which a key is blocked, and from which a request with it is not repeated.
+  double to_block;
+  double to_suspect;
 };
 
 // With less, a rare part whose requests happened to be at failing endpoints could be blocked.
-constexpr EvidenceRules kPromptPartRules = {1, 2, 8, 4, 2};
-// Requests that only share a part with a bad one have other keys, so that three ends without an answer are enough.
-constexpr EvidenceRules kRequestRules = {1, 1, 3, 2, 1};
+constexpr EvidenceRules kPromptPartRules = {{0.85, 1.0, 0.85, false}, 4, 2};
+// Requests that only share a part with a bad one have other keys, so that three ends are enough.
+constexpr EvidenceRules kRequestRules = {{1.0, 1.0, 0.85, true}, 2.5, 2};
+// What is needed beyond that against a key that was answered whole within this time.
+constexpr double kSoundOdds = 2;
+constexpr Duration kSoundMemory = std::chrono::minutes(10);
 
 // Ends kept for one key.
 constexpr size_t kMaxCrashes = 8;
+// Runs that ended under one key that are remembered.
+constexpr size_t kMaxEndedRuns = 64;
 // Evidence older than this is dropped.
 constexpr Duration kMaxCrashAge = std::chrono::seconds(60);
-// An endpoint's end is no evidence against a key if an answer with it began at some entry this long before it or
-// later. It protects frequent keys while endpoints fail together and reports of answers are still on their way.
-constexpr Duration kAnswerProtection = Milliseconds(1000);
 // Exceeds the time in which an endpoint that ended is back.
 constexpr Duration kMaxRestartTime = std::chrono::seconds(10);
 // Time for which an answer is reported to peers that may hold older evidence.
@@ -69,6 +67,12 @@
   if (reported > known + kAgeTolerance) known = reported;
 }
 
+TimePoint GetFirstEnd(const std::vector<AttemptLoss>& crashes) {
+  return std::min_element(crashes.begin(), crashes.end(),
+                          [](const AttemptLoss& a, const AttemptLoss& b) { return a.at < b.at; })
+      ->at;
+}
+
 bool Contains(const std::vector<ContentKey>& keys, const ContentKey& key) {
   return std::find(keys.begin(), keys.end(), key) != keys.end();
 }
@@ -93,26 +97,40 @@
   return found == m_answered.end() ? std::nullopt : std::optional(found->second);
 }
 
+bool CrashQuarantine::IsKnownSound(const ContentKey& key) const {
+  const auto found = m_contents.find(key);
+  const std::optional<TimePoint> answered = found == m_contents.end() ? GetLastAnswer(key) : found->second.answered_at;
+  return answered.has_value() && m_clock.GetNow() - *answered < kSoundMemory;
+}
+
 void CrashQuarantine::OnCrash(const std::vector<ContentKey>& keys, EndpointRun run, TimePoint sent_at,
-                              bool has_header) {
+                              AnswerProgress progress) {
   const TimePoint now = m_clock.GetNow();
+  m_loss_rate.OnLost(run, now - sent_at);
   std::vector<ContentKey> suspects;
   for (const ContentKey& key : keys) {
-    const std::optional<TimePoint> answered = GetLastAnswer(key);
-    const bool is_sound = answered.has_value() && now - *answered < kAnswerProtection;
-    if (!is_sound && !Contains(suspects, key)) suspects.push_back(key);
+    if (!Contains(suspects, key)) suspects.push_back(key);
   }
   for (const ContentKey& key : suspects) {
     State* state = FindOrAdd(key, false);
     if (state == nullptr) continue;
     std::vector<ContentKey> others = suspects;
-    std::erase_if(others, [&key](const ContentKey& other) { return other == key || other.kind != key.kind; });
+    std::erase_if(
+        others, [&](const ContentKey& other) { return other == key || other.kind != key.kind || IsKnownSound(other); });
     KeepCommon(*state, others);
-    AddCrash(key, *state, {run, now, sent_at, has_header});
+    AddCrash(key, *state, {run, sent_at, now, progress});
     m_has_news = true;
   }
 }
 
+void CrashQuarantine::OnSurvived(const std::vector<ContentKey>& keys, Duration running_time) {
+  m_loss_rate.OnKept(running_time);
+  for (const ContentKey& key : keys) {
+    const auto found = m_contents.find(key);
+    if (found != m_contents.end() && !found->second.crashes.empty()) found->second.survived += running_time;
+  }
+}
+
 void CrashQuarantine::OnAnswered(const std::vector<ContentKey>& keys) {
   const TimePoint now = m_clock.GetNow();
   for (const ContentKey& key : keys) {
@@ -120,8 +138,16 @@
     const auto found = m_contents.find(key);
     if (found != m_contents.end()) Clear(key, found->second, now, false);
   }
-  if (m_answered.size() <= kMaxAnswered) return;
-  std::erase_if(m_answered, [&](const auto& entry) { return now - entry.second >= kAnswerProtection; });
+  if (m_answered.size() > kMaxAnswered) ForgetAnswers();
+}
+
+// Forgets the older half of the answers.
+void CrashQuarantine::ForgetAnswers() {
+  std::vector<TimePoint> times;
+  for (const auto& [key, at] : m_answered) times.push_back(at);
+  const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+  std::nth_element(times.begin(), middle, times.end());
+  std::erase_if(m_answered, [&](const auto& entry) { return entry.second <= *middle; });
 }
 
 CrashQuarantine::State* CrashQuarantine::FindOrAdd(const ContentKey& key, bool is_blocked) {
@@ -164,69 +190,77 @@
   std::erase_if(state.companions, [&](const ContentKey& key) { return !Contains(others, key); });
 }
 
-void CrashQuarantine::AddCrash(const ContentKey& key, State& state, const Crash& crash) {
+void CrashQuarantine::AddCrash(const ContentKey& key, State& state, const AttemptLoss& crash) {
   const TimePoint now = m_clock.GetNow();
   RaiseTo(state.used_at, crash.at);
-  if (state.answered_at.has_value() && crash.at <= *state.answered_at + kAnswerProtection) return;
+  if (state.answered_at.has_value() && crash.at <= *state.answered_at + kAgeTolerance) return;
   if (IsDisproved(crash) || IsExplained(key, crash.run)) return;
-  std::erase_if(state.crashes, [&](const Crash& old) { return now - old.at > kMaxCrashAge; });
-  const bool is_known =
-      std::any_of(state.crashes.begin(), state.crashes.end(), [&](const Crash& old) { return old.run == crash.run; });
+  std::erase_if(state.crashes, [&](const AttemptLoss& old) { return now - old.at > kMaxCrashAge; });
+  const auto known = std::find_if(state.crashes.begin(), state.crashes.end(),
+                                  [&](const AttemptLoss& old) { return old.run == crash.run; });
   if (state.is_blocked && state.trial_at.has_value() && crash.sent_at >= *state.trial_at) {
     state.trial_at.reset();
     ++state.trials;
   }
   RaiseTo(state.last_crash_at, crash.at);
-  if (is_known || now - crash.at > kMaxCrashAge || !MakeRoom(state, crash)) return;
-  state.crashes.push_back(crash);
-  if (!state.is_blocked && HasProof(key, state)) {
-    state.first_crash_at = GetFirstCrash(state).at;
+  if (known != state.crashes.end()) {
+    // Several attempts with the key may have been at the run.
+    known->sent_at = std::min(known->sent_at, crash.sent_at);
+    if (crash.progress == AnswerProgress::kHeader) known->progress = crash.progress;
+    known->others_at_once = std::max(known->others_at_once, crash.others_at_once);
+    return;
+  }
+  // A run that is not kept any more has been counted.
+  if (now - crash.at > kMaxCrashAge || state.ended_runs.contains(crash.run)) return;
+  if (state.ended_runs.size() < kMaxEndedRuns) state.ended_runs.insert(crash.run);
+  AttemptLoss added = crash;
+  CountAtOnce(state.crashes, added);
+  state.crashes.push_back(added);
+  if (state.crashes.size() > kMaxCrashes) RemoveLeastIndependent(state.crashes, GetRules(key).weights);
+  if (!state.is_blocked && HasOdds(key, state, GetRules(key).to_block)) {
+    state.first_crash_at = GetFirstEnd(state.crashes);
     Block(key, state, false);
   }
 }
 
-// Returns whether another end can be kept. One whose request was sent after the first end displaces one whose request
-// was not, since the proof needs such ends.
-bool CrashQuarantine::MakeRoom(State& state, const Crash& crash) {
-  if (state.crashes.size() < kMaxCrashes) return true;
-  const Crash& first = GetFirstCrash(state);
-  if (crash.sent_at < first.at) return false;
-  const auto displaced = std::find_if(state.crashes.begin(), state.crashes.end(),
-                                      [&](const Crash& old) { return &old != &first && old.sent_at < first.at; });
-  if (displaced == state.crashes.end()) return false;
-  state.crashes.erase(displaced);
-  return true;
-}
-
-const CrashQuarantine::Crash& CrashQuarantine::GetFirstCrash(const State& state) {
-  return *std::min_element(state.crashes.begin(), state.crashes.end(),
-                           [](const Crash& a, const Crash& b) { return a.at < b.at; });
+AttemptTotals CrashQuarantine::GetTotals(const ContentKey& key, const State& state) const {
+  AttemptTotals totals;
+  totals.survived = state.survived;
+  if (m_running != nullptr) totals.survived += m_running->GetRunningTime(key);
+  m_loss_rate.AddTo(totals, GetExplainedRuns(state));
+  return totals;
 }
 
-int CrashQuarantine::GetWeight(const ContentKey& key, const State& state) {
-  const EvidenceRules& rules = GetRules(key);
-  int weight = 0;
-  for (const Crash& crash : state.crashes) {
-    weight += crash.has_header ? rules.weight_with_header : rules.weight_without_header;
+std::set<EndpointRun> CrashQuarantine::GetExplainedRuns(const State& state) const {
+  std::set<EndpointRun> runs = state.ended_runs;
+  for (const auto& [key, other] : m_contents) {
+    if (other.is_blocked) runs.insert(other.ended_runs.begin(), other.ended_runs.end());
   }
-  return weight;
-}
-
-bool CrashQuarantine::HasProof(const ContentKey& key, const State& state) {
-  if (GetWeight(key, state) < GetRules(key).weight_to_block) return false;
-  const TimePoint first = GetFirstCrash(state).at;
-  const auto later_sent = std::count_if(state.crashes.begin(), state.crashes.end(),
-                                        [&](const Crash& crash) { return crash.sent_at >= first; });
-  return static_cast<size_t>(later_sent) >= GetRules(key).later_sent_to_block;
+  return runs;
+}
+
+bool CrashQuarantine::HasOdds(const ContentKey& key, const State& state, double needed) const {
+  if (IsKnownSound(key)) needed += kSoundOdds;
+  const LossWeights& weights = GetRules(key).weights;
+  if (GetMaxLogOdds(state.crashes, weights) < needed) return false;
+  LossStatistics statistics;
+  statistics.losses = state.crashes;
+  statistics.totals = GetTotals(key, state);
+  for (const auto& [entry, totals] : state.totals_elsewhere) {
+    statistics.totals.survived += totals.survived;
+    statistics.totals.other_losses += totals.other_losses;
+    statistics.totals.other_running += totals.other_running;
+  }
+  return GetLogOdds(std::move(statistics), weights) >= needed;
 }
 
 // A whole request was at these endpoints together with the blocked content, which explains their ends.
 void CrashQuarantine::Explain(const ContentKey& key, const State& state) {
   for (auto& [other, other_state] : m_contents) {
     if (other == key || other.kind != ContentKind::kRequest || other_state.is_blocked) continue;
-    std::erase_if(other_state.crashes, [&](const Crash& crash) {
+    std::erase_if(other_state.crashes, [&](const AttemptLoss& crash) {
       return std::any_of(state.crashes.begin(), state.crashes.end(),
-                         [&](const Crash& explained) { return explained.run == crash.run; });
+                         [&](const AttemptLoss& explained) { return explained.run == crash.run; });
     });
   }
 }
@@ -237,11 +271,11 @@
     const auto& [other, state] = entry;
     return other != key && state.is_blocked &&
            std::any_of(state.crashes.begin(), state.crashes.end(),
-                       [&](const Crash& crash) { return crash.run == run; });
+                       [&](const AttemptLoss& crash) { return crash.run == run; });
   });
 }
 
-bool CrashQuarantine::IsDisproved(const Crash& crash) const {
+bool CrashQuarantine::IsDisproved(const AttemptLoss& crash) const {
   const auto found = m_alive_runs.find(crash.run);
   return found != m_alive_runs.end() && crash.at < found->second;
 }
@@ -250,8 +284,11 @@
   bool is_disproved = false;
   for (auto& [key, state] : m_contents) {
     if (state.is_blocked) continue;
-    is_disproved |=
-        std::erase_if(state.crashes, [&](const Crash& crash) { return crash.run == run && crash.at < sent_at; }) > 0;
+    const size_t disproved =
+        std::erase_if(state.crashes, [&](const AttemptLoss& crash) { return crash.run == run && crash.at < sent_at; });
+    if (disproved == 0) continue;
+    state.ended_runs.erase(run);
+    is_disproved = true;
   }
   if (!is_disproved) return;
   const TimePoint now = m_clock.GetNow();
@@ -262,8 +299,8 @@
 
 bool CrashQuarantine::HasEnded(EndpointRun run) const {
   return std::any_of(m_contents.begin(), m_contents.end(), [&](const auto& entry) {
-    const std::vector<Crash>& crashes = entry.second.crashes;
-    return std::any_of(crashes.begin(), crashes.end(), [&](const Crash& crash) { return crash.run == run; });
+    const std::vector<AttemptLoss>& crashes = entry.second.crashes;
+    return std::any_of(crashes.begin(), crashes.end(), [&](const AttemptLoss& crash) { return crash.run == run; });
   });
 }
 
@@ -299,10 +336,12 @@
   // The key is not the cause where it occurred together with others.
   for (auto& [other, other_state] : m_contents) std::erase(other_state.companions, key);
   const bool had_evidence = state.is_blocked || !state.crashes.empty();
-  const TimePoint protected_until = answered_at + kAnswerProtection;
-  std::erase_if(state.crashes, [&](const Crash& crash) { return crash.at <= protected_until; });
+  const TimePoint sound_until = answered_at + kAgeTolerance;
+  std::erase_if(state.crashes, [&](const AttemptLoss& crash) { return crash.at <= sound_until; });
+  state.survived = Duration::zero();
+  state.totals_elsewhere.clear();
   state.answered_at = answered_at;
-  if (state.is_blocked && state.first_crash_at <= protected_until) {
+  if (state.is_blocked && state.first_crash_at <= sound_until) {
     state.is_blocked = false;
     state.is_cleared = true;
     state.trials = 0;
@@ -310,7 +349,10 @@
     const Duration age = m_clock.GetNow() - state.first_crash_at;
     m_changes.push_back({key, false, state.crashes.size(), state.companions.size(), age, is_from_peer});
   }
-  if (state.crashes.empty()) state.companions.clear();
+  if (state.crashes.empty()) {
+    state.companions.clear();
+    state.ended_runs.clear();
+  }
   m_has_news = m_has_news || (!is_from_peer && had_evidence);
 }
 
@@ -331,7 +373,7 @@
   return std::any_of(keys.begin(), keys.end(), [&](const ContentKey& key) {
     const auto found = m_contents.find(key);
     if (found == m_contents.end()) return false;
-    return GetWeight(key, found->second) >= GetRules(key).weight_to_suspect || Matches(key, found->second, keys);
+    return HasOdds(key, found->second, GetRules(key).to_suspect) || Matches(key, found->second, keys);
   });
 }
 
@@ -376,9 +418,11 @@
     report.blocked_age = now - state.first_crash_at;
     report.last_crash_age = now - state.last_crash_at;
   }
-  for (const Crash& crash : state.crashes) {
-    report.crashes.push_back({crash.run, now - crash.at, now - crash.sent_at, crash.has_header});
+  for (const AttemptLoss& crash : state.crashes) {
+    report.crashes.push_back({crash.run, now - crash.at, now - crash.sent_at, crash.progress, crash.others_at_once});
   }
+  // A single end never blocks a key, so that nothing needs to be compared with it.
+  if (state.crashes.size() > 1) report.totals = GetTotals(key, state);
   if (state.answered_at.has_value()) report.answered_age = now - *state.answered_at;
   report.is_cleared = state.is_cleared;
   return report;
@@ -409,14 +453,14 @@
   return reports;
 }
 
-void CrashQuarantine::ApplyReports(const std::vector<ContentReport>& reports) {
-  for (const ContentReport& report : reports) ApplyReport(report);
+void CrashQuarantine::ApplyReports(const VmId& from, const std::vector<ContentReport>& reports) {
+  for (const ContentReport& report : reports) ApplyReport(from, report);
 }
 
-void CrashQuarantine::ApplyVerdicts(std::vector<ContentReport> reports) {
+void CrashQuarantine::ApplyVerdicts(const VmId& from, std::vector<ContentReport> reports) {
   for (ContentReport& report : reports) {
     if (!report.blocked_age.has_value()) report.crashes.clear();
-    ApplyReport(report);
+    ApplyReport(from, report);
   }
 }
 
@@ -427,7 +471,7 @@
   return !report.crashes.empty();
 }
 
-void CrashQuarantine::ApplyReport(const ContentReport& report) {
+void CrashQuarantine::ApplyReport(const VmId& from, const ContentReport& report) {
   const TimePoint now = m_clock.GetNow();
   const bool is_blocked = report.blocked_age.has_value();
   const bool is_new = !m_contents.contains(report.key);
@@ -436,23 +480,27 @@
   if (state == nullptr) return;
   if (is_new) state->used_at = now - report.used_age;
   RaiseTo(state->used_at, now - report.used_age);
+  // The sender does not know that the key is sound.
+  if (is_new && state->answered_at.has_value()) m_has_news = true;
   if (report.answered_age.has_value()) Clear(report.key, *state, now - *report.answered_age, true);
   state->is_cleared = state->is_cleared || report.is_cleared;
   if (!is_blocked && report.crashes.empty()) return;
   KeepCommon(*state, report.companions);
+  if (report.crashes.size() > 1) state->totals_elsewhere[from] = report.totals;
   if (is_blocked) {
     ApplyBlock(report, *state);
     return;
   }
   for (const ContentCrash& crash : report.crashes) {
-    AddCrash(report.key, *state, {crash.run, now - crash.age, now - crash.sent_age, crash.has_header});
+    AddCrash(report.key, *state,
+             {crash.run, now - crash.sent_age, now - crash.age, crash.progress, crash.others_at_once});
   }
 }
 
 void CrashQuarantine::ApplyBlock(const ContentReport& report, State& state) {
   const TimePoint now = m_clock.GetNow();
   const TimePoint first_crash_at = now - *report.blocked_age;
-  if (state.answered_at.has_value() && first_crash_at <= *state.answered_at + kAnswerProtection) return;
+  if (state.answered_at.has_value() && first_crash_at <= *state.answered_at + kAgeTolerance) return;
   state.trials = std::max(state.trials, report.trials);
   if (state.is_blocked) {
     RaiseTo(state.last_crash_at, now - report.last_crash_age);
@@ -462,7 +510,8 @@
   state.first_crash_at = first_crash_at;
   state.crashes.clear();
   for (const ContentCrash& crash : report.crashes) {
-    state.crashes.push_back({crash.run, now - crash.age, now - crash.sent_age, crash.has_header});
+    state.crashes.push_back({crash.run, now - crash.sent_age, now - crash.age, crash.progress, crash.others_at_once});
+    state.ended_runs.insert(crash.run);
   }
   Block(report.key, state, true);
 }
--- a/src/crash_report_type.h
+++ b/src/crash_report_type.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "answer_progress_type.h"
 #include "content_key.h"
 #include "core_type.h"
 #include "rendezvous.h"
@@ -22,14 +23,26 @@
   return EndpointRun(HashName(endpoint.Get() + '/' + std::to_string(incarnation.Get())));
 }
 
-// The end of an endpoint's run while it was about to answer a request.
+// The end of an endpoint's run under an attempt.
 struct ContentCrash {
   EndpointRun run;
   Duration age{};
   // Time since the request was sent to the endpoint.
   Duration sent_age{};
-  // Whether the header of the answer had come, so that the endpoint ended while it began to answer this request.
-  bool has_header = false;
+  // How much of the answer had come.
+  AnswerProgress progress = AnswerProgress::kNone;
+  // How many other runs ended at the same moment under attempts with the same content.
+  uint32_t others_at_once = 0;
+};
+
+// How attempts fared lately, to compare those with a content to those without it.
+struct AttemptTotals {
+  // Time that attempts with the content ran without the end of a run, since the first end that counts.
+  Duration survived{};
+  // Attempts at runs that did not end under the content: those that lost their run, and the time that all of them ran.
+  // Earlier ones have less weight.
+  double other_losses = 0;
+  Duration other_running{};
 };
 
 // What one process knows about a content, as sent to others.
@@ -45,10 +58,12 @@
   Duration used_age{};
   // Number of trials after which the key stayed blocked.
   uint32_t trials = 0;
-  // Time since an answer to a request with this key began; unset if none is known.
+  // Time since an answer to a request with this key was whole; unset if none is known.
   std::optional<Duration> answered_age;
   // Whether that answer ended a block.
   bool is_cleared = false;
+  // Attempts of the sender alone.
+  AttemptTotals totals;
 };
 
 // Adds the time that has passed since the reports were made to all their ages.
--- a/src/forward_attempt.h
+++ b/src/forward_attempt.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 
+#include "answer_progress_type.h"
 #include "core_type.h"
 #include "endpoint_silence.h"
 #include "event_splitter.h"
@@ -20,15 +21,6 @@
 // Distinguishes the attempts of one request.
 using AttemptNumber = StrongNumber<struct AttemptNumberTag, uint32_t>;
 
-// How much of an answer an endpoint has sent.
-enum class AnswerProgress {
-  kNone,
-  // The header, and possibly a part of the first event.
-  kHeader,
-  // A part of a body that is not a stream, or an event of a stream.
-  kBegun,
-};
-
 // Weight versions that apply to an attempt at an engine.
 struct AttemptWeights {
   // Version that the endpoint serves according to its last report; unset for endpoints without weights.
@@ -68,6 +60,8 @@
   AttemptChoice choice;
   Incarnation incarnation;
   TimePoint sent_at;
+  // Whether the endpoint was asked for the rest of a stream only.
+  bool is_resumed = false;
   std::optional<ResponseHead> head;
   std::string body;
   EventSplitter events;
--- a/src/forward_content.cpp
+++ b/src/forward_content.cpp
@@ -61,6 +61,44 @@
   }
 }
 
+Duration ForwardTraffic::GetRunningTime(const ContentKey& key) const {
+  Duration time{};
+  for (const auto& [ticket, active] : m_active_requests) {
+    const std::vector<ContentKey>& parts = active->GetRequest().shared_parts;
+    const bool has_key = key.kind == ContentKind::kRequest ? !active->IsWaiting() && active->GetRequestKey() == key
+                                                           : std::find(parts.begin(), parts.end(), key) != parts.end();
+    if (has_key) time += active->GetRunningTime();
+  }
+  return time;
+}
+
+// Tells the quarantine what the end of an attempt says about the contents of its request.
+void ForwardTraffic::RecordOutcome(const ActiveRequest& active, const ForwardAttempt& attempt, AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kFull:
+    case AttemptEnd::kMisdirected:
+    case AttemptEnd::kUnreachable:
+      return;
+    case AttemptEnd::kConnectionLost:
+      RecordCrash(active, attempt);
+      return;
+    case AttemptEnd::kSuccess:
+    case AttemptEnd::kError:
+    case AttemptEnd::kSilent:
+    case AttemptEnd::kOverdue:
+    case AttemptEnd::kBroken:
+    case AttemptEnd::kWithdrawn:
+    case AttemptEnd::kCancelled:
+      break;
+  }
+  const std::vector<ContentKey> keys = GetContentKeys(active);
+  m_quarantine.OnSurvived(keys, attempt.received_at - attempt.sent_at);
+  const bool has_end = end == AttemptEnd::kSuccess || end == AttemptEnd::kError;
+  // The rest of a stream says nothing about the events before it. Where the end of the connection ends the answer, it
+  // may as well be the end of the endpoint.
+  if (has_end && !attempt.is_resumed && !attempt.head->ends_with_connection) m_quarantine.OnAnswered(keys);
+}
+
 // Records a lost connection as the end of the endpoint, unless it was about to end anyway.
 void ForwardTraffic::RecordCrash(const ActiveRequest& active, const ForwardAttempt& attempt) {
   const auto& endpoints = m_fleet->endpoints;
@@ -70,8 +108,8 @@
   if (is_leaving) return;
   std::vector<ContentKey> keys = active.GetRequest().shared_parts;
   keys.push_back(active.GetRequestKey());
-  const bool has_header = attempt.GetProgress(active.IsStream()) == AnswerProgress::kHeader;
-  m_quarantine.OnCrash(keys, GetEndpointRun(attempt.choice.endpoint, attempt.incarnation), attempt.sent_at, has_header);
+  m_quarantine.OnCrash(keys, GetEndpointRun(attempt.choice.endpoint, attempt.incarnation), attempt.sent_at,
+                       attempt.GetProgress(active.IsStream()));
   if (m_on_crash) m_on_crash();
 }
 
--- a/src/forward_service.cpp
+++ b/src/forward_service.cpp
@@ -136,8 +136,8 @@
   if (beacon.load.has_value()) m_loads.push_back(*beacon.load);
   // Not held back for the next batch: a request that crashes endpoints comes to the next entry within milliseconds.
   if (!beacon.content_reports.empty()) {
-    m_loop.Post([this, reports = beacon.content_reports] {
-      if (m_traffic != nullptr) m_traffic->ApplyContentReports(reports);
+    m_loop.Post([this, from = beacon.vm, reports = beacon.content_reports] {
+      if (m_traffic != nullptr) m_traffic->ApplyContentReports(from, reports);
     });
   }
   const StatementReport& report = beacon.statements;
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -68,7 +68,7 @@
       m_options(std::move(options)),
       m_request_deps{clock, protocol, sender, *this, m_loop_time, answer_memory},
       m_balancer(clock, random, m_options.balancer),
-      m_quarantine(clock),
+      m_quarantine(clock, this),
       m_fleet(std::make_shared<FleetView>()) {}
 
 ForwardTraffic::~ForwardTraffic() = default;
@@ -531,17 +531,15 @@
   if (!m_quarantine.IsEmpty()) {
     m_quarantine.OnRunAnswered(GetEndpointRun(attempt.choice.endpoint, attempt.incarnation), attempt.sent_at);
   }
-  m_quarantine.OnAnswered(m_quarantine.KnowsRequests() ? GetContentKeys(active) : active.GetRequest().shared_parts);
 }
 
 void ForwardTraffic::OnAttemptEnded(ActiveRequest& active, const ForwardAttempt& attempt, AttemptEnd end) {
-  const AnswerProgress progress = attempt.GetProgress(active.IsStream());
   m_metrics.CountAttempt(end);
   m_balancer.OnEnded(attempt.choice.endpoint, end, attempt.sent_at);
   SpareCapacity& spare_capacity = GetPool(active.GetPool()).spare_capacity;
   spare_capacity.OnEnded(active.GetTicket());
   if (end == AttemptEnd::kSuccess) spare_capacity.OnAnswered(m_clock.GetNow() - attempt.sent_at);
-  if (end == AttemptEnd::kConnectionLost && progress != AnswerProgress::kBegun) RecordCrash(active, attempt);
+  RecordOutcome(active, attempt, end);
   if (end != AttemptEnd::kSuccess) LogFailedAttempt(active, attempt, end, m_clock.GetNow());
 }
 
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -40,7 +40,7 @@
 };
 
 // Accepts requests and schedules their attempts. Does no I/O itself. Not thread-safe; used on one traffic loop.
-class ForwardTraffic : public DrainableRequests, private ActiveRequestHost {
+class ForwardTraffic : public DrainableRequests, private ActiveRequestHost, private RunningAttempts {
  public:
   ForwardTraffic(const Clock& clock, Random& random, const CallerProtocol& protocol, AttemptSender& sender,
                  MemoryBudget& answer_memory, ForwardMetrics& metrics, ForwardOptions options);
@@ -61,7 +61,9 @@
   void ApplyPaceReport(const VmId& from, const PaceReport& report) { m_balancer.ApplyPaceReport(from, report); }
   // Exchange what entries know about contents at which endpoints crash.
   std::vector<ContentReport> GetContentReports() const { return m_quarantine.GetReports(); }
-  void ApplyContentReports(const std::vector<ContentReport>& reports) { m_quarantine.ApplyReports(reports); }
+  void ApplyContentReports(const VmId& from, const std::vector<ContentReport>& reports) {
+    m_quarantine.ApplyReports(from, reports);
+  }
   // Returns whether other entries should get the reports at once, and resets this.
   bool TakeHasNews();
   // Calls `listener` when an endpoint has ended at some content, so that other entries hear of it before the caller's
@@ -158,6 +160,8 @@
     return m_quarantine.IsEmpty() || !m_quarantine.IsSuspect(GetContentKeys(active));
   }
   void OnAttemptEnded(ActiveRequest& active, const ForwardAttempt& attempt, AttemptEnd end) override;
+  Duration GetRunningTime(const ContentKey& key) const override;
+  void RecordOutcome(const ActiveRequest& active, const ForwardAttempt& attempt, AttemptEnd end);
   void RecordCrash(const ActiveRequest& active, const ForwardAttempt& attempt);
   void RequestAttempt(ActiveRequest& active) override;
   void WithdrawHedge(ActiveRequest& active) override;
--- a/tests/content_parts.h
+++ b/tests/content_parts.h
@@ -7,9 +7,13 @@
 #include <vector>
 
 #include "content_key.h"
+#include "core_type.h"
 
 namespace plantain {
 
+// VM from which reports come.
+inline const VmId kPeer("127.0.0.9");
+
 // Returns the parts of a prompt with these names.
 inline std::vector<ContentKey> MakeParts(const std::vector<std::string>& names) {
   std::vector<ContentKey> parts;
--- a/tests/crash_quarantine_test.cpp
+++ b/tests/crash_quarantine_test.cpp
@@ -17,7 +17,7 @@
     clock.Advance(Milliseconds(100));
     const TimePoint sent_at = clock.GetNow();
     clock.Advance(Milliseconds(100));
-    quarantine.OnCrash(MakeParts(parts), EndpointRun(++run), sent_at, true);
+    quarantine.OnCrash(MakeParts(parts), EndpointRun(++run), sent_at, AnswerProgress::kHeader);
   }
   void Crash(const std::vector<std::string>& parts) { Crash(parts, here); }
   bool IsBlocked(const std::vector<std::string>& parts) const { return here.IsBlocked(MakeParts(parts)); }
@@ -45,7 +45,7 @@
     CHECK_FALSE(fixture.IsBlocked({"bad", "x"}));
   }
   SECTION("a peer that starts later learns of it from one report") {
-    fixture.peer.ApplyReports(fixture.here.GetReports());
+    fixture.peer.ApplyReports(kPeer, fixture.here.GetReports());
     CHECK(fixture.peer.IsBlocked(MakeParts({"bad", "x"})));
   }
 }
@@ -57,29 +57,29 @@
   fixture.Crash({"bad"}, fixture.peer);
   fixture.Crash({"bad"}, fixture.here);
   fixture.Crash({"bad"}, fixture.peer);
-  fixture.here.ApplyReports(fixture.peer.GetReports());
+  fixture.here.ApplyReports(kPeer, fixture.peer.GetReports());
   CHECK(fixture.IsBlocked({"bad"}));
   CHECK_FALSE(fixture.peer.IsBlocked(MakeParts({"bad"})));
-  fixture.peer.ApplyReports(fixture.here.GetReports());
+  fixture.peer.ApplyReports(kPeer, fixture.here.GetReports());
   CHECK(fixture.peer.IsBlocked(MakeParts({"bad"})));
 
   SECTION("the same end counts once, whoever reports it") {
     QuarantineFixture other;
     other.Crash({"rare"}, other.here);
     for (int i = 0; i < 5; ++i) {
-      other.peer.ApplyReports(other.here.GetReports());
-      other.here.ApplyReports(other.peer.GetReports());
+      other.peer.ApplyReports(kPeer, other.here.GetReports());
+      other.here.ApplyReports(kPeer, other.peer.GetReports());
     }
     CHECK(other.here.GetReports().front().crashes.size() == 1);
   }
   SECTION("an answer that a peer saw removes evidence from before it") {
     fixture.clock.Advance(Milliseconds(10));
     fixture.peer.OnAnswered(MakeParts({"bad"}));
-    fixture.here.ApplyReports(fixture.peer.GetReports());
+    fixture.here.ApplyReports(kPeer, fixture.peer.GetReports());
     CHECK_FALSE(fixture.IsBlocked({"bad"}));
     SECTION("also when a third entry repeats the old evidence") {
       CrashQuarantine third(fixture.clock);
-      fixture.here.ApplyReports(third.GetReports());
+      fixture.here.ApplyReports(kPeer, third.GetReports());
       CHECK_FALSE(fixture.IsBlocked({"bad"}));
     }
   }
@@ -117,7 +117,7 @@
     const TimePoint sent_at = fixture.clock.GetNow();
     fixture.clock.Advance(Milliseconds(200));
     for (uint64_t run = 1; run <= 8; ++run) {
-      fixture.here.OnCrash(MakeParts({"rare"}), EndpointRun(run), sent_at, true);
+      fixture.here.OnCrash(MakeParts({"rare"}), EndpointRun(run), sent_at, AnswerProgress::kHeader);
     }
     CHECK_FALSE(fixture.IsBlocked({"rare"}));
   }
@@ -125,26 +125,38 @@
     const TimePoint sent_at = fixture.clock.GetNow();
     fixture.clock.Advance(Milliseconds(200));
     for (uint64_t run = 100; run < 116; ++run) {
-      fixture.here.OnCrash(MakeParts({"bad"}), EndpointRun(run), sent_at, true);
+      fixture.here.OnCrash(MakeParts({"bad"}), EndpointRun(run), sent_at, AnswerProgress::kHeader);
     }
     CHECK_FALSE(fixture.IsBlocked({"bad"}));
     fixture.Crash({"bad"});
     fixture.Crash({"bad"});
     CHECK(fixture.IsBlocked({"bad"}));
   }
-  SECTION("endpoints that end before the header of an answer count half") {
-    for (int i = 0; i < 7; ++i) {
+  SECTION("endpoints that end before or within an answer count less than those that end at its begin") {
+    const auto crash = [&] {
       fixture.clock.Advance(Milliseconds(100));
-      fixture.here.OnCrash(MakeParts({"rare"}), EndpointRun(100 + i), fixture.clock.GetNow(), false);
-    }
+      const TimePoint sent_at = fixture.clock.GetNow();
+      fixture.clock.Advance(Milliseconds(100));
+      fixture.here.OnCrash(MakeParts({"rare"}), EndpointRun(++fixture.run), sent_at, AnswerProgress::kNone);
+    };
+    for (int i = 0; i < 4; ++i) crash();
     CHECK_FALSE(fixture.IsBlocked({"rare"}));
-    fixture.Crash({"rare"});
-    CHECK(fixture.IsBlocked({"rare"}));
+    SECTION("but a fifth is enough, since three more requests may reach endpoints after it") {
+      crash();
+      CHECK(fixture.IsBlocked({"rare"}));
+    }
+    SECTION("and many are none if attempts without the part lose their endpoints as often") {
+      for (uint64_t run = 1000; run < 1400; ++run) {
+        fixture.here.OnCrash({}, EndpointRun(run), fixture.clock.GetNow() - Milliseconds(100), AnswerProgress::kNone);
+      }
+      for (int i = 0; i < 20; ++i) crash();
+      CHECK_FALSE(fixture.IsBlocked({"rare"}));
+    }
   }
   SECTION("one endpoint that breaks many requests counts once") {
     for (int i = 0; i < 8; ++i) {
       fixture.clock.Advance(Milliseconds(50));
-      fixture.here.OnCrash(MakeParts({"rare"}), EndpointRun(1), fixture.clock.GetNow(), true);
+      fixture.here.OnCrash(MakeParts({"rare"}), EndpointRun(1), fixture.clock.GetNow(), AnswerProgress::kHeader);
     }
     CHECK_FALSE(fixture.IsBlocked({"rare"}));
   }
@@ -166,7 +178,7 @@
 TEST_CASE("A blocked part is tried again rarely, by one entry and with one request") {
   QuarantineFixture fixture;
   for (int i = 0; i < 4; ++i) fixture.Crash({"bad"});
-  fixture.peer.ApplyReports(fixture.here.GetReports());
+  fixture.peer.ApplyReports(kPeer, fixture.here.GetReports());
   fixture.here.SetTrialOwner(true);
   const auto bad = MakeParts({"bad"});
   CHECK(fixture.here.Admit(bad) == ContentAdmission::kBlocked);
@@ -176,8 +188,8 @@
   CHECK(fixture.here.Admit(bad) == ContentAdmission::kBlocked);
 
   SECTION("an endpoint that ends again delays the next trial, for all entries") {
-    fixture.here.OnCrash(bad, EndpointRun(99), fixture.clock.GetNow(), true);
-    fixture.peer.ApplyReports(fixture.here.GetReports());
+    fixture.here.OnCrash(bad, EndpointRun(99), fixture.clock.GetNow(), AnswerProgress::kHeader);
+    fixture.peer.ApplyReports(kPeer, fixture.here.GetReports());
     fixture.peer.SetTrialOwner(true);
     fixture.clock.Advance(std::chrono::minutes(11));
     CHECK(fixture.here.Admit(bad) == ContentAdmission::kBlocked);
@@ -186,7 +198,7 @@
       for (int hours = 0; hours < 48; ++hours) {
         fixture.clock.Advance(std::chrono::minutes(59));
         if (fixture.here.Admit(bad) == ContentAdmission::kTrial) {
-          fixture.here.OnCrash(bad, EndpointRun(200 + hours), fixture.clock.GetNow(), true);
+          fixture.here.OnCrash(bad, EndpointRun(200 + hours), fixture.clock.GetNow(), AnswerProgress::kHeader);
         }
       }
       CHECK(fixture.here.GetReports().front().trials == 3);
@@ -195,7 +207,7 @@
   SECTION("an answer ends the block everywhere") {
     fixture.clock.Advance(Milliseconds(100));
     fixture.here.OnAnswered(bad);
-    fixture.peer.ApplyReports(fixture.here.GetReports());
+    fixture.peer.ApplyReports(kPeer, fixture.here.GetReports());
     CHECK(fixture.here.Admit(bad) == ContentAdmission::kAllowed);
     CHECK(fixture.peer.Admit(bad) == ContentAdmission::kAllowed);
   }
@@ -207,8 +219,8 @@
   for (int i = 0; i < 4; ++i) fixture.Crash({"bad"});
   for (int minute = 0; minute < 90; ++minute) {
     fixture.clock.Advance(std::chrono::minutes(1));
-    fixture.peer.ApplyReports(fixture.here.GetReports());
-    fixture.here.ApplyReports(fixture.peer.GetReports());
+    fixture.peer.ApplyReports(kPeer, fixture.here.GetReports());
+    fixture.here.ApplyReports(kPeer, fixture.peer.GetReports());
   }
   CHECK(fixture.here.GetReports().empty());
   CHECK(fixture.peer.GetReports().empty());
@@ -230,7 +242,7 @@
     for (const auto& [from, to] : {std::pair(&fixture.here, &fixture.peer), std::pair(&fixture.peer, &fixture.here)}) {
       const auto reports = from->GetReports();
       fixture.clock.Advance(delay);
-      to->ApplyReports(reports);
+      to->ApplyReports(kPeer, reports);
     }
   }
 }
@@ -253,7 +265,7 @@
   fixture.Crash({"bad"});
   auto repeated = reports;
   AddAge(repeated, std::chrono::seconds(61) + Milliseconds(200));
-  fixture.here.ApplyReports(repeated);
+  fixture.here.ApplyReports(kPeer, repeated);
   CHECK_FALSE(fixture.IsBlocked({"bad"}));
   CHECK(fixture.here.GetReports().front().crashes.size() == 1);
 }
@@ -263,16 +275,16 @@
   QuarantineFixture fixture;
   CrashQuarantine keeper(fixture.clock);
   for (int i = 0; i < 3; ++i) fixture.Crash({"bad", "s" + std::to_string(i)});
-  keeper.ApplyVerdicts(fixture.here.GetReports());
+  keeper.ApplyVerdicts(kPeer, fixture.here.GetReports());
 
   SECTION("but no evidence, of which it cannot learn that it was wrong") { CHECK(keeper.GetReports().empty()); }
   SECTION("a block, with its ages") {
     fixture.Crash({"bad", "s3"});
     const auto known = fixture.here.GetReports();
-    keeper.ApplyVerdicts(known);
+    keeper.ApplyVerdicts(kPeer, known);
     fixture.clock.Advance(std::chrono::minutes(5));
     CrashQuarantine started(fixture.clock);
-    started.ApplyReports(keeper.GetReports());
+    started.ApplyReports(kPeer, keeper.GetReports());
     CHECK(started.IsBlocked(MakeParts({"bad", "x"})));
     const ContentReport report = started.GetReports().front();
     CHECK(*report.blocked_age == *known.front().blocked_age + std::chrono::minutes(5));
@@ -303,33 +315,33 @@
   CrashQuarantine cut_off(fixture.clock);
   CrashQuarantine keeper(fixture.clock);
   for (int i = 0; i < 4; ++i) fixture.Crash({"part"});
-  cut_off.ApplyVerdicts(fixture.here.GetReports());
+  cut_off.ApplyVerdicts(kPeer, fixture.here.GetReports());
   fixture.clock.Advance(Milliseconds(100));
   fixture.here.OnAnswered(MakeParts({"part"}));
-  keeper.ApplyVerdicts(fixture.here.GetReports());
+  keeper.ApplyVerdicts(kPeer, fixture.here.GetReports());
   fixture.clock.Advance(std::chrono::minutes(50));
 
   SECTION("to the entry that saw the answer") {
-    fixture.here.ApplyReports(cut_off.GetReports());
+    fixture.here.ApplyReports(kPeer, cut_off.GetReports());
     CHECK_FALSE(fixture.IsBlocked({"part"}));
   }
   SECTION("to an entry that has started since") {
     for (const bool is_cut_off_first : {false, true}) {
       CrashQuarantine started(fixture.clock);
-      if (is_cut_off_first) started.ApplyReports(cut_off.GetReports());
-      started.ApplyReports(SendInBeacon(keeper.GetReports()));
-      started.ApplyReports(cut_off.GetReports());
+      if (is_cut_off_first) started.ApplyReports(kPeer, cut_off.GetReports());
+      started.ApplyReports(kPeer, SendInBeacon(keeper.GetReports()));
+      started.ApplyReports(kPeer, cut_off.GetReports());
       CHECK_FALSE(started.IsBlocked(MakeParts({"part"})));
     }
   }
   SECTION("and the process that was cut off learns of the answer") {
-    cut_off.ApplyVerdicts(keeper.GetReports());
+    cut_off.ApplyVerdicts(kPeer, keeper.GetReports());
     CHECK_FALSE(cut_off.IsBlocked(MakeParts({"part"})));
   }
   SECTION("but ends after the answer block it again, everywhere") {
     for (int i = 0; i < 4; ++i) fixture.Crash({"part"});
     for (CrashQuarantine* process : {&cut_off, &keeper}) {
-      process->ApplyVerdicts(fixture.here.GetReports());
+      process->ApplyVerdicts(kPeer, fixture.here.GetReports());
       CHECK(process->IsBlocked(MakeParts({"part"})));
     }
   }
@@ -350,7 +362,7 @@
   for (int second = 0; second < 20; ++second) {
     const auto reports = fixture.here.GetReports();
     CHECK(reports.size() == 8);
-    fixture.peer.ApplyVerdicts(reports);
+    fixture.peer.ApplyVerdicts(kPeer, reports);
     fixture.clock.Advance(std::chrono::seconds(1));
   }
   CHECK(fixture.peer.GetBlockedCount() == 20);
--- a/tests/crashing_request_test.cpp
+++ b/tests/crashing_request_test.cpp
@@ -8,6 +8,7 @@
 
 #include "beacon_table.h"
 #include "content_key.h"
+#include "content_parts.h"
 #include "crash_quarantine.h"
 #include "failure_type.h"
 #include "forward_fake.h"
@@ -52,7 +53,7 @@
     clock.Advance(Milliseconds(100));
     const TimePoint sent_at = clock.GetNow();
     clock.Advance(Milliseconds(60));
-    quarantine.OnCrash({MakeKey(id)}, EndpointRun(++run), sent_at, false);
+    quarantine.OnCrash({MakeKey(id)}, EndpointRun(++run), sent_at, AnswerProgress::kNone);
   }
   bool IsBlocked(const std::string& id) const { return here.IsBlocked({MakeKey(id)}); }
 
@@ -68,7 +69,7 @@
   fixture.Crash("bad", fixture.here);
   CHECK_FALSE(fixture.here.IsSuspect({MakeKey("bad")}));
   fixture.Crash("bad", fixture.peer);
-  fixture.here.ApplyReports(fixture.peer.GetReports());
+  fixture.here.ApplyReports(kPeer, fixture.peer.GetReports());
   CHECK(fixture.here.IsSuspect({MakeKey("bad")}));
   CHECK_FALSE(fixture.IsBlocked("bad"));
   fixture.Crash("bad", fixture.here);
@@ -82,7 +83,7 @@
     const auto decoded = DecodeBeacon(EncodeBeacon(beacon));
     REQUIRE(decoded.has_value());
     CrashQuarantine joined(fixture.clock);
-    joined.ApplyReports(decoded->content_reports);
+    joined.ApplyReports(kPeer, decoded->content_reports);
     CHECK(joined.IsBlocked({MakeKey("bad")}));
     CHECK_FALSE(joined.IsBlocked({{ContentKind::kPromptPart, "bad"}}));
   }
@@ -112,7 +113,7 @@
     const TimePoint sent_at = fixture.clock.GetNow();
     for (uint64_t run = 1; run <= 8; ++run) {
       fixture.clock.Advance(Milliseconds(20));
-      fixture.here.OnCrash({MakeKey("popular")}, EndpointRun(run), sent_at, false);
+      fixture.here.OnCrash({MakeKey("popular")}, EndpointRun(run), sent_at, AnswerProgress::kNone);
     }
     CHECK_FALSE(fixture.IsBlocked("popular"));
   }
@@ -128,19 +129,19 @@
   SECTION("a request that was at the endpoints of a blocked one") {
     for (int i = 0; i < 2; ++i) {
       fixture.Crash("bad", fixture.here);
-      fixture.here.OnCrash({MakeKey("sound")}, EndpointRun(fixture.run), fixture.clock.GetNow(), false);
+      fixture.here.OnCrash({MakeKey("sound")}, EndpointRun(fixture.run), fixture.clock.GetNow(), AnswerProgress::kNone);
     }
     CHECK(fixture.here.IsSuspect({MakeKey("sound")}));
     fixture.Crash("bad", fixture.here);
     REQUIRE(fixture.IsBlocked("bad"));
     CHECK_FALSE(fixture.here.IsSuspect({MakeKey("sound")}));
-    fixture.here.OnCrash({MakeKey("sound")}, EndpointRun(fixture.run), fixture.clock.GetNow(), false);
+    fixture.here.OnCrash({MakeKey("sound")}, EndpointRun(fixture.run), fixture.clock.GetNow(), AnswerProgress::kNone);
     CHECK_FALSE(fixture.here.IsSuspect({MakeKey("sound")}));
     SECTION("also at an entry that hears of the block and of the ends from others") {
-      fixture.peer.OnCrash({MakeKey("sound")}, EndpointRun(1), fixture.clock.GetNow(), false);
-      fixture.peer.OnCrash({MakeKey("sound")}, EndpointRun(2), fixture.clock.GetNow(), false);
+      fixture.peer.OnCrash({MakeKey("sound")}, EndpointRun(1), fixture.clock.GetNow(), AnswerProgress::kNone);
+      fixture.peer.OnCrash({MakeKey("sound")}, EndpointRun(2), fixture.clock.GetNow(), AnswerProgress::kNone);
       REQUIRE(fixture.peer.IsSuspect({MakeKey("sound")}));
-      fixture.peer.ApplyReports(fixture.here.GetReports());
+      fixture.peer.ApplyReports(kPeer, fixture.here.GetReports());
       CHECK_FALSE(fixture.peer.IsSuspect({MakeKey("sound")}));
     }
   }
@@ -151,7 +152,7 @@
     fixture.clock.Advance(Milliseconds(1));
     fixture.here.OnRunAnswered(EndpointRun(1), fixture.clock.GetNow());
     CHECK_FALSE(fixture.here.IsSuspect({MakeKey("sound")}));
-    fixture.here.ApplyReports(old_reports);
+    fixture.here.ApplyReports(kPeer, old_reports);
     CHECK_FALSE(fixture.here.IsSuspect({MakeKey("sound")}));
   }
   SECTION("an answer that was on its way when the endpoint ended proves nothing about its end") {
@@ -163,7 +164,7 @@
   SECTION("many requests that were in one end each do not displace the evidence against one") {
     for (int i = 0; i < 2; ++i) fixture.Crash("bad", fixture.here);
     for (int i = 0; i < 500; ++i)
-      fixture.here.OnCrash({MakeKey(std::to_string(i))}, EndpointRun(77), TimePoint(), false);
+      fixture.here.OnCrash({MakeKey(std::to_string(i))}, EndpointRun(77), TimePoint(), AnswerProgress::kNone);
     CHECK(fixture.here.GetReports().front().key == MakeKey("bad"));
     fixture.Crash("bad", fixture.here);
     CHECK(fixture.IsBlocked("bad"));
@@ -314,7 +315,7 @@
     ++endpoint.run;
     endpoint.up_at = m_clock.GetNow() + kDownTime;
     for (const Attempt& attempt : broken) {
-      m_entries[attempt.entry]->OnCrash({MakeKey(attempt.id)}, run, attempt.sent_at, false);
+      m_entries[attempt.entry]->OnCrash({MakeKey(attempt.id)}, run, attempt.sent_at, AnswerProgress::kNone);
     }
     for (Attempt attempt : broken) {
       if (attempt.repeats_left-- > 0 && !m_entries[attempt.entry]->IsSuspect({MakeKey(attempt.id)})) {
@@ -331,7 +332,7 @@
     for (const auto& from : m_entries) {
       const auto reports = from->GetReports();
       for (const auto& to : m_entries) {
-        if (to != from && m_random.GetUnit() > 0.2) to->ApplyReports(reports);
+        if (to != from && m_random.GetUnit() > 0.2) to->ApplyReports(kPeer, reports);
       }
     }
   }
--- a/tests/forward_fake.h
+++ b/tests/forward_fake.h
@@ -125,7 +125,7 @@
                      {"Plantainmast-Weight-Versions", version}});
     }
     void SendResponse(int status, const std::string& body) {
-      SendHead(status, {{"Plantainmast-Server-Stamp", "s"}});
+      SendHead(status, {{"Plantainmast-Server-Stamp", "s"}, {"Content-Length", std::to_string(body.size())}});
       SendData(body);
       FinishResponse();
     }
--- a/tests/quarantine_fleet_test.cpp
+++ b/tests/quarantine_fleet_test.cpp
@@ -144,7 +144,8 @@
       // The header of an answer comes with its first event, except at the bad part.
       const bool has_header =
           attempt.parts.back() == ContentKey{ContentKind::kPromptPart, "bad"} && attempt.begins_at <= m_clock.GetNow();
-      m_entries[attempt.entry]->OnCrash(attempt.parts, run, attempt.sent_at, has_header);
+      m_entries[attempt.entry]->OnCrash(attempt.parts, run, attempt.sent_at,
+                                        has_header ? AnswerProgress::kHeader : AnswerProgress::kNone);
     }
     engine.reading.clear();
     engine.up_at = m_clock.GetNow() + kDownTime;
@@ -156,16 +157,17 @@
       if (m_cut_off.contains(from)) continue;
       const auto reports = m_entries[from]->GetReports();
       for (size_t to = 0; to < m_entries.size(); ++to) {
-        if (to != from && !m_cut_off.contains(to) && m_random.GetUnit() > 0.3) m_entries[to]->ApplyReports(reports);
+        if (to != from && !m_cut_off.contains(to) && m_random.GetUnit() > 0.3)
+          m_entries[to]->ApplyReports(kPeer, reports);
       }
       for (const auto& agent : m_agents) {
-        if (m_random.GetUnit() > 0.3) agent->ApplyVerdicts(reports);
+        if (m_random.GetUnit() > 0.3) agent->ApplyVerdicts(kPeer, reports);
       }
     }
     for (const auto& agent : m_agents) {
       const auto reports = agent->GetReports();
       for (size_t to = 0; to < m_entries.size(); ++to) {
-        if (!m_cut_off.contains(to) && m_random.GetUnit() > 0.3) m_entries[to]->ApplyReports(reports);
+        if (!m_cut_off.contains(to) && m_random.GetUnit() > 0.3) m_entries[to]->ApplyReports(kPeer, reports);
       }
     }
   }
