Keep the evidence against content until a whole answer makes it void

Cause: evidence was dropped after 60 s, in which rare requests do not give enough ends. Age says nothing about a content; whole answers do.

Change: ends count for an hour, the time after which content that nobody sends is forgotten anyway. Beacons still carry evidence for a minute after the last end; the next end brings all of it again.

--- a/src/crash_quarantine.cpp
+++ b/src/crash_quarantine.cpp
@@ -28,8 +28,13 @@
 constexpr size_t kMaxCrashes = 8;
 // Runs that ended under one key that are remembered.
 constexpr size_t kMaxEndedRuns = 64;
-// Evidence older than this is dropped.
-constexpr Duration kMaxCrashAge = std::chrono::seconds(60);
+// Evidence older than this is dropped. Only a whole answer makes it void before, however rare the requests are.
+constexpr Duration kMaxCrashAge = std::chrono::hours(1);
+// Time after the last end for which evidence is reported. Peers keep what they have heard, and the next end brings all
+// of it again.
+constexpr Duration kCrashReportTime = std::chrono::minutes(1);
+// A key without evidence is forgotten after this time.
+constexpr Duration kMaxIdleTime = std::chrono::minutes(1);
 // Exceeds the time in which an endpoint that ended is back.
 constexpr Duration kMaxRestartTime = std::chrono::seconds(10);
 // Time for which an answer is reported to peers that may hold older evidence.
@@ -174,7 +179,7 @@
   const TimePoint now = m_clock.GetNow();
   if (state.is_blocked) return now - state.used_at > kMaxUnusedTime;
   if (state.is_cleared && now - *state.answered_at <= kMaxClearedTime) return false;
-  return now - state.used_at > kMaxCrashAge;
+  return now - state.used_at > (state.crashes.empty() ? kMaxIdleTime : kMaxCrashAge);
 }
 
 void CrashQuarantine::RemoveUnused() {
@@ -404,7 +409,8 @@
   if (IsUnused(state)) return false;
   const bool is_answer_news =
       state.answered_at.has_value() && m_clock.GetNow() - *state.answered_at < kAnswerReportTime;
-  return state.is_blocked || state.is_cleared || !state.crashes.empty() || is_answer_news;
+  const bool is_crash_news = !state.crashes.empty() && m_clock.GetNow() - state.last_crash_at < kCrashReportTime;
+  return state.is_blocked || state.is_cleared || is_crash_news || is_answer_news;
 }
 
 ContentReport CrashQuarantine::MakeReport(const ContentKey& key, const State& state) const {
