Look at each shared part of a prompt, wherever it stands

Cause: only the first eight shared parts were read, and no id over 32 bytes, to bound memory. What is bounded by place is blind behind it.

Change: all parts are read; a long id becomes its digest. An end adds what is known first, and of other keys 64 by a hash of key and run, so that a part that all such requests have is picked soon. The table has room for 256 keys of each kind. Log lines name eight parts.

Changed test: the parser's test asked for the cut; it now asks that each part is read and that a long id takes 32 bytes.

--- a/src/content_key.cpp
+++ b/src/content_key.cpp
@@ -8,6 +8,8 @@
 
 // Enough to exclude collisions; beacons carry keys.
 constexpr size_t kKeyBytes = 16;
+// Longest id of a prompt part that is kept as it is.
+constexpr size_t kMaxIdBytes = 32;
 
 // Appends a field with its length, so that different fields never give the same text.
 void AppendField(std::string_view field, std::string& text) {
@@ -28,6 +30,11 @@
   return {ContentKind::kRequest, FormatHex(ComputeDigest(text).Get().substr(0, kKeyBytes))};
 }
 
+ContentKey MakePartKey(std::string_view id) {
+  if (id.size() <= kMaxIdBytes) return {ContentKind::kPromptPart, std::string(id)};
+  return {ContentKind::kPromptPart, FormatHex(ComputeDigest(id).Get().substr(0, kKeyBytes))};
+}
+
 std::string_view GetContentKindName(ContentKind kind) {
   return kind == ContentKind::kRequest ? "request" : "prompt_part";
 }
--- a/src/content_key.h
+++ b/src/content_key.h
@@ -33,6 +33,9 @@
 // make a request with the key of another caller's request.
 ContentKey MakeRequestKey(const WorkspaceName& workspace, std::string_view host, const HttpRequest& request);
 
+// Returns the key of a prompt part. A long id is replaced by its digest.
+ContentKey MakePartKey(std::string_view id);
+
 // Returns the name of a kind that logs use.
 std::string_view GetContentKindName(ContentKind kind);
 
--- a/src/crash_quarantine.cpp
+++ b/src/crash_quarantine.cpp
@@ -5,6 +5,8 @@
 #include <tuple>
 #include <utility>
 
+#include "rendezvous.h"
+
 namespace plantain {
 namespace {
 
@@ -55,7 +57,9 @@
 // What is about to be forgotten is not taken from a peer any more, so that processes do not return it to each other.
 constexpr Duration kMinTimeLeft = Milliseconds(1000);
 // Limits on the memory used, and on what is sent to peers.
-constexpr size_t kMaxContents = 128;
+constexpr size_t kMaxContentsPerKind = 256;
+// Keys of one request that are added at an end.
+constexpr size_t kMaxNewSuspects = 64;
 constexpr size_t kMaxReportsPerKind = 8;
 // Of these, those that keys without a place of their own share, each for some time.
 constexpr size_t kSharedReportsPerKind = 2;
@@ -112,22 +116,36 @@
                               AnswerProgress progress) {
   const TimePoint now = m_clock.GetNow();
   m_loss_rate.OnLost(run, now - sent_at);
-  std::vector<ContentKey> suspects;
-  for (const ContentKey& key : keys) {
-    if (!Contains(suspects, key)) suspects.push_back(key);
-  }
-  for (const ContentKey& key : suspects) {
+  const std::set<ContentKey> unique(keys.begin(), keys.end());
+  std::set<ContentKey> unproved = unique;
+  std::erase_if(unproved, [&](const ContentKey& key) { return IsKnownSound(key); });
+  for (const ContentKey& key : ChooseSuspects(unique, run)) {
     State* state = FindOrAdd(key, false);
     if (state == nullptr) continue;
-    std::vector<ContentKey> others = suspects;
-    std::erase_if(
-        others, [&](const ContentKey& other) { return other == key || other.kind != key.kind || IsKnownSound(other); });
-    KeepCommon(*state, others);
+    KeepCommon(key, *state, unproved);
     AddCrash(key, *state, {run, sent_at, now, progress});
     m_has_news = true;
   }
 }
 
+// What is known comes first. Of many others, each end picks some at random, so that one that is in all of them is found
+// wherever it stands.
+std::vector<ContentKey> CrashQuarantine::ChooseSuspects(const std::set<ContentKey>& keys, EndpointRun run) const {
+  std::vector<ContentKey> suspects;
+  std::vector<std::pair<uint64_t, ContentKey>> unknown;
+  for (const ContentKey& key : keys) {
+    if (m_contents.contains(key)) {
+      suspects.push_back(key);
+    } else {
+      unknown.emplace_back(HashName(key.id + '/' + std::to_string(run.Get())), key);
+    }
+  }
+  std::sort(unknown.begin(), unknown.end());
+  if (unknown.size() > kMaxNewSuspects) unknown.resize(kMaxNewSuspects);
+  for (auto& [hash, key] : unknown) suspects.push_back(std::move(key));
+  return suspects;
+}
+
 void CrashQuarantine::OnSurvived(const std::vector<ContentKey>& keys, Duration running_time) {
   m_loss_rate.OnKept(running_time);
   for (const ContentKey& key : keys) {
@@ -158,23 +176,30 @@
 CrashQuarantine::State* CrashQuarantine::FindOrAdd(const ContentKey& key, bool is_blocked) {
   const auto found = m_contents.find(key);
   if (found != m_contents.end()) return &found->second;
-  RemoveUnused();
-  if (m_contents.size() >= kMaxContents) {
-    const auto weakest = std::min_element(m_contents.begin(), m_contents.end(), [](const auto& a, const auto& b) {
-      const auto get_rank = [](const State& state) {
-        return std::tuple(state.is_blocked, state.is_cleared, state.crashes.size(), state.used_at);
-      };
-      return get_rank(a.second) < get_rank(b.second);
-    });
-    if (weakest->second.is_blocked && !is_blocked) return nullptr;
-    m_contents.erase(weakest);
-  }
+  if (!MakeRoom(key.kind, is_blocked)) return nullptr;
   State& state = m_contents[key];
   state.used_at = m_clock.GetNow();
   state.answered_at = GetLastAnswer(key);
   return &state;
 }
 
+bool CrashQuarantine::MakeRoom(ContentKind kind, bool is_blocked) {
+  RemoveUnused();
+  const auto first = m_contents.lower_bound(ContentKey{kind, ""});
+  const auto end =
+      std::find_if(first, m_contents.end(), [kind](const auto& entry) { return entry.first.kind != kind; });
+  if (static_cast<size_t>(std::distance(first, end)) < kMaxContentsPerKind) return true;
+  const auto weakest = std::min_element(first, end, [](const auto& a, const auto& b) {
+    const auto get_rank = [](const State& state) {
+      return std::tuple(state.is_blocked, state.is_cleared, state.crashes.size(), state.used_at);
+    };
+    return get_rank(a.second) < get_rank(b.second);
+  });
+  if (weakest->second.is_blocked && !is_blocked) return false;
+  m_contents.erase(weakest);
+  return true;
+}
+
 bool CrashQuarantine::IsUnused(const State& state) const {
   const TimePoint now = m_clock.GetNow();
   if (state.is_blocked) return now - state.used_at > kMaxUnusedTime;
@@ -186,13 +211,16 @@
   std::erase_if(m_contents, [&](const auto& entry) { return IsUnused(entry.second); });
 }
 
-// Keeps the companions that the key also has in another request; the first request sets them.
-void CrashQuarantine::KeepCommon(State& state, const std::vector<ContentKey>& others) {
-  if (state.crashes.empty() && !state.is_blocked) {
-    state.companions.assign(others.begin(), others.begin() + std::min(others.size(), kMaxCompanions));
+void CrashQuarantine::KeepCommon(const ContentKey& key, State& state, const std::set<ContentKey>& others) {
+  if (!state.crashes.empty() || state.is_blocked) {
+    std::erase_if(state.companions, [&](const ContentKey& companion) { return !others.contains(companion); });
     return;
   }
-  std::erase_if(state.companions, [&](const ContentKey& key) { return !Contains(others, key); });
+  state.companions.clear();
+  for (const ContentKey& other : others) {
+    if (state.companions.size() == kMaxCompanions) return;
+    if (other != key && other.kind == key.kind) state.companions.push_back(other);
+  }
 }
 
 void CrashQuarantine::AddCrash(const ContentKey& key, State& state, const AttemptLoss& crash) {
@@ -491,7 +519,7 @@
   if (report.answered_age.has_value()) Clear(report.key, *state, now - *report.answered_age, true);
   state->is_cleared = state->is_cleared || report.is_cleared;
   if (!is_blocked && report.crashes.empty()) return;
-  KeepCommon(*state, report.companions);
+  KeepCommon(report.key, *state, {report.companions.begin(), report.companions.end()});
   if (report.crashes.size() > 1) state->totals_elsewhere[from] = report.totals;
   if (is_blocked) {
     ApplyBlock(report, *state);
--- a/src/crash_quarantine.h
+++ b/src/crash_quarantine.h
@@ -127,6 +127,8 @@
   };
 
   State* FindOrAdd(const ContentKey& key, bool is_blocked);
+  // Removes the key of a kind that matters least if there is no room for another one. Returns whether there is room.
+  bool MakeRoom(ContentKind kind, bool is_blocked);
   void AddCrash(const ContentKey& key, State& state, const AttemptLoss& crash);
   void Block(const ContentKey& key, State& state, bool is_from_peer);
   void Clear(const ContentKey& key, State& state, TimePoint answered_at, bool is_from_peer);
@@ -135,7 +137,10 @@
   bool IsWorthAdding(const ContentReport& report) const;
   bool IsReportable(const State& state) const;
   ContentReport MakeReport(const ContentKey& key, const State& state) const;
-  void KeepCommon(State& state, const std::vector<ContentKey>& others);
+  // Returns the keys to which an end of this run is charged.
+  std::vector<ContentKey> ChooseSuspects(const std::set<ContentKey>& keys, EndpointRun run) const;
+  // Keeps the companions that the key also has in another request; the first request sets them.
+  static void KeepCommon(const ContentKey& key, State& state, const std::set<ContentKey>& others);
   bool IsKnownSound(const ContentKey& key) const;
   // Returns the totals of this process.
   AttemptTotals GetTotals(const ContentKey& key, const State& state) const;
--- a/src/forward_log.cpp
+++ b/src/forward_log.cpp
@@ -13,11 +13,15 @@
   return version.value_or(WeightVersion()).Get();
 }
 
+// Parts of a prompt that a log line names.
+constexpr size_t kMaxLoggedParts = 8;
+
 std::string FormatParts(const std::vector<ContentKey>& parts) {
   std::string text;
-  for (const ContentKey& part : parts) {
-    if (!text.empty()) text += ',';
-    text += part.id;
+  for (size_t i = 0; i < parts.size(); ++i) {
+    if (i > 0) text += ',';
+    if (i == kMaxLoggedParts) return text + "...";
+    text += parts[i].id;
   }
   return text;
 }
--- a/src/forward_type.h
+++ b/src/forward_type.h
@@ -16,9 +16,6 @@
 
 namespace plantain {
 
-// Maximum number of prompt parts of a request that are examined.
-inline constexpr size_t kMaxSharedParts = 8;
-
 // A received request and the header fields that routing, admission and retries use.
 struct ForwardRequest {
   RequestId id;
@@ -36,7 +33,7 @@
   uint32_t output_tokens = 0;
   // ID of the last stream event that the caller has received.
   std::optional<uint64_t> last_event_id;
-  // Parts of the prompt that other requests may share, in order; at most kMaxSharedParts.
+  // Parts of the prompt that other requests may share, in order. The limit of a header bounds their number.
   std::vector<ContentKey> shared_parts;
   // Whether the pool shares its slots by priority. A priority that the caller states is not forwarded to such a pool.
   bool has_pool_priorities = false;
--- a/tests/caller_protocol_test.cpp
+++ b/tests/caller_protocol_test.cpp
@@ -26,11 +26,18 @@
   CHECK(ParseParts("").empty());
   CHECK(ParseParts(",:5,5c1e07a2,e4402b7d:250") == std::vector{ContentKey{ContentKind::kPromptPart, "5c1e07a2"}});
 
-  SECTION("overlong ids and lists are cut") {
-    CHECK(ParseParts(std::string(5000, 'a') + ":1,b:2,c:3") == std::vector{ContentKey{ContentKind::kPromptPart, "b"}});
+  SECTION("an overlong id takes little memory, and is not lost") {
+    const auto parts = ParseParts(std::string(5000, 'a') + ":1,b:2,c:3");
+    REQUIRE(parts.size() == 2);
+    CHECK(parts.front().id.size() == 32);
+    CHECK(parts == ParseParts(std::string(5000, 'a') + ":1,b:2,c:3"));
+    CHECK(parts != ParseParts(std::string(4999, 'a') + "d:1,b:2,c:3"));
+    CHECK(parts.back().id == "b");
+  }
+  SECTION("each part of a long list is read") {
     std::string many;
     for (int i = 0; i < 1000; ++i) many += std::to_string(i) + ":1,";
-    CHECK(ParseParts(many + "own:1").size() == kMaxSharedParts);
+    CHECK(ParseParts(many + "own:1").size() == 1000);
   }
 }
 
--- a/tests/forward_crashing_stream_test.cpp
+++ b/tests/forward_crashing_stream_test.cpp
@@ -99,6 +99,25 @@
   }
 }
 
+// Guards against a bad part that is not looked at behind sound ones.
+TEST_CASE("A prompt part that ends engines is blocked at whatever place of the prompt") {
+  CrashingStreamFixture fixture;
+  const int before = GENERATE(0, 7, 8, 40, 300);
+  INFO("parts before it " << before);
+  std::string sound;
+  for (int i = 0; i < before; ++i) sound += "s" + std::to_string(i) + ":9,";
+  fixture.SendPrompt(sound + "5c1e07a2:40");
+  fixture.AnswerLast();
+  for (int i = 0; i < 30; ++i) {
+    fixture.SendPrompt(sound + "bad0bad0:400");
+    fixture.CrashAll(0);
+  }
+  const auto caller = fixture.SendPrompt(sound + "bad0bad0:400");
+  CHECK(caller->body.find("blocked_content") != std::string::npos);
+  const auto other = fixture.SendPrompt(sound + "91bd3f06:400");
+  CHECK(other->status == 0);
+}
+
 // Guards against a part that counts as sound because its answers begin, whoever saw them: an answer that ends with its
 // connection may have been cut off by the crash at the end of an event.
 TEST_CASE("Only an answer with an explicit end proves that a part is sound") {
