Share the fixture of the tests that end engines under prompts

Cause: two test files wrote the same engines, requests and replacement. Change: tests/prompt_fixture.h has them once; no assertion changes.

--- a/tests/forward_crashing_stream_test.cpp
+++ b/tests/forward_crashing_stream_test.cpp
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "failure_type.h"
-#include "forward_fake.h"
+#include "prompt_fixture.h"
 
 namespace plantain {
 namespace {
@@ -9,24 +9,7 @@
 constexpr int kEvents = 12;
 
 // Engines that crash at one prompt part after some events of an answer, and are back after a while.
-struct CrashingStreamFixture : ForwardFixture {
-  CrashingStreamFixture() : ForwardFixture(MakeEngines(0)) {}
-
-  static std::vector<EndpointInfo> MakeEngines(int generation) {
-    std::vector<EndpointInfo> engines;
-    for (int i = 0; i < 8; ++i) {
-      engines.push_back(
-          MakeEndpoint("e" + std::to_string(i) + "-" + std::to_string(generation), kEnginePool, "praha", 16));
-    }
-    return engines;
-  }
-
-  // Sends a request whose prompt has these shared parts. No two requests are alike.
-  std::shared_ptr<FakeForwardCaller> SendPrompt(const std::string& shared) {
-    return SendRequest("/draft/" + std::to_string(++request), "6000",
-                       {{"Plantainmast-Prefix-Hash", shared + ",0a0a0a0a:250"}});
-  }
-
+struct CrashingStreamFixture : PromptFixture {
   // Sends the header and some events of the answers to all open attempts, then ends their engines, as often as they
   // are resumed. New engines take their places.
   void CrashAll(int events) {
@@ -37,9 +20,7 @@
       SendEvents(sent, last.empty() ? 0 : std::stoi(last) + 1, events);
       sent.FinishResponse(MakeFailure(FailureCode::kConnectionLost, "reset"));
     }
-    fleet = MakeFleet(MakeEngines(++generation));
-    traffic->SetFleet(fleet);
-    AdvanceTime(Milliseconds(500));
+    ReplaceEngines();
   }
 
   // Answers the last request with a whole stream.
@@ -60,10 +41,6 @@
       sent.SendData("id: " + std::to_string(i) + "\ndata: a\n\n");
     }
   }
-
-  int request = 0;
-  size_t next_open = 0;
-  int generation = 0;
 };
 
 // Guards against content that crashes endpoints after its answer has begun, for which the first event was taken as
--- a/tests/forward_prompt_test.cpp
+++ b/tests/forward_prompt_test.cpp
@@ -1,33 +1,12 @@
 #include <catch2/catch.hpp>
 
 #include "failure_type.h"
-#include "forward_fake.h"
+#include "prompt_fixture.h"
 
 namespace plantain {
 namespace {
 
-// Header of a request whose prompt has these shared parts and one of its own.
-std::vector<std::pair<std::string, std::string>> MakePrompt(const std::string& shared) {
-  return {{"Plantainmast-Prefix-Hash", shared + ",0a0a0a0a:250"}};
-}
-
-struct PromptFixture : ForwardFixture {
-  PromptFixture() : ForwardFixture(MakeEngines(0)) {}
-
-  static std::vector<EndpointInfo> MakeEngines(int generation) {
-    std::vector<EndpointInfo> engines;
-    for (int i = 0; i < 8; ++i) {
-      engines.push_back(
-          MakeEndpoint("e" + std::to_string(i) + "-" + std::to_string(generation), kEnginePool, "praha", 16));
-    }
-    return engines;
-  }
-
-  // Sends a request whose prompt has these shared parts. No two requests are alike.
-  std::shared_ptr<FakeForwardCaller> SendPrompt(const std::string& shared) {
-    return SendRequest("/draft/" + std::to_string(++request), "6000", MakePrompt(shared));
-  }
-
+struct CrashingPromptFixture : PromptFixture {
   // Ends the engines of all attempts that are open, before any event but after the header of their answers. New engines
   // take their places.
   void CrashAll() {
@@ -38,19 +17,13 @@
       sent.SendData("id: 0\nda");
       sent.FinishResponse(MakeFailure(FailureCode::kConnectionLost, "reset"));
     }
-    fleet = MakeFleet(MakeEngines(++generation));
-    traffic->SetFleet(fleet);
-    AdvanceTime(Milliseconds(500));
+    ReplaceEngines();
   }
-
-  int request = 0;
-  size_t next_open = 0;
-  int generation = 0;
 };
 
 // Guards against requests with one prompt part that end one engine after the other: the BUDGET incident.
 TEST_CASE("After five engines have ended at a prompt part, at most three more requests with it are sent") {
-  PromptFixture fixture;
+  CrashingPromptFixture fixture;
   std::shared_ptr<FakeForwardCaller> caller;
   for (int i = 0; i < 13; ++i) {
     caller = fixture.SendPrompt("5c1e07a2:40,bad0bad0:400");
@@ -73,7 +46,7 @@
 
 // Guards against requests that were sent or queued before the part was blocked.
 TEST_CASE("When a prompt part is blocked, requests with it that have not begun are withdrawn and not repeated") {
-  PromptFixture fixture;
+  CrashingPromptFixture fixture;
   for (int i = 0; i < 2; ++i) {
     fixture.SendPrompt("bad0bad0:400");
     fixture.CrashAll();
