Report known sound content with the next beacon, not at once

Cause: an entry that hears of an end under content that it knows to be sound would have sent its state at once. With 64 entries each end under a popular part would make each of them send to all others; the next beacon, 0.1 s later, tells the same before any block can come about. Change: no message of its own. Measured: the 58 unit tests of the quarantine and its neighbours pass.

--- a/src/crash_quarantine.cpp
+++ b/src/crash_quarantine.cpp
@@ -514,8 +514,6 @@
   if (state == nullptr) return;
   if (is_new) state->used_at = now - report.used_age;
   RaiseTo(state->used_at, now - report.used_age);
-  // The sender does not know that the key is sound.
-  if (is_new && state->answered_at.has_value()) m_has_news = true;
   if (report.answered_age.has_value()) Clear(report.key, *state, now - *report.answered_age, true);
   state->is_cleared = state->is_cleared || report.is_cleared;
   if (!is_blocked && report.crashes.empty()) return;
