--- a/review/standins-3/bed.py
+++ b/review/standins-3/bed.py
@@ -104,6 +104,8 @@
         self.delay_s = 0.004
 
     async def put(self, topic, key, value):
+        """Appends a record; its key is text or bytes, and no value removes it. Returns the time of the ack."""
+        key = key.encode() if isinstance(key, str) else key
         raw = b"" if value is None else value if isinstance(value, bytes) else json.dumps(value).encode()
         async with self.changed:
             self.records[topic].append((key, raw))
@@ -116,7 +118,7 @@
         for offset, (key, raw) in enumerate(self.records[topic]):
             newest.pop(key, None)
             if raw:
-                newest[key] = {"key": key, "value": base64.b64encode(raw).decode(), "offset": offset}
+                newest[key] = {"key": key.decode(errors="replace"), "value": base64.b64encode(raw).decode(), "offset": offset}
         return json.dumps({"entries": list(newest.values()), "more_pages": False,
                            "end": len(self.records[topic])}).encode()
 
@@ -130,7 +132,7 @@
                     pass
         out = struct.pack(">QQ", len(records), 0)
         for key, raw in records[first:first + 1024]:
-            content = bytes([len(key)]) + key.encode() + raw
+            content = bytes([len(key)]) + key + raw
             out += struct.pack(">I", len(content)) + content
         return out
 
