--- a/review/14/case.py
+++ b/review/14/case.py
@@ -12,7 +12,8 @@
 import sys
 import time
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins-3"))
+FOLDER = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(FOLDER, "..", "standins-3"))
 from bed import CLIENT_PORT, HOST, OP, Runner, make_config, make_route, read_message, run_case  # noqa: E402
 from engines import MODEL, Engine, Origin, make_engine_service, make_origin_service, make_prompt  # noqa: E402
 
@@ -125,4 +126,4 @@
     return after >= LEAST_SERVED
 
 
-run_case(__file__, case)
+run_case(os.path.join(FOLDER, "record.txt"), case)
--- a/review/standins-3/bed.py
+++ b/review/standins-3/bed.py
@@ -2,11 +2,12 @@
 
 The stand-ins speak what PROTOCOL.md says and nothing else: a store (a keyed log), runners, model runners with a staging
 area, the origin of weights, and requesters. All addresses are on loopback: a bed takes one free block 127.B.*.*.
-Everything that is sent, answered and run is written to `record.txt` beside the script, with seconds since the start.
+Everything that is sent, answered and run is written to the record file that a case names, with seconds since the start.
 """
 
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import signal
@@ -22,6 +23,14 @@
 RUNNER_PORT, STORE_PORT = 9000, 8007
 OP, SERVERS = "keyed.op", "keyed.servers"
 HOST = "h.example"
+# Exit codes of a case for its run.sh. An error of the interpreter itself, which exits with 1, is none of the first two.
+HELD, BROKEN, NOT_RUN = 0, 10, 2
+PR_SET_PDEATHSIG = 1
+
+
+def die_with_parent():
+    """Has the kernel kill a process that was started when the script dies."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
 def find_block():
@@ -204,11 +213,11 @@
 class Bed:
     """Processes, stand-ins and the record of one run."""
 
-    def __init__(self, script):
+    def __init__(self, record):
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.block, self.holder = find_block()
         self.folder = tempfile.TemporaryDirectory(prefix="review-")
-        self.record = open(os.path.join(os.path.dirname(os.path.abspath(script)), "record.txt"), "w", encoding="utf-8")
+        self.record = open(record, "w", encoding="utf-8")
         self.began = time.monotonic()
         self.store, self.processes, self.seeds, self.zones = None, {}, [], ["z1"]
         self.version_ms = 8000
@@ -238,7 +247,8 @@
                       f"version:\n  limit_ms: {self.version_ms}\ndrain:\n  grace_ms: 8000\n{more}")
         log = open(os.path.join(self.folder.name, f"{name}.log"), "ab")
         return asyncio.create_subprocess_exec(
-            os.path.join(ROOT, "target", program), "--platform", "hosted", "--settings", settings, stdout=log, stderr=log)
+            os.path.join(ROOT, "target", program), "--platform", "hosted", "--settings", settings, stdout=log, stderr=log,
+            preexec_fn=die_with_parent)
 
     async def start_entry(self, name, address, zone="z1"):
         more = (f"http:\n  target: {address}:{CLIENT_PORT}\nready:\n  target: {address}:{READY_PORT}\n"
@@ -308,21 +318,22 @@
 
 def end_script(code):
     """Ends the script at once, without the tracebacks of connections that are still open."""
-    print({0: "the rule held", 1: "THE RULE WAS BROKEN", 2: "the case could not run"}[code])
+    print({HELD: "the rule held", BROKEN: "THE RULE WAS BROKEN", NOT_RUN: "the case could not run"}[code])
     sys.stdout.flush()
     os._exit(code)
 
 
-def run_case(script, case):
-    """Runs a case, a coroutine that returns whether the rule held. Exits with 0 if it held, 1 if not, 2 on an error."""
+def run_case(record, case):
+    """Runs a case, a coroutine that returns whether the rule held, and ends the script with HELD, BROKEN or NOT_RUN."""
     async def run():
-        bed, code = Bed(script), 2
+        bed, code = Bed(record), NOT_RUN
         try:
             held = await asyncio.wait_for(case(bed), 110)
             bed.note("the rule", "held" if held else "was broken")
-            code = 0 if held else 1
+            code = HELD if held else BROKEN
         except Exception as error:  # The case could not run.
-            print(f"{script}: {error!r}", file=sys.stderr)
+            print(f"{record}: {error!r}", file=sys.stderr)
+            bed.note("the case could not run:", repr(error))
         await bed.stop()
         bed.keep_logs()
         bed.record.close()
